--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+    files: ["out/**/*.test.js"],
+    timeout: "120s",
+    concurrency: 4,
+};
--- /dev/null
+++ b/src/common/blackboard/blackboard.ts
@@ -0,0 +1,59 @@
+/**
+ * The blackboard and its fields.
+ */
+import * as config from "../config/Types.js";
+import * as events from "../events.js";
+import * as freshness from "../freshness/Types.js";
+import * as ids from "../ids.js";
+import * as membership from "../membership/Types.js";
+import * as shared from "../Types.js";
+import * as types from "./Types.js";
+
+/**
+ * Creates a field with a single writer.
+ *
+ * @param name - name of the field, for errors
+ * @param initial - value before the first write
+ * @returns the field
+ */
+export const createField = <T>(name: string, initial: T): types.Field<T> => {
+    const emitter = events.createEmitter<T>();
+    let value = initial;
+    let owner: string | undefined;
+    return {
+        get: () => value,
+        onDidChange: emitter.event,
+        takeWriter: writer => {
+            if (owner !== undefined) {
+                throw new Error(`field ${name} is written by ${owner}, so ${writer} cannot write it`);
+            }
+            owner = writer;
+            return next => {
+                value = next;
+                emitter.fire(next);
+            };
+        },
+    };
+};
+
+/**
+ * Creates the shared state of an entry daemon.
+ *
+ * @param self - constant facts of this entry VM
+ * @returns the blackboard, with no configuration and no members
+ */
+export const createBlackboard = (self: types.Self): types.Blackboard => ({
+    self,
+    lifecycle: createField<types.Lifecycle>("lifecycle", "starting"),
+    configuration: createField<config.Configuration | undefined>("configuration", undefined),
+    freshness: createField<freshness.FreshnessState>("freshness", {
+        revision: ids.toRevision(0),
+        confirmedAtMs: undefined,
+    }),
+    members: createField<ReadonlyMap<shared.VmId, membership.Member>>("members", new Map()),
+    ownership: createField<membership.Ownership>("ownership", {
+        ownersOfCell: () => [],
+        ownerOfTarget: () => undefined,
+    }),
+    cellLoads: createField<ReadonlyMap<shared.CellId, readonly membership.CellLoad[]>>("cellLoads", new Map()),
+});
--- /dev/null
+++ b/src/common/claims/Types.ts
@@ -0,0 +1,60 @@
+/**
+ * Idempotency keys and the decisions of their arbiter.
+ */
+import * as errors from "../errors/Types.js";
+import * as types from "../Types.js";
+
+/** What must be equal in two requests that carry the same key. */
+export type RequestSignature = types.Brand<string, "RequestSignature">;
+
+/** Identifies the key of a service in the memory of the arbiter. */
+export type KeyId = types.Brand<string, "KeyId">;
+
+/** Where a key's arbiter is. */
+export type KeyOrigin =
+    | { readonly kind: "issued"; readonly incarnation: types.IncarnationId; readonly epoch: number }
+    | { readonly kind: "foreign" };
+
+/** An answer that is kept for a caller who sends the request again. */
+export interface KeptAnswer {
+    readonly status: number;
+    readonly headers: readonly (readonly [string, string])[];
+    /** Undefined if the body was too large to keep. */
+    readonly body: Uint8Array | undefined;
+}
+
+/** How a call that was allowed to run has ended. */
+export type ClaimResult =
+    | { readonly kind: "done"; readonly answer: KeptAnswer }
+    | { readonly kind: "notRun"; readonly error: errors.ErrorKind }
+    | { readonly kind: "mayHaveRun"; readonly error: errors.ErrorKind };
+
+/** Permission to send a call to a target; `finish` must be called once. */
+export interface Claim {
+    readonly key: KeyId;
+    finish(result: ClaimResult): void;
+}
+
+export type ClaimDecision =
+    | { readonly kind: "run"; readonly claim: Claim }
+    /** The same call is running; the result comes later. */
+    | { readonly kind: "wait"; readonly result: Promise<ClaimResult> }
+    | { readonly kind: "replay"; readonly answer: KeptAnswer }
+    /** Another incarnation decides. */
+    | { readonly kind: "forward"; readonly incarnation: types.IncarnationId }
+    | { readonly kind: "refuse"; readonly error: errors.ErrorKind; readonly message: string };
+
+export interface ClaimRequest {
+    readonly service: types.ServiceName;
+    readonly key: string;
+    readonly signature: RequestSignature;
+}
+
+/** Arbiter of the keys that this incarnation has issued and of foreign keys that it claims in the table service. */
+export interface ClaimController extends types.Disposable {
+    /** Prefix for keys of callers who look up now, or undefined while leaving. */
+    issueKeyPrefix(): string | undefined;
+    begin(request: ClaimRequest): Promise<ClaimDecision>;
+    /** Entries and bytes in use, for status and capacity. */
+    measure(): { readonly keys: number; readonly keptBytes: number };
+}
--- /dev/null
+++ b/src/common/ids.ts
@@ -0,0 +1,63 @@
+/**
+ * Constructors of branded ids. They check the form and do nothing else.
+ */
+import * as types from "./Types.js";
+
+const namePattern = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+const digestPattern = /^[0-9a-f]{64}$/;
+const addressPattern = /^(\[[0-9a-f:]+\]|\d{1,3}(\.\d{1,3}){3}):(\d{1,5})$/i;
+
+/**
+ * Tells whether a text may name a service, target, VM, zone or region.
+ *
+ * @param text - the text to check
+ * @returns true for 1 to 63 lower-case letters, digits, dots, hyphens and underscores
+ */
+export const isName = (text: string): boolean => namePattern.test(text);
+
+/**
+ * Tells whether a text is an IP address with a port.
+ *
+ * @param text - the text to check
+ * @returns true for `ip:port` with a port from 1 to 65535
+ */
+export const isAddress = (text: string): boolean => {
+    const match = addressPattern.exec(text);
+    if (match === null) {
+        return false;
+    }
+    const port = Number(match[3]);
+    return port >= 1 && port <= 65535;
+};
+
+/**
+ * Tells whether a text is a SHA-256 digest.
+ *
+ * @param text - the text to check
+ * @returns true for 64 lower-case hexadecimal digits
+ */
+export const isDigest = (text: string): boolean => digestPattern.test(text);
+
+export const toServiceName = (text: string): types.ServiceName => text as types.ServiceName;
+export const toTargetId = (text: string): types.TargetId => text as types.TargetId;
+export const toVmId = (text: string): types.VmId => text as types.VmId;
+export const toIncarnationId = (text: string): types.IncarnationId => text as types.IncarnationId;
+export const toZoneName = (text: string): types.ZoneName => text as types.ZoneName;
+export const toRegionName = (text: string): types.RegionName => text as types.RegionName;
+export const toCallId = (text: string): types.CallId => text as types.CallId;
+export const toAttemptId = (text: string): types.AttemptId => text as types.AttemptId;
+export const toBootId = (text: string): types.BootId => text as types.BootId;
+export const toSectionName = (text: string): types.SectionName => text as types.SectionName;
+export const toDigest = (text: string): types.Digest => text as types.Digest;
+export const toAddress = (text: string): types.Address => text as types.Address;
+export const toRevision = (value: number): types.Revision => value as types.Revision;
+
+/**
+ * Names the cell of a service in a zone.
+ *
+ * @param service - the service
+ * @param zone - the zone
+ * @returns the id of the cell
+ */
+export const toCellId = (service: types.ServiceName, zone: types.ZoneName): types.CellId =>
+    `${service}/${zone}` as types.CellId;
--- /dev/null
+++ b/src/node/peers/Types.ts
@@ -0,0 +1,114 @@
+/**
+ * Messages between the system's own processes (JSON-RPC 2.0 on the control port).
+ */
+import * as config from "../../common/config/Types.js";
+import * as membership from "../../common/membership/Types.js";
+import * as routing from "../../common/routing/Types.js";
+import * as types from "../../common/Types.js";
+
+/** Ages are relative to the moment when the sender made the message. */
+export interface GossipMember {
+    readonly info: membership.MemberInfo;
+    readonly ageMs: number;
+}
+
+export interface GossipCellLoad {
+    readonly cell: types.CellId;
+    readonly owner: types.VmId;
+    readonly freeSlots: number;
+    readonly queued: number;
+    readonly expectedWaitMs: number;
+    readonly ageMs: number;
+}
+
+export interface GossipPullAnswer {
+    readonly members: readonly GossipMember[];
+    readonly cellLoads: readonly GossipCellLoad[];
+    /** Newest confirmation the sender knows: revision `revision` was current `ageMs` ago. */
+    readonly confirmation: { readonly revision: types.Revision; readonly ageMs: number } | undefined;
+    readonly head: config.ConfigHead | undefined;
+    readonly crashes: readonly { readonly fingerprint: string; readonly count: number }[];
+}
+
+export interface ConfigStatus {
+    readonly vm: types.VmId;
+    readonly incarnation: types.IncarnationId;
+    readonly revision: types.Revision;
+    readonly fresh: boolean;
+    /** Age of the newest confirmation, undefined before the first. */
+    readonly confirmedAgeMs: number | undefined;
+}
+
+export interface TargetStatus {
+    readonly target: types.TargetId;
+    readonly service: types.ServiceName;
+    readonly zone: types.ZoneName;
+    readonly owner: types.VmId;
+    readonly state: routing.TargetState["kind"];
+    readonly limit: number;
+    readonly inFlight: number;
+    readonly latencyMs: number;
+    readonly reportAgeMs: number | undefined;
+}
+
+/** One line of the history of a call. */
+export interface TraceStep {
+    readonly atMs: number;
+    readonly text: string;
+}
+
+export interface CallTrace {
+    readonly call: types.CallId;
+    readonly vm: types.VmId;
+    readonly steps: readonly TraceStep[];
+}
+
+/** Method name to parameters and result. */
+export interface RpcMethods {
+    "gossip.pull": { params: { readonly from: membership.MemberInfo }; result: GossipPullAnswer };
+    /** `sections` are the changed ones, as text by digest, so that the object store need not be read. */
+    "config.announce": {
+        params: { readonly head: config.ConfigHead; readonly sections: Readonly<Record<string, string>> };
+        result: ConfigStatus;
+    };
+    "config.getSections": {
+        params: { readonly digests: readonly types.Digest[] };
+        result: { readonly sections: Readonly<Record<string, string>> };
+    };
+    "config.status": { params: Record<string, never>; result: ConfigStatus };
+    "crash.report": { params: { readonly fingerprint: string; readonly count: number }; result: { readonly ok: true } };
+    "target.changed": {
+        params: { readonly target: types.TargetId; readonly report: routing.TargetReport };
+        result: { readonly ok: true };
+    };
+    "admin.targets": { params: Record<string, never>; result: { readonly targets: readonly TargetStatus[] } };
+    "admin.explain": { params: { readonly call: types.CallId }; result: { readonly trace: CallTrace | undefined } };
+}
+
+export type RpcMethod = keyof RpcMethods;
+
+export type RpcResult<M extends RpcMethod> =
+    | { readonly kind: "answered"; readonly result: RpcMethods[M]["result"] }
+    | { readonly kind: "failed"; readonly cause: string };
+
+/** Calls a method of another entry daemon. */
+export interface RpcClient {
+    call<M extends RpcMethod>(
+        control: types.Address,
+        method: M,
+        params: RpcMethods[M]["params"],
+        timeoutMs: number,
+    ): Promise<RpcResult<M>>;
+    close(): Promise<void>;
+}
+
+export type RpcHandlers = {
+    readonly [M in RpcMethod]?: (params: RpcMethods[M]["params"]) => Promise<RpcMethods[M]["result"]>;
+};
+
+/** Dispatches JSON-RPC requests that arrive on the control port. */
+export interface RpcServer {
+    addHandlers(handlers: RpcHandlers): void;
+    /** Takes the text of a request and returns the text of the answer. */
+    receive(body: string): Promise<string>;
+}
--- /dev/null
+++ b/src/node/platform/Types.ts
@@ -0,0 +1,87 @@
+/**
+ * What the platform provides, behind interfaces.
+ */
+import * as types from "../../common/Types.js";
+
+export interface Row {
+    readonly key: string;
+    /** Grows with every write of the row. */
+    readonly version: number;
+    readonly value: unknown;
+}
+
+export type ReadResult =
+    | { readonly kind: "found"; readonly row: Row }
+    | { readonly kind: "absent" }
+    | { readonly kind: "unavailable"; readonly cause: string };
+
+export type ScanResult =
+    | { readonly kind: "found"; readonly rows: readonly Row[] }
+    | { readonly kind: "unavailable"; readonly cause: string };
+
+/** Version 0 stands for an absent row. */
+export interface Condition {
+    readonly key: string;
+    readonly version: number;
+}
+
+/** `value` undefined deletes the row. */
+export interface Write {
+    readonly key: string;
+    readonly value: unknown;
+}
+
+/**
+ * `unavailable`: the transaction surely had no effect. `unknown`: the answer was lost; it may have had its effect, and
+ * the caller has to read back.
+ */
+export type TransactResult =
+    | { readonly kind: "committed" }
+    | { readonly kind: "conflict"; readonly rows: readonly Row[] }
+    | { readonly kind: "unavailable"; readonly cause: string }
+    | { readonly kind: "unknown"; readonly cause: string };
+
+export interface TableService {
+    read(key: string): Promise<ReadResult>;
+    scan(prefix: string): Promise<ScanResult>;
+    /** Applies all writes if each condition holds, else none. */
+    transact(conditions: readonly Condition[], writes: readonly Write[]): Promise<TransactResult>;
+}
+
+export type GetResult =
+    | { readonly kind: "found"; readonly content: string }
+    | { readonly kind: "absent" }
+    | { readonly kind: "unavailable"; readonly cause: string };
+
+export type PutResult = { readonly kind: "stored" } | { readonly kind: "unavailable"; readonly cause: string };
+
+export interface ObjectStore {
+    get(name: string): Promise<GetResult>;
+    put(name: string, content: string): Promise<PutResult>;
+}
+
+export interface ListedVm {
+    readonly vm: types.VmId;
+    readonly role: "entry" | "target";
+    readonly state: "live" | "leaving";
+    /** Address for callers; absent for targets' VMs. */
+    readonly address?: types.Address;
+    /** Address of the control port; absent for targets' VMs. */
+    readonly control?: types.Address;
+    readonly zone: types.ZoneName;
+}
+
+export type ListResult =
+    | { readonly kind: "found"; readonly vms: readonly ListedVm[] }
+    | { readonly kind: "unavailable"; readonly cause: string };
+
+/** The platform's list of VMs, which lags behind what happens. */
+export interface VmList {
+    list(): Promise<ListResult>;
+}
+
+export interface Platform {
+    readonly table: TableService;
+    readonly objects: ObjectStore;
+    readonly vms: VmList;
+}
