--- a/src/common/config/Types.ts
+++ b/src/common/config/Types.ts
@@ -80,3 +80,17 @@
     readonly topology: TopologySection;
     readonly services: ReadonlyMap<types.ServiceName, ServiceSection>;
 }
+
+/** A fault of an input, with the place where it is. */
+export interface Fault {
+    /** File or section, and the path of the field, as in `bookings.yaml: targets[2].zone`. */
+    readonly where: string;
+    readonly message: string;
+}
+
+export type AssembleResult =
+    | { readonly kind: "valid"; readonly configuration: Configuration }
+    | { readonly kind: "invalid"; readonly faults: readonly Fault[] };
+
+/** Builds a configuration from a head and the texts of its sections by digest. */
+export type AssembleConfiguration = (head: ConfigHead, texts: ReadonlyMap<types.Digest, string>) => AssembleResult;
--- /dev/null
+++ b/src/testing/memoryPlatform.ts
@@ -0,0 +1,126 @@
+/**
+ * Stand-in for the platform's services, in memory, with faults that tests switch on.
+ */
+import * as platform from "../node/platform/Types.js";
+
+/** `loseAnswer` applies the next transaction and then reports `unknown`; `loseRequest` reports `unknown` without it. */
+export type TransactFault = "loseAnswer" | "loseRequest";
+
+export interface MemoryPlatform extends platform.Platform {
+    /** While true, all operations of the table service are `unavailable`. */
+    setTableDown(down: boolean): void;
+    setObjectsDown(down: boolean): void;
+    /** Faults for the next transactions, one each. */
+    addTransactFaults(...faults: TransactFault[]): void;
+    setVms(vms: readonly platform.ListedVm[]): void;
+    /** Called before each transaction is applied; a test can race with it. */
+    setBeforeTransact(action: (() => Promise<void>) | undefined): void;
+    readonly counts: { transactions: number; reads: number; writes: number };
+}
+
+/**
+ * Creates an empty platform.
+ *
+ * @returns the stand-in
+ */
+export const createMemoryPlatform = (): MemoryPlatform => {
+    const rows = new Map<string, platform.Row>();
+    const objects = new Map<string, string>();
+    const faults: TransactFault[] = [];
+    const counts = { transactions: 0, reads: 0, writes: 0 };
+    let vms: readonly platform.ListedVm[] = [];
+    let isTableDown = false;
+    let areObjectsDown = false;
+    let beforeTransact: (() => Promise<void>) | undefined;
+    // Versions are never reused, so that a deleted and inserted row differs from the old one.
+    let lastVersion = 0;
+
+    const unavailable = { kind: "unavailable", cause: "outage" } as const;
+
+    const applyWrites = (writes: readonly platform.Write[]): void => {
+        for (const write of writes) {
+            counts.writes++;
+            if (write.value === undefined) {
+                rows.delete(write.key);
+                continue;
+            }
+            lastVersion++;
+            rows.set(write.key, { key: write.key, version: lastVersion, value: structuredClone(write.value) });
+        }
+    };
+
+    const table: platform.TableService = {
+        read: key => {
+            counts.reads++;
+            if (isTableDown) {
+                return Promise.resolve(unavailable);
+            }
+            const row = rows.get(key);
+            return Promise.resolve(row === undefined ? { kind: "absent" } : { kind: "found", row });
+        },
+        scan: prefix => {
+            counts.reads++;
+            if (isTableDown) {
+                return Promise.resolve(unavailable);
+            }
+            return Promise.resolve({
+                kind: "found",
+                rows: [...rows.values()].filter(row => row.key.startsWith(prefix)),
+            });
+        },
+        transact: async (conditions, writes) => {
+            counts.transactions++;
+            const action = beforeTransact;
+            beforeTransact = undefined;
+            await action?.();
+            if (isTableDown) {
+                return unavailable;
+            }
+            const fault = faults.shift();
+            if (fault === "loseRequest") {
+                return { kind: "unknown", cause: "answer lost" };
+            }
+            const broken = conditions.filter(
+                condition => (rows.get(condition.key)?.version ?? 0) !== condition.version,
+            );
+            if (broken.length === 0) {
+                applyWrites(writes);
+            }
+            if (fault === "loseAnswer") {
+                return { kind: "unknown", cause: "answer lost" };
+            }
+            if (broken.length > 0) {
+                const found = broken.map(condition => rows.get(condition.key)).filter(row => row !== undefined);
+                return { kind: "conflict", rows: found };
+            }
+            return { kind: "committed" };
+        },
+    };
+
+    return {
+        table,
+        objects: {
+            get: name => {
+                if (areObjectsDown) {
+                    return Promise.resolve(unavailable);
+                }
+                const content = objects.get(name);
+                return Promise.resolve(content === undefined ? { kind: "absent" } : { kind: "found", content });
+            },
+            put: (name, content) => {
+                if (areObjectsDown) {
+                    return Promise.resolve(unavailable);
+                }
+                objects.set(name, content);
+                return Promise.resolve({ kind: "stored" });
+            },
+        },
+        vms: { list: () => Promise.resolve({ kind: "found", vms }) },
+        setTableDown: down => (isTableDown = down),
+        setObjectsDown: down => (areObjectsDown = down),
+        addTransactFaults: (...added) => void faults.push(...added),
+        setVms: listed => (vms = listed),
+        setBeforeTransact: next => (beforeTransact = next),
+        counts,
+    };
+};
