--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,7 +19,9 @@
                 { selector: "ImportDefaultSpecifier", message: "Use a namespace import." },
                 { selector: "ImportSpecifier", message: "Use a namespace import." },
             ],
-            "@typescript-eslint/switch-exhaustiveness-check": "error",
+            "@typescript-eslint/switch-exhaustiveness-check": ["error", { considerDefaultExhaustiveForUnions: true }],
+            // Objects are made by factories that close over their state; their methods do not use `this`.
+            "@typescript-eslint/unbound-method": "off",
             "@typescript-eslint/no-floating-promises": "error",
             "@typescript-eslint/no-unused-vars": ["error", { argsIgnorePattern: "^_" }],
             "@typescript-eslint/naming-convention": [
--- a/src/common/errors/Types.ts
+++ b/src/common/errors/Types.ts
@@ -22,6 +22,7 @@
     | "arbiter_gone"
     | "key_expired"
     | "key_in_progress"
+    | "answer_not_kept"
     | "claim_store_unavailable"
     | "outcome_unknown"
     | "target_refused"
--- a/src/common/errors/errorTable.ts
+++ b/src/common/errors/errorTable.ts
@@ -25,6 +25,7 @@
     arbiter_gone: { status: 502, outcome: "may-have-run", advice: "Find out from the service whether it ran." },
     key_expired: { status: 409, outcome: "may-have-run", advice: "Find out from the service whether it ran." },
     key_in_progress: { status: 409, outcome: "may-have-run", advice: askWithSameKey },
+    answer_not_kept: { status: 410, outcome: "ran", advice: "It ran once. Ask the service for its result." },
     claim_store_unavailable: {
         status: 503,
         outcome: "not-run",
--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -19,6 +19,8 @@
     readonly revision: types.Revision;
     /** Whether its configuration has been confirmed since it started. */
     readonly synced: boolean;
+    /** Epoch of the idempotency keys that it issues now. */
+    readonly epoch: number;
 }
 
 /** What is known of a member. `seenAtMs` is local monotonic time: the member was in this state then or later. */
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -34,6 +34,8 @@
     readonly deadlineAtMs: number;
     /** Targets that already failed for this call. */
     readonly exclude: readonly types.TargetId[];
+    /** Entry VMs that could not be reached for this call. */
+    readonly excludeMembers: readonly types.VmId[];
     /** False for a call that another entry VM forwarded; it is never forwarded again for routing. */
     readonly mayForward: boolean;
     /** Ends the wait; the promise is then rejected with the signal's reason. */
--- /dev/null
+++ b/src/node/forward/sender.ts
@@ -0,0 +1,93 @@
+/**
+ * Connection pools to targets and peers.
+ */
+import * as stream from "node:stream";
+import * as undici from "undici";
+import * as shared from "../../common/Types.js";
+import * as attempts from "./attempt.js";
+import * as types from "./Types.js";
+
+const connectTimeoutMs = 1_000;
+
+/**
+ * Longest time that an idle connection may be reused. An open connection can go silent without notice, and a
+ * non-idempotent call cannot be tried again, so it uses only connections that answered within the last second.
+ */
+const idleReuseMs: Readonly<Record<types.ConnectionClass, number>> = {
+    idempotent: 4_000,
+    nonIdempotent: 1_000,
+    peer: 1_000,
+};
+
+const createBody = (body: types.RequestBody): Buffer | stream.Readable | null => {
+    if (body.rest === undefined) {
+        return body.prefix.length === 0 ? null : body.prefix;
+    }
+    const rest = body.rest;
+    const readParts = async function* (): AsyncGenerator<Buffer> {
+        yield body.prefix;
+        for await (const chunk of rest) {
+            yield chunk as Buffer;
+        }
+    };
+    return stream.Readable.from(readParts(), { objectMode: false });
+};
+
+/**
+ * Creates the sender of a daemon.
+ *
+ * @returns the sender, with no connections open
+ */
+export const createSender = (): types.Sender => {
+    const pools = new Map<string, undici.Pool>();
+
+    const getPool = (request: types.AttemptRequest): undici.Pool => {
+        const key = `${request.connectionClass} ${request.address}`;
+        let pool = pools.get(key);
+        if (pool === undefined) {
+            pool = new undici.Pool(`http://${request.address}`, {
+                connections: request.connections,
+                pipelining: 1,
+                connect: { timeout: connectTimeoutMs },
+                keepAliveTimeout: idleReuseMs[request.connectionClass],
+                keepAliveMaxTimeout: idleReuseMs[request.connectionClass],
+                // The deadline of the call limits the answer.
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            });
+            pools.set(key, pool);
+        }
+        return pool;
+    };
+
+    return {
+        send: request => {
+            const driver = attempts.createAttempt(request);
+            getPool(request).dispatch(
+                {
+                    method: request.method,
+                    path: request.path,
+                    headers: request.headers,
+                    body: createBody(request.body),
+                    // Keeps undici from sending a request again after its connection was closed.
+                    idempotent: false,
+                },
+                driver.handler,
+            );
+            return driver.attempt;
+        },
+        forget: (address: shared.Address) => {
+            for (const [key, pool] of pools) {
+                if (key.endsWith(` ${address}`)) {
+                    pools.delete(key);
+                    void pool.close();
+                }
+            }
+        },
+        close: async () => {
+            const closing = [...pools.values()].map(pool => pool.destroy());
+            pools.clear();
+            await Promise.all(closing);
+        },
+    };
+};
--- /dev/null
+++ b/src/node/logging/logSink.test.ts
@@ -0,0 +1,32 @@
+import test from "ava";
+import * as logSink from "./logSink.js";
+
+test("a disposed sink has written every line, in order", t => {
+    let text = "";
+    const sink = logSink.createLogSink({ level: "info", format: "json", write: chunk => (text += chunk) });
+    const logger = sink.createLogger("route");
+    logger.debug("hidden");
+    logger.info("first", { call: "c1" });
+    logger.warn("second");
+    t.is(text, "");
+    sink.dispose();
+    const lines = text
+        .trim()
+        .split("\n")
+        .map(line => JSON.parse(line) as Record<string, unknown>);
+    t.deepEqual(
+        lines.map(line => [line["part"], line["level"], line["message"], line["call"]]),
+        [
+            ["route", "info", "first", "c1"],
+            ["route", "warn", "second", undefined],
+        ],
+    );
+});
+
+test("a text line carries the prefix of its part", t => {
+    let text = "";
+    const sink = logSink.createLogSink({ level: "info", format: "text", write: chunk => (text += chunk) });
+    sink.createLogger("life").warn("leaving", { calls: 2 });
+    sink.dispose();
+    t.regex(text, /^\S+ life: warn: leaving calls=2\n$/);
+});
--- /dev/null
+++ b/src/node/logging/logSink.ts
@@ -0,0 +1,75 @@
+/**
+ * Buffered log lines, so that a line for each decision does not wait for the output.
+ */
+import * as loglevel from "loglevel";
+import * as events from "../../common/events.js";
+import * as shared from "../../common/Types.js";
+import * as types from "./Types.js";
+
+const flushIntervalMs = 100;
+const flushBytes = 64 * 1024;
+
+const formatFields = (fields: shared.LogFields): string =>
+    Object.entries(fields)
+        .filter(([, value]) => value !== undefined)
+        .map(([name, value]) => ` ${name}=${String(value)}`)
+        .join("");
+
+const formatText = (prefix: string, level: string, message: string, fields: shared.LogFields | undefined): string => {
+    const mark = level === "warn" || level === "error" ? `${level}: ` : "";
+    const suffix = fields === undefined ? "" : formatFields(fields);
+    return `${new Date().toISOString()} ${prefix}: ${mark}${message}${suffix}\n`;
+};
+
+const formatJson = (prefix: string, level: string, message: string, fields: shared.LogFields | undefined): string =>
+    `${JSON.stringify({ time: new Date().toISOString(), part: prefix, level, message, ...fields })}\n`;
+
+/**
+ * Creates the sink that all loggers of a process share.
+ *
+ * @param options - level, format and output
+ * @returns the sink; disposing it writes what is buffered
+ */
+export const createLogSink = (options: types.LogOptions): types.LogSink => {
+    const formatLine = options.format === "json" ? formatJson : formatText;
+    let buffered: string[] = [];
+    let bufferedBytes = 0;
+
+    const flush = (): void => {
+        if (buffered.length === 0) {
+            return;
+        }
+        const text = buffered.join("");
+        buffered = [];
+        bufferedBytes = 0;
+        options.write(text);
+    };
+
+    const append = (line: string): void => {
+        buffered.push(line);
+        bufferedBytes += line.length;
+        if (bufferedBytes >= flushBytes) {
+            flush();
+        }
+    };
+
+    const timer = setInterval(flush, flushIntervalMs);
+    timer.unref();
+    const lifetime = events.toDisposable(() => {
+        clearInterval(timer);
+        flush();
+    });
+
+    const createLogger = (prefix: string): shared.Logger => {
+        const logger = loglevel.default.getLogger(Symbol(prefix));
+        logger.methodFactory =
+            level =>
+            (message: string, fields?: shared.LogFields): void =>
+                append(formatLine(prefix, level, message, fields));
+        // loglevel keeps the level in a browser's storage unless the second argument is false.
+        logger.setLevel(options.level, false);
+        return logger;
+    };
+
+    return { createLogger, flush, dispose: () => lifetime.dispose() };
+};
--- /dev/null
+++ b/src/node/platform/platformClient.ts
@@ -0,0 +1,125 @@
+/**
+ * Client of the platform's services over HTTP. The protocol is in section 6 of the design.
+ */
+import * as undici from "undici";
+import * as types from "./Types.js";
+
+const requestTimeoutMs = 2_000;
+const maxConnections = 4;
+
+interface Reply {
+    readonly status: number;
+    readonly text: string;
+}
+
+type SendResult =
+    | { readonly kind: "reply"; readonly reply: Reply }
+    | { readonly kind: "failed"; readonly sent: boolean; readonly cause: string };
+
+/** Errors that undici raises before it writes a byte of the request. */
+const notSentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+
+const isNotSent = (error: unknown): boolean =>
+    error instanceof Error && "code" in error && typeof error.code === "string" && notSentCodes.has(error.code);
+
+const formatCause = (error: unknown): string => (error instanceof Error ? error.message : String(error));
+
+/** A client together with its connections. */
+export interface PlatformClient extends types.Platform {
+    close(): Promise<void>;
+}
+
+/**
+ * Creates a client of the table service, the object store and the VM list.
+ *
+ * @param baseUrl - as in `http://10.0.0.5:7000`
+ * @returns the client
+ */
+export const createPlatformClient = (baseUrl: string): PlatformClient => {
+    const pool = new undici.Pool(baseUrl, { connections: maxConnections, connect: { timeout: requestTimeoutMs } });
+
+    const send = async (method: undici.Dispatcher.HttpMethod, path: string, body?: string): Promise<SendResult> => {
+        try {
+            const response = await pool.request({
+                method,
+                path,
+                ...(body === undefined ? {} : { body, headers: { "content-type": "application/json" } }),
+                signal: AbortSignal.timeout(requestTimeoutMs),
+            });
+            const text = await response.body.text();
+            return { kind: "reply", reply: { status: response.statusCode, text } };
+        } catch (error) {
+            return { kind: "failed", sent: !isNotSent(error), cause: formatCause(error) };
+        }
+    };
+
+    const toUnavailable = (result: SendResult): { readonly kind: "unavailable"; readonly cause: string } => ({
+        kind: "unavailable",
+        cause: result.kind === "failed" ? result.cause : `status ${result.reply.status}`,
+    });
+
+    const table: types.TableService = {
+        read: async key => {
+            const result = await send("GET", `/rows/${encodeURIComponent(key)}`);
+            if (result.kind === "reply" && result.reply.status === 200) {
+                return { kind: "found", row: JSON.parse(result.reply.text) as types.Row };
+            }
+            if (result.kind === "reply" && result.reply.status === 404) {
+                return { kind: "absent" };
+            }
+            return toUnavailable(result);
+        },
+        scan: async prefix => {
+            const result = await send("GET", `/rows?prefix=${encodeURIComponent(prefix)}`);
+            if (result.kind === "reply" && result.reply.status === 200) {
+                return { kind: "found", rows: (JSON.parse(result.reply.text) as { rows: types.Row[] }).rows };
+            }
+            return toUnavailable(result);
+        },
+        transact: async (conditions, writes) => {
+            const result = await send("POST", "/transact", JSON.stringify({ conditions, writes }));
+            if (result.kind === "failed") {
+                return result.sent ? { kind: "unknown", cause: result.cause } : toUnavailable(result);
+            }
+            const { status, text } = result.reply;
+            if (status === 200) {
+                return { kind: "committed" };
+            }
+            if (status === 409) {
+                return { kind: "conflict", rows: (JSON.parse(text) as { rows: types.Row[] }).rows };
+            }
+            // 503 is a refusal before the transaction; any other status says nothing of its effect.
+            return status === 503 ? toUnavailable(result) : { kind: "unknown", cause: `status ${status}` };
+        },
+    };
+
+    const objects: types.ObjectStore = {
+        get: async name => {
+            const result = await send("GET", `/objects/${encodeURIComponent(name)}`);
+            if (result.kind === "reply" && result.reply.status === 200) {
+                return { kind: "found", content: result.reply.text };
+            }
+            if (result.kind === "reply" && result.reply.status === 404) {
+                return { kind: "absent" };
+            }
+            return toUnavailable(result);
+        },
+        put: async (name, content) => {
+            const result = await send("PUT", `/objects/${encodeURIComponent(name)}`, content);
+            const isStored = result.kind === "reply" && (result.reply.status === 200 || result.reply.status === 204);
+            return isStored ? { kind: "stored" } : toUnavailable(result);
+        },
+    };
+
+    const vms: types.VmList = {
+        list: async () => {
+            const result = await send("GET", "/vms");
+            if (result.kind === "reply" && result.reply.status === 200) {
+                return { kind: "found", vms: (JSON.parse(result.reply.text) as { vms: types.ListedVm[] }).vms };
+            }
+            return toUnavailable(result);
+        },
+    };
+
+    return { table, objects, vms, close: () => pool.destroy() };
+};
