--- /dev/null
+++ b/src/common/config/fields.ts
@@ -0,0 +1,82 @@
+/**
+ * Schemas of single fields, shared by the sections and the operators' files.
+ */
+import * as net from "node:net";
+import * as zod from "zod";
+import * as ids from "../ids.js";
+import * as requestPattern from "./requestPattern.js";
+
+const nameMessage = "must be 1 to 63 lower-case letters, digits, dots, hyphens or underscores";
+
+/** The longest deadline that a call may have; `Tarragon-Deadline-Ms` has the same limit. */
+const maxDeadlineMs = 600_000;
+const maxSlots = 10_000;
+const maxConnections = 100_000;
+const maxQueueLimit = 1_000_000;
+const maxOwnersPerZone = 16;
+const maxDelayMs = 10_000;
+
+/**
+ * Tells whether a text is a numeric IP address with a port from 1 to 65535, written without leading zeros.
+ *
+ * @param text - the text to check
+ * @returns true if a connection can be opened to it as it is written
+ */
+export const isNumericAddress = (text: string): boolean => {
+    const separator = text.lastIndexOf(":");
+    const host = text.slice(0, separator).replace(/^\[|\]$/g, "");
+    const port = text.slice(separator + 1);
+    return ids.isAddress(text) && net.isIP(host) !== 0 && String(Number(port)) === port;
+};
+
+const name = zod.string().refine(ids.isName, nameMessage);
+
+const createInteger = (min: number, max: number): zod.ZodInt => {
+    const message = `must be a whole number from ${min} to ${max}`;
+    return zod.int(message).min(min, message).max(max, message);
+};
+
+export const serviceName = name.transform(ids.toServiceName);
+export const targetId = name.transform(ids.toTargetId);
+export const vmId = name.transform(ids.toVmId);
+export const zoneName = name.transform(ids.toZoneName);
+export const regionName = name.transform(ids.toRegionName);
+export const flag = zod.boolean();
+export const address = zod
+    .string()
+    .refine(isNumericAddress, 'must be "ip:port" with a port from 1 to 65535, an IPv6 address in brackets')
+    .transform(ids.toAddress);
+
+export const slots = createInteger(1, maxSlots);
+export const coldSlots = createInteger(1, maxSlots);
+export const deadlineMs = createInteger(1, maxDeadlineMs);
+export const connections = createInteger(1, maxConnections);
+export const queueLimit = createInteger(0, maxQueueLimit);
+export const maxBodyBytes = createInteger(0, Number.MAX_SAFE_INTEGER);
+export const ownersPerZone = createInteger(1, maxOwnersPerZone);
+export const delayMs = zod
+    .number()
+    .min(0, `must be from 0 to ${maxDelayMs}`)
+    .max(maxDelayMs, `must be from 0 to ${maxDelayMs}`);
+
+/** A pattern as sections hold it. */
+export const pattern = zod.object({ method: zod.string(), path: zod.string() }).superRefine((value, context) => {
+    const message = requestPattern.checkRequestPattern(value);
+    if (message !== undefined) {
+        context.addIssue({ code: "custom", message });
+    }
+});
+
+/** A pattern as operators write it. */
+export const patternText = zod.string().transform((text, context) => {
+    const value = requestPattern.parseRequestPattern(text);
+    const message =
+        value === undefined
+            ? `"${text}" is not a method and a path with one space between them`
+            : requestPattern.checkRequestPattern(value);
+    if (value === undefined || message !== undefined) {
+        context.addIssue({ code: "custom", message: message ?? "" });
+        return zod.NEVER;
+    }
+    return value;
+});
