--- a/src/common/config/fields.ts
+++ b/src/common/config/fields.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import * as zod from "zod";
 import * as ids from "../ids.js";
+import * as types from "../Types.js";
 import * as requestPattern from "./requestPattern.js";
 
 const nameMessage = "must be 1 to 63 lower-case letters, digits, dots, hyphens or underscores";
@@ -29,6 +30,12 @@
     return ids.isAddress(text) && net.isIP(host) !== 0 && String(Number(port)) === port;
 };
 
+/** Gives each address one spelling, so that two spellings of an IPv6 address count as the same. */
+const toCanonicalAddress = (text: string): types.Address => {
+    const separator = text.lastIndexOf(":");
+    return ids.toAddress(new URL(`http://${text.slice(0, separator)}`).hostname + text.slice(separator));
+};
+
 const name = zod.string().refine(ids.isName, nameMessage);
 
 const createInteger = (min: number, max: number): zod.ZodInt => {
@@ -45,7 +52,7 @@
 export const address = zod
     .string()
     .refine(isNumericAddress, 'must be "ip:port" with a port from 1 to 65535, an IPv6 address in brackets')
-    .transform(ids.toAddress);
+    .transform(toCanonicalAddress);
 
 export const slots = createInteger(1, maxSlots);
 export const coldSlots = createInteger(1, maxSlots);
