--- /dev/null
+++ b/src/node/peers/parameters.ts
@@ -0,0 +1,75 @@
+/**
+ * Checks of the parameters that arrive by JSON-RPC.
+ */
+import * as zod from "zod";
+import * as ids from "../../common/ids.js";
+import * as types from "./Types.js";
+
+const name = zod.string().refine(ids.isName, "not a name");
+const digest = zod.string().refine(ids.isDigest, "not a digest");
+const address = zod.string().refine(ids.isAddress, "not an address");
+const count = zod.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+const shortText = zod.string().min(1).max(200);
+
+/** Above the 36 sections of the target size. */
+const maxSections = 1000;
+const maxSectionCharacters = 1024 * 1024;
+
+const memberInfo = zod.object({
+    vm: name,
+    incarnation: shortText,
+    zone: name,
+    address,
+    control: address,
+    state: zod.enum(["starting", "serving", "leaving"]),
+    revision: count,
+    synced: zod.boolean(),
+});
+
+export const configHead = zod.object({
+    revision: count,
+    sections: zod.record(shortText, digest).refine(sections => Object.keys(sections).length <= maxSections),
+    author: zod.string().max(200),
+    token: zod.string().max(200),
+});
+
+const sectionTexts = zod
+    .record(digest, zod.string().max(maxSectionCharacters))
+    .refine(texts => Object.keys(texts).length <= maxSections);
+
+const targetReport = zod.object({
+    state: zod.enum(["cold", "warm", "draining"]),
+    busy: zod.number().min(0).optional(),
+    boot: shortText.optional(),
+});
+
+const schemas: Readonly<Record<types.RpcMethod, zod.ZodType>> = {
+    "gossip.pull": zod.object({ from: memberInfo }),
+    "config.announce": zod.object({ head: configHead, sections: sectionTexts }),
+    "config.getSections": zod.object({ digests: zod.array(digest).max(maxSections) }),
+    "config.status": zod.object({}),
+    "crash.report": zod.object({ fingerprint: digest, count }),
+    "target.changed": zod.object({ target: name, report: targetReport }),
+    "admin.targets": zod.object({}),
+    "admin.explain": zod.object({ call: shortText }),
+};
+
+export type ParameterResult<M extends types.RpcMethod> =
+    | { readonly kind: "valid"; readonly params: types.RpcMethods[M]["params"] }
+    | { readonly kind: "invalid"; readonly message: string };
+
+/**
+ * Checks the parameters of a request.
+ *
+ * @param method - the method that is called
+ * @param params - the parameters as they arrived; none stand for an empty object
+ * @returns the parameters without unknown fields, or the first fault
+ */
+export const parseParameters = <M extends types.RpcMethod>(method: M, params: unknown): ParameterResult<M> => {
+    const result = schemas[method].safeParse(params ?? {});
+    if (result.success) {
+        return { kind: "valid", params: result.data as types.RpcMethods[M]["params"] };
+    }
+    const issue = result.error.issues[0];
+    return { kind: "invalid", message: `${issue?.path.join(".") ?? ""}: ${issue?.message ?? "invalid"}` };
+};
