Decide on issued idempotency keys in memory

The arbiter of a key is a pure function on the state of the key, so that the daemon and the coming model check run the same code. The table forgets whole epochs only, and the byte limit drops answers but never the fact that a key ran.

--- a/src/common/claims/Types.ts
+++ b/src/common/claims/Types.ts
@@ -58,3 +58,49 @@
     /** Entries and bytes in use, for status and capacity. */
     measure(): { readonly keys: number; readonly keptBytes: number };
 }
+
+/**
+ * What the arbiter knows of one key. A key that its table does not hold is in the state `notRun`, and a key in that
+ * state takes no memory.
+ */
+export type KeyState =
+    | { readonly kind: "notRun" }
+    | { readonly kind: "running"; readonly signature: RequestSignature; readonly attempt: number }
+    | { readonly kind: "done"; readonly signature: RequestSignature; readonly status: number }
+    | { readonly kind: "mayHaveRun"; readonly signature: RequestSignature; readonly error: errors.ErrorKind };
+
+/** Whether the arbiter still remembers the epoch of a key. Foreign keys are always `live`. */
+export type EpochStatus = "live" | "expired" | "unissued";
+
+export type KeyEvent =
+    | {
+          readonly kind: "begin";
+          readonly signature: RequestSignature;
+          /** Number of the attempt if it may run; never used before by this incarnation. */
+          readonly attempt: number;
+          readonly epoch: EpochStatus;
+          /** False if the table holds as many keys as it may. */
+          readonly hasRoom: boolean;
+      }
+    | { readonly kind: "finish"; readonly attempt: number; readonly end: KeyEnd };
+
+/** The part of a claim's result that the state of the key depends on. */
+export type KeyEnd =
+    | { readonly kind: "done"; readonly status: number }
+    | { readonly kind: "notRun" }
+    | { readonly kind: "mayHaveRun"; readonly error: errors.ErrorKind };
+
+export type KeyDecision =
+    | { readonly kind: "run"; readonly attempt: number }
+    | { readonly kind: "wait" }
+    | { readonly kind: "replay"; readonly status: number }
+    | { readonly kind: "refuse"; readonly error: errors.ErrorKind; readonly message: string }
+    /** The end of the attempt was recorded. */
+    | { readonly kind: "recorded" }
+    /** The end of an attempt that the table no longer holds. */
+    | { readonly kind: "ignored" };
+
+export interface KeyTransition {
+    readonly state: KeyState;
+    readonly decision: KeyDecision;
+}
--- /dev/null
+++ b/src/node/claims/claimController.test.ts
@@ -0,0 +1,121 @@
+import test from "ava";
+import * as claims from "../../common/claims/Types.js";
+import * as keys from "../../common/claims/keys.js";
+import * as ids from "../../common/ids.js";
+import * as memoryPlatform from "../../testing/memoryPlatform.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as claimController from "./claimController.js";
+import * as types from "./Types.js";
+
+const service = ids.toServiceName("payments");
+const signature = keys.computeSignature("POST", "/pay", 10);
+const minuteMs = 60_000;
+
+const createAnswer = (size: number): claims.KeptAnswer => ({ status: 201, headers: [], body: new Uint8Array(size) });
+
+const createFixture = (limits: Partial<types.ClaimLimits> = {}) => {
+    const scheduler = virtualScheduler.createVirtualScheduler(5_000);
+    const platform = memoryPlatform.createMemoryPlatform();
+    let tokens = 0;
+    const createController = (incarnation: string) =>
+        claimController.createClaimController({
+            incarnation: ids.toIncarnationId(incarnation),
+            scheduler,
+            table: platform.table,
+            createToken: () => `token-${tokens++}`,
+            limits: { maxKeys: 100, keptAnswerBytes: 100_000, keyRetentionMs: 2 * minuteMs, ...limits },
+            logger: silentLogger.createSilentLogger(),
+        });
+    return { scheduler, platform, createController, controller: createController("vm1") };
+};
+
+const beginKey = (controller: claims.ClaimController, key: string, with_ = signature) =>
+    controller.begin({ service, key, signature: with_ });
+
+const beginRun = async (controller: claims.ClaimController, key: string): Promise<claims.Claim> => {
+    const decision = await beginKey(controller, key);
+    if (decision.kind !== "run") {
+        throw new Error(`expected a run, got ${JSON.stringify(decision)}`);
+    }
+    return decision.claim;
+};
+
+const toRefusal = (decision: claims.ClaimDecision): string =>
+    decision.kind === "refuse" ? decision.error : decision.kind;
+
+test("a resend of an issued key waits, then replays; the store is not used", async t => {
+    const { controller, platform } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    const claim = await beginRun(controller, key);
+    const resend = await beginKey(controller, key);
+    claim.finish({ kind: "done", answer: createAnswer(3) });
+    t.is(resend.kind === "wait" && (await resend.result).kind, "done");
+    t.deepEqual(await beginKey(controller, key), { kind: "replay", answer: createAnswer(3) });
+    t.is(platform.counts.transactions + platform.counts.reads, 0);
+});
+
+test("a key that did not run may run again, one that may have run may not", async t => {
+    const { controller } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    (await beginRun(controller, key)).finish({ kind: "notRun", error: "queue_full" });
+    (await beginRun(controller, key)).finish({ kind: "mayHaveRun", error: "queue_full" });
+    t.is(toRefusal(await beginKey(controller, key)), "outcome_unknown");
+});
+
+test("a second finish of an old attempt does not end the new one", async t => {
+    const { controller } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    const first = await beginRun(controller, key);
+    first.finish({ kind: "notRun", error: "queue_full" });
+    await beginRun(controller, key);
+    first.finish({ kind: "notRun", error: "queue_full" });
+    t.is(toRefusal(await beginKey(controller, key)), "wait");
+});
+
+test("refusals: other signature, forged epoch, malformed key, other arbiter", async t => {
+    const { controller } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    await beginRun(controller, key);
+    const other = keys.computeSignature("POST", "/pay", 11);
+    t.is(toRefusal(await beginKey(controller, key, other)), "idempotency_key_reused");
+    t.is(toRefusal(await beginKey(controller, "vm1.1.x")), "bad_request");
+    t.is(toRefusal(await beginKey(controller, "")), "bad_request");
+    t.is(toRefusal(await beginKey(controller, "vm2.0.x")), "forward");
+});
+
+test("a forgotten key never runs again, also if its attempt still runs", async t => {
+    const { controller, scheduler } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    const claim = await beginRun(controller, key);
+    await scheduler.advance(3 * minuteMs);
+    t.is(controller.measure().keys, 0);
+    t.is(toRefusal(await beginKey(controller, key)), "key_expired");
+    claim.finish({ kind: "done", answer: createAnswer(1) });
+    t.deepEqual(controller.measure(), { keys: 0, keptBytes: 0 });
+    t.is(toRefusal(await beginKey(controller, key)), "key_expired");
+});
+
+test("a full table refuses new keys and keeps the old ones", async t => {
+    const { controller } = createFixture({ maxKeys: 2 });
+    const prefix = controller.issueKeyPrefix();
+    (await beginRun(controller, `${prefix}1`)).finish({ kind: "done", answer: createAnswer(1) });
+    (await beginRun(controller, `${prefix}2`)).finish({ kind: "mayHaveRun", error: "deadline_exceeded" });
+    t.is(toRefusal(await beginKey(controller, `${prefix}3`)), "arbiter_full");
+    t.is(toRefusal(await beginKey(controller, `${prefix}1`)), "replay");
+    t.is(toRefusal(await beginKey(controller, `${prefix}2`)), "outcome_unknown");
+});
+
+test("the byte limit drops the oldest answers and never the fact that the key ran", async t => {
+    const { controller } = createFixture({ keptAnswerBytes: 30_000 });
+    const prefix = controller.issueKeyPrefix();
+    for (const name of ["1", "2", "3", "4"]) {
+        (await beginRun(controller, `${prefix}${name}`)).finish({ kind: "done", answer: createAnswer(10_000) });
+    }
+    t.true(controller.measure().keptBytes <= 30_000);
+    const dropped = { status: 201, headers: [], body: undefined };
+    t.deepEqual(await beginKey(controller, `${prefix}1`), { kind: "replay", answer: dropped });
+    t.deepEqual(await beginKey(controller, `${prefix}4`), { kind: "replay", answer: createAnswer(10_000) });
+    (await beginRun(controller, `${prefix}5`)).finish({ kind: "done", answer: createAnswer(65_537) });
+    t.deepEqual(await beginKey(controller, `${prefix}5`), { kind: "replay", answer: dropped });
+});
--- /dev/null
+++ b/src/node/claims/keyArbiter.ts
@@ -0,0 +1,150 @@
+/**
+ * The arbiter's memory at work: applies the decisions to the table and answers waiting requests.
+ */
+import * as arbiter from "../../common/claims/arbiter.js";
+import * as keyTable from "../../common/claims/keyTable.js";
+import * as claims from "../../common/claims/Types.js";
+import * as shared from "../../common/Types.js";
+import * as types from "./Types.js";
+
+/** A running attempt and the requests that wait for its result. */
+interface Running {
+    readonly attempt: number;
+    readonly waiters: ((result: claims.ClaimResult) => void)[];
+}
+
+/**
+ * Creates an arbiter that knows no keys.
+ *
+ * @param clock - local monotonic time; epoch 0 starts now
+ * @param limits - bounds of the memory
+ * @param logger - receives a line when keys are forgotten
+ * @returns the arbiter
+ */
+export const createKeyArbiter = (
+    clock: shared.Clock,
+    limits: types.ClaimLimits,
+    logger: shared.Logger,
+): types.KeyArbiter => {
+    const table = keyTable.createKeyTable(limits);
+    const running = new Map<claims.KeyId, Running>();
+    const startedAtMs = clock.now();
+    let oldestEpoch = 0;
+    let lastAttempt = 0;
+
+    const computeEpoch = (): number => Math.floor((clock.now() - startedAtMs) / arbiter.epochMs);
+
+    const removeExpired = (): void => {
+        const oldest = arbiter.computeOldestEpoch(computeEpoch(), limits.keyRetentionMs);
+        if (oldest <= oldestEpoch) {
+            return;
+        }
+        oldestEpoch = oldest;
+        const removed = table.removeBefore(oldest);
+        logger.info(`claim: epochs before ${oldest} are forgotten`, { keys: removed });
+    };
+
+    const waitForResult = (key: claims.KeyId): Promise<claims.ClaimResult> =>
+        new Promise(resolve => {
+            const entry = running.get(key);
+            if (entry === undefined) {
+                throw new Error(`key ${key} is running but has no attempt`);
+            }
+            entry.waiters.push(resolve);
+        });
+
+    const begin = (
+        key: claims.KeyId,
+        signature: claims.RequestSignature,
+        epoch: number,
+        status: claims.EpochStatus,
+    ): types.ArbiterDecision => {
+        const attempt = lastAttempt + 1;
+        const event = { kind: "begin", signature, attempt, epoch: status, hasRoom: table.hasRoom() } as const;
+        const { state, decision } = arbiter.applyKeyEvent(table.get(epoch, key), event);
+        switch (decision.kind) {
+            case "run":
+                lastAttempt = attempt;
+                table.set(epoch, key, state);
+                running.set(key, { attempt, waiters: [] });
+                return { kind: "run", run: { key, epoch, attempt } };
+            case "wait":
+                return { kind: "wait", result: waitForResult(key) };
+            case "replay":
+                return { kind: "replay", answer: table.findAnswer(key) ?? createEmptyAnswer(decision.status) };
+            case "refuse":
+                return decision;
+            case "recorded":
+            case "ignored":
+                throw new Error(`decision ${decision.kind} does not answer a request`);
+        }
+    };
+
+    const finish = (run: types.ClaimRun, result: claims.ClaimResult, end: claims.KeyEnd): void => {
+        const event = { kind: "finish", attempt: run.attempt, end } as const;
+        const { state, decision } = arbiter.applyKeyEvent(table.get(run.epoch, run.key), event);
+        if (decision.kind === "recorded") {
+            table.set(run.epoch, run.key, state);
+            if (result.kind === "done") {
+                table.addAnswer(run.key, result.answer);
+            }
+        }
+        const entry = running.get(run.key);
+        if (entry?.attempt !== run.attempt) {
+            return;
+        }
+        running.delete(run.key);
+        for (const resolve of entry.waiters) {
+            resolve(result);
+        }
+    };
+
+    return {
+        computeEpoch,
+        beginIssued: (key, signature, epoch) => {
+            removeExpired();
+            const status = arbiter.computeEpochStatus(epoch, computeEpoch(), oldestEpoch);
+            return begin(key, signature, epoch, status);
+        },
+        beginForeign: (key, signature) => {
+            removeExpired();
+            return begin(key, signature, table.findEpoch(key) ?? computeEpoch(), "live");
+        },
+        finish: (run, result, end) => {
+            const checked = toCheckedResult(result);
+            finish(run, checked, end ?? toKeyEnd(checked));
+        },
+        measure: () => {
+            removeExpired();
+            return table.measure();
+        },
+    };
+};
+
+/**
+ * Creates the answer for a call that ran and whose answer is not kept.
+ *
+ * @param status - the HTTP status of the lost answer
+ * @returns an answer without headers and body
+ */
+export const createEmptyAnswer = (status: number): claims.KeptAnswer => ({ status, headers: [], body: undefined });
+
+const toCheckedResult = (result: claims.ClaimResult): claims.ClaimResult =>
+    result.kind === "mayHaveRun" ? { kind: "mayHaveRun", error: arbiter.pickMayHaveRunError(result.error) } : result;
+
+/**
+ * Reduces the result of a claim to what the state of the key depends on.
+ *
+ * @param result - the result
+ * @returns the end of the attempt
+ */
+export const toKeyEnd = (result: claims.ClaimResult): claims.KeyEnd => {
+    switch (result.kind) {
+        case "done":
+            return { kind: "done", status: result.answer.status };
+        case "notRun":
+            return { kind: "notRun" };
+        case "mayHaveRun":
+            return { kind: "mayHaveRun", error: arbiter.pickMayHaveRunError(result.error) };
+    }
+};
