--- a/src/common/membership/ownership.test.ts
+++ b/src/common/membership/ownership.test.ts
@@ -15,6 +15,7 @@
         state,
         revision: ids.toRevision(1),
         synced: true,
+        epoch: 0,
     },
     seenAtMs: 0,
 });
