Add the dispatcher with queues, owners and limits

Calls to a target pass through its owner, which needs exact slot accounting, a queue bounded by length and deadline, and a choice between its own cells and those of other owners.

--- /dev/null
+++ b/src/common/health/targetHealth.ts
@@ -0,0 +1,191 @@
+/**
+ * Transitions of a target's health.
+ */
+import * as routing from "../routing/Types.js";
+import * as types from "./Types.js";
+
+export const ejectAfterFailures = 3;
+export const firstEjectionMs = 500;
+export const longestEjectionMs = 30_000;
+/** A target that was unreachable for longer may have restarted without being seen. */
+export const unreachableColdMs = 5_000;
+/** A failure this soon after a change of the boot id means that the start has not succeeded. */
+export const bootSettleMs = 10_000;
+/** An ejection this long after the last one starts again with the shortest time. */
+export const ejectionMemoryMs = 60_000;
+export const slowRatio = 3;
+export const recoveredRatio = 1.5;
+
+/** Health of a target that has never been seen. */
+export const initialHealth: types.TargetHealth = {
+    state: { kind: "unknown" },
+    boot: undefined,
+    bootLearnedAtMs: undefined,
+    bootChangedAtMs: undefined,
+    loweredAtMs: undefined,
+    failures: 0,
+    failingSinceMs: undefined,
+    returnsCold: false,
+    ejections: 0,
+    ejectedAtMs: undefined,
+    recoveredAtMs: undefined,
+};
+
+const isLongUnreachable = (health: types.TargetHealth, nowMs: number): boolean =>
+    health.failingSinceMs !== undefined && nowMs - health.failingSinceMs > unreachableColdMs;
+
+/**
+ * Tells whether a call to the target needs its cold lease.
+ *
+ * @param health - what is known of the target
+ * @param nowMs - local monotonic time
+ * @returns true if the target may be in its cold start
+ */
+export const isCold = (health: types.TargetHealth, nowMs: number): boolean => {
+    const kind = health.state.kind;
+    if (kind === "unknown" || kind === "cold") {
+        return true;
+    }
+    return (kind === "ejected" && health.returnsCold) || isLongUnreachable(health, nowMs);
+};
+
+const applyCold = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
+    if (health.state.kind === "ejected") {
+        return { ...health, returnsCold: true, loweredAtMs: nowMs };
+    }
+    return { ...health, state: { kind: "cold" }, loweredAtMs: nowMs };
+};
+
+const applyWarm = (health: types.TargetHealth, askedAtMs: number | undefined, nowMs: number): types.TargetHealth => {
+    // Without a known order, or when asked before a newer report lowered the state, the report may be outdated.
+    if (askedAtMs === undefined || (health.loweredAtMs !== undefined && askedAtMs <= health.loweredAtMs)) {
+        return health;
+    }
+    switch (health.state.kind) {
+        case "unknown":
+            // Its cold start ended before it was seen. Warming up again would cost capacity at each change of owner.
+            return { ...health, state: { kind: "warm" } };
+        case "cold":
+        case "draining":
+            return { ...health, state: { kind: "warming", sinceMs: nowMs } };
+        case "ejected":
+            return { ...health, returnsCold: false };
+        case "warming":
+        case "warm":
+        case "slow":
+            return health;
+    }
+};
+
+const applyReport = (
+    health: types.TargetHealth,
+    report: routing.TargetReport,
+    askedAtMs: number | undefined,
+    nowMs: number,
+): types.TargetHealth => {
+    let next = health;
+    if (report.boot !== undefined && report.boot !== health.boot) {
+        const mayBeStale =
+            health.bootLearnedAtMs !== undefined && (askedAtMs === undefined || askedAtMs <= health.bootLearnedAtMs);
+        if (mayBeStale) {
+            return report.state === "cold" ? applyCold(health, nowMs) : health;
+        }
+        const learned = { ...health, boot: report.boot, bootLearnedAtMs: nowMs };
+        // An earlier report of the former boot says nothing about the new one.
+        next =
+            health.boot === undefined
+                ? learned
+                : { ...applyCold(learned, nowMs), loweredAtMs: undefined, bootChangedAtMs: nowMs };
+    }
+    switch (report.state) {
+        case "cold":
+            return applyCold(next, nowMs);
+        case "draining":
+            return { ...next, state: { kind: "draining" }, loweredAtMs: nowMs };
+        case "warm":
+            return applyWarm(next, askedAtMs, nowMs);
+    }
+};
+
+const applyAnswer = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
+    if (health.failures === 0) {
+        return health;
+    }
+    const wasCold = isCold(health, nowMs);
+    const next = { ...health, failures: 0, failingSinceMs: undefined };
+    if (health.state.kind === "draining") {
+        return next;
+    }
+    if (wasCold) {
+        return { ...next, state: { kind: "cold" } };
+    }
+    return health.state.kind === "ejected" ? { ...next, state: { kind: "warm" }, recoveredAtMs: nowMs } : next;
+};
+
+const toEjected = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
+    const isRepeated = health.ejectedAtMs !== undefined && nowMs - health.ejectedAtMs < ejectionMemoryMs;
+    const times = isRepeated ? health.ejections + 1 : 1;
+    const durationMs = Math.min(longestEjectionMs, firstEjectionMs * 2 ** (times - 1));
+    return {
+        ...health,
+        state: { kind: "ejected", untilMs: nowMs + durationMs, times },
+        returnsCold: isCold(health, nowMs),
+        ejections: times,
+        ejectedAtMs: nowMs,
+    };
+};
+
+const applyFailure = (health: types.TargetHealth, mayEject: boolean, nowMs: number): types.TargetHealth => {
+    const failures = health.failures + 1;
+    let next = { ...health, failures, failingSinceMs: health.failingSinceMs ?? nowMs };
+    const isSettling = health.bootChangedAtMs !== undefined && nowMs - health.bootChangedAtMs < bootSettleMs;
+    const state = health.state;
+    if (state.kind === "warming" || (isSettling && (state.kind === "warm" || state.kind === "slow"))) {
+        next = { ...next, state: { kind: "cold" }, loweredAtMs: nowMs };
+    }
+    if (state.kind === "draining") {
+        return next;
+    }
+    if (state.kind === "ejected") {
+        // Before the trial, a failure belongs to a call that was in flight when the target was ejected.
+        return nowMs >= state.untilMs ? toEjected(next, nowMs) : next;
+    }
+    return failures >= ejectAfterFailures && mayEject ? toEjected(next, nowMs) : next;
+};
+
+const applyRatio = (health: types.TargetHealth, ratio: number, nowMs: number): types.TargetHealth => {
+    if (health.state.kind === "warm" && ratio > slowRatio) {
+        return { ...health, state: { kind: "slow" } };
+    }
+    if (health.state.kind === "slow" && ratio < recoveredRatio) {
+        return { ...health, state: { kind: "warm" }, recoveredAtMs: nowMs };
+    }
+    return health;
+};
+
+/**
+ * Computes the health of a target after an event.
+ *
+ * @param health - the health before the event
+ * @param event - what was learned
+ * @param nowMs - local monotonic time
+ * @returns the health after the event; the same object if nothing changed
+ */
+export const applyHealthEvent = (
+    health: types.TargetHealth,
+    event: types.HealthEvent,
+    nowMs: number,
+): types.TargetHealth => {
+    switch (event.kind) {
+        case "reported":
+            return applyReport(health, event.report, event.askedAtMs, nowMs);
+        case "answered":
+            return applyAnswer(health, nowMs);
+        case "failed":
+            return applyFailure(health, event.mayEject, nowMs);
+        case "compared":
+            return applyRatio(health, event.ratio, nowMs);
+        case "warmedUp":
+            return health.state.kind === "warming" ? { ...health, state: { kind: "warm" } } : health;
+    }
+};
--- /dev/null
+++ b/src/common/limits/adaptiveLimit.ts
@@ -0,0 +1,65 @@
+/**
+ * Number of calls that a target may have in flight.
+ */
+import * as health from "../health/Types.js";
+import * as targetHealth from "../health/targetHealth.js";
+
+export const warmUpStepMs = 500;
+export const recoverStepMs = 200;
+
+/** Slots of a target in the configuration. */
+export interface SlotCounts {
+    readonly slots: number;
+    readonly coldSlots: number;
+}
+
+const computeStateLimit = (known: health.TargetHealth, counts: SlotCounts, nowMs: number): number => {
+    const { slots, coldSlots } = counts;
+    const state = known.state;
+    switch (state.kind) {
+        case "unknown":
+        case "cold":
+            return Math.min(slots, coldSlots);
+        case "warming":
+            return Math.min(slots, coldSlots * 2 ** Math.floor((nowMs - state.sinceMs) / warmUpStepMs));
+        case "warm":
+            return known.recoveredAtMs === undefined
+                ? slots
+                : Math.min(slots, 1 + Math.floor((nowMs - known.recoveredAtMs) / recoverStepMs));
+        case "slow":
+            return Math.min(slots, 1);
+        case "draining":
+            return 0;
+        case "ejected":
+            return nowMs >= state.untilMs ? Math.min(slots, 1) : 0;
+    }
+};
+
+/**
+ * Computes the limit of a target.
+ *
+ * @param known - health of the target
+ * @param counts - its slots in the configuration
+ * @param foreignBusy - slots that a fresh report shows in use beyond the calls of this entry VM
+ * @param isLatencyHigh - whether its latency confirms a load by others
+ * @param nowMs - local monotonic time
+ * @returns the calls that may be in flight; never more than the configured slots
+ */
+export const computeLimit = (
+    known: health.TargetHealth,
+    counts: SlotCounts,
+    foreignBusy: number,
+    isLatencyHigh: boolean,
+    nowMs: number,
+): number => {
+    let limit = computeStateLimit(known, counts, nowMs);
+    if (limit > counts.coldSlots && targetHealth.isCold(known, nowMs)) {
+        limit = counts.coldSlots;
+    }
+    if (foreignBusy <= 0 || limit <= 1) {
+        return limit;
+    }
+    // A report can be wrong. Without a latency that confirms it, it takes at most half of the slots.
+    const floor = isLatencyHigh ? 1 : Math.ceil(counts.slots / 2);
+    return Math.min(limit, Math.max(floor, counts.slots - foreignBusy));
+};
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -56,8 +56,11 @@
 /** Hands out the slots of the targets that this entry VM owns. */
 export interface Dispatcher extends types.Disposable {
     acquire(request: SlotRequest): Promise<SlotGrant>;
-    /** A report that came by a probe or from a peer. */
-    applyReport(target: types.TargetId, report: TargetReport): void;
+    /**
+     * A report that came by a probe or from a peer. `askedAtMs` is the local time at which the probe was sent. Without
+     * it the report's age is not known, so that it can lower a target's limit but not raise it.
+     */
+    applyReport(target: types.TargetId, report: TargetReport, askedAtMs?: number): void;
     /** Views of all configured targets, for operators and for probing. */
     listTargets(): readonly TargetView[];
     /** Load of the cells that this entry VM owns, for gossip. */
@@ -93,6 +96,8 @@
     leaseEndMs(target: types.TargetId): number | undefined;
     /** Asks for the lease; it is taken and renewed in the background while it is wanted. */
     request(target: types.TargetId): void;
+    /** Gives the lease up; only for a target at which no call that needed it is in flight. */
+    release(target: types.TargetId): void;
     /** Fires when a lease has been taken. */
     readonly onDidTake: types.Event<types.TargetId>;
 }
--- /dev/null
+++ b/src/common/routing/callEnd.ts
@@ -0,0 +1,97 @@
+/**
+ * What the end of a call teaches about its target.
+ */
+import * as targetHealth from "../health/targetHealth.js";
+import * as cellEntry from "./cellEntry.js";
+import * as targetEntry from "./targetEntry.js";
+import * as types from "./Types.js";
+
+export interface CallEnd {
+    readonly startMs: number;
+    /** Whether it was sent under the cold lease. */
+    readonly isCold: boolean;
+    readonly report: types.AttemptReport;
+}
+
+/** Larger shares of a cell are not ejected, because the fault is then likely to be elsewhere. */
+const largestEjectedShare = 0.5;
+
+/**
+ * Tells whether one more target of a cell may be ejected.
+ *
+ * @param cell - the cell
+ * @returns true while at most half of its targets would be ejected
+ */
+export const mayEject = (cell: cellEntry.CellEntry): boolean => {
+    const ejected = cell.owned.filter(entry => entry.health.state.kind === "ejected").length;
+    return ejected + 1 <= cell.owned.length * largestEjectedShare;
+};
+
+/**
+ * Applies a target's report on itself.
+ *
+ * @param entry - the target
+ * @param report - the report
+ * @param askedAtMs - when the request was sent that the report answers, if known
+ * @param nowMs - local monotonic time
+ */
+export const applyTargetReport = (
+    entry: targetEntry.TargetEntry,
+    report: types.TargetReport,
+    askedAtMs: number | undefined,
+    nowMs: number,
+): void => {
+    targetEntry.recordReport(entry, report, nowMs);
+    entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "reported", report, askedAtMs }, nowMs);
+};
+
+const applyOutcome = (cell: cellEntry.CellEntry, entry: targetEntry.TargetEntry, end: CallEnd, nowMs: number): void => {
+    const report = end.report;
+    switch (report.kind) {
+        case "answered":
+            entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "answered" }, nowMs);
+            targetEntry.recordLatency(entry, report.latencyMs, cell.medianMs, nowMs);
+            cellEntry.recordCellLatency(cell, report.latencyMs);
+            break;
+        case "refused":
+            entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "answered" }, nowMs);
+            targetEntry.recordRefusal(entry, nowMs);
+            break;
+        case "unreachable":
+        case "broken":
+        case "silent":
+            entry.failures++;
+            entry.health = targetHealth.applyHealthEvent(
+                entry.health,
+                { kind: "failed", mayEject: mayEject(cell) },
+                nowMs,
+            );
+            return;
+        case "cancelled":
+            return;
+    }
+    if (report.report !== undefined) {
+        applyTargetReport(entry, report.report, end.startMs, nowMs);
+    }
+};
+
+/**
+ * Frees the slot of a call and applies its outcome to the target's health.
+ *
+ * @param cell - the cell of the target
+ * @param entry - the target as it was when the call started
+ * @param end - how the call ended
+ * @param nowMs - local monotonic time
+ */
+export const applyCallEnd = (
+    cell: cellEntry.CellEntry,
+    entry: targetEntry.TargetEntry,
+    end: CallEnd,
+    nowMs: number,
+): void => {
+    targetEntry.removeCall(targetEntry.findCurrent(entry), end.startMs, end.isCold);
+    // After a change of the address, the outcome concerns the former server.
+    if (entry.successor === undefined) {
+        applyOutcome(cell, entry, end, nowMs);
+    }
+};
--- /dev/null
+++ b/src/common/routing/cellOptions.ts
@@ -0,0 +1,110 @@
+/**
+ * Lists the places that could serve a call, with their costs.
+ */
+import * as blackboards from "../blackboard/Types.js";
+import * as membership from "../membership/Types.js";
+import * as cellEntry from "./cellEntry.js";
+import * as cellTables from "./cellTable.js";
+import * as spillOver from "./spillOver.js";
+import * as types from "./Types.js";
+
+export interface OptionList {
+    /** Own cells, and cells of other owners if the call may be forwarded. Limits must be up to date. */
+    list(
+        service: cellTables.ServiceEntry,
+        request: types.SlotRequest,
+        nowMs: number,
+    ): readonly spillOver.CellOption<cellEntry.CellEntry>[];
+    /** Counts a call that was forwarded to a cell. */
+    recordForward(cell: cellEntry.CellEntry, member: membership.Member): void;
+}
+
+interface ForwardCount {
+    readonly measuredAtMs: number;
+    count: number;
+}
+
+/**
+ * Creates the list of options for calls.
+ *
+ * @param blackboard - this entry VM and the loads of remote cells
+ * @param table - the cells
+ * @param spill - whether a call may leave its zone while the zone has an owner
+ * @returns the list
+ */
+export const createOptionList = (
+    blackboard: blackboards.Blackboard,
+    table: cellTables.CellTable,
+    spill: boolean,
+): OptionList => {
+    const self = blackboard.self;
+    const forwards = new Map<string, ForwardCount>();
+
+    const findLoad = (cell: cellEntry.CellEntry, member: membership.Member): membership.CellLoad | undefined =>
+        blackboard.cellLoads
+            .get()
+            .get(cell.id)
+            ?.find(load => load.owner === member.info.vm);
+
+    const readForwards = (cell: cellEntry.CellEntry, member: membership.Member): ForwardCount => {
+        const key = `${cell.id} ${member.info.vm}`;
+        const measuredAtMs = findLoad(cell, member)?.measuredAtMs ?? -Infinity;
+        const known = forwards.get(key);
+        if (known?.measuredAtMs === measuredAtMs) {
+            return known;
+        }
+        const fresh = { measuredAtMs, count: 0 };
+        forwards.set(key, fresh);
+        return fresh;
+    };
+
+    const isExcluded = (cell: cellEntry.CellEntry, request: types.SlotRequest): boolean =>
+        request.exclude.length > 0 && cell.targets.every(entry => request.exclude.includes(entry.config.id));
+
+    const computeRemoteCostMs = (
+        cell: cellEntry.CellEntry,
+        member: membership.Member,
+        meanMs: number,
+        nowMs: number,
+    ): number => {
+        const remote: spillOver.RemoteCell = {
+            load: findLoad(cell, member),
+            forwarded: readForwards(cell, member).count,
+            slots: cell.targets.reduce((sum, entry) => sum + entry.config.slots, 0),
+            meanMs,
+            isHome: cell.zone === self.zone,
+        };
+        const linkMs = table.getDelayMs(self.zone, member.info.zone) + table.getDelayMs(member.info.zone, cell.zone);
+        return 2 * linkMs + spillOver.computeRemoteWaitMs(remote, nowMs);
+    };
+
+    const computeLocalCostMs = (cell: cellEntry.CellEntry, request: types.SlotRequest): number => {
+        if (cell.owned.every(entry => request.exclude.includes(entry.config.id))) {
+            return Infinity;
+        }
+        return 2 * table.getDelayMs(self.zone, cell.zone) + cellEntry.computeCapacity(cell).expectedWaitMs;
+    };
+
+    return {
+        list: (service, request, nowMs) => {
+            const options: spillOver.CellOption<cellEntry.CellEntry>[] = [];
+            const home = service.home;
+            const stayHome = !spill && home !== undefined && (home.owned.length > 0 || home.peers.length > 0);
+            const meanMs = (home ?? service.cells[0])?.meanMs ?? 0;
+            for (const cell of service.cells) {
+                if ((stayHome && cell !== home) || isExcluded(cell, request)) {
+                    continue;
+                }
+                if (cell.owned.length > 0) {
+                    options.push({ kind: "local", cell, costMs: computeLocalCostMs(cell, request) });
+                }
+                for (const member of request.mayForward ? cell.peers : []) {
+                    const costMs = computeRemoteCostMs(cell, member, meanMs, nowMs);
+                    options.push({ kind: "remote", cell, costMs, member });
+                }
+            }
+            return options;
+        },
+        recordForward: (cell, member) => void readForwards(cell, member).count++,
+    };
+};
--- /dev/null
+++ b/src/common/routing/coldGate.ts
@@ -0,0 +1,75 @@
+/**
+ * Applies the cold lease to the limit of a target.
+ */
+import * as targetHealth from "../health/targetHealth.js";
+import * as targetEntry from "./targetEntry.js";
+import * as types from "./Types.js";
+
+/** Time for a cancelled call to end at the target, before the lease does. */
+export const cancelMarginMs = 250;
+/** Time that a cold target must have for a call, at least; a shorter one would often be cut off. */
+const shortestColdCallMs = 500;
+/** A longer demand could never be met by a lease of 10 s that is renewed every 3 s. */
+const longestColdDemandMs = 5_000;
+const coldLatencyFactor = 4;
+const askIntervalMs = 1_000;
+
+/**
+ * Computes until when a call at a cold target may run.
+ *
+ * @param entry - the target
+ * @param coldLeases - the leases that this entry VM holds
+ * @returns local monotonic time, or undefined without a lease
+ */
+export const computeColdEndMs = (entry: targetEntry.TargetEntry, coldLeases: types.ColdLeases): number | undefined => {
+    const leaseEndMs = coldLeases.leaseEndMs(entry.config.id);
+    return leaseEndMs === undefined ? undefined : leaseEndMs - cancelMarginMs;
+};
+
+/**
+ * Sets the limit of a cold target to 0 unless its lease lasts long enough, and asks for the lease.
+ *
+ * @param entry - the target, with its limit up to date
+ * @param coldLeases - the leases that this entry VM holds
+ * @param meanMs - mean latency in its cell
+ * @param nowMs - local monotonic time
+ */
+export const applyColdLease = (
+    entry: targetEntry.TargetEntry,
+    coldLeases: types.ColdLeases,
+    meanMs: number,
+    nowMs: number,
+): void => {
+    if (!entry.owned || entry.health.state.kind === "draining" || !targetHealth.isCold(entry.health, nowMs)) {
+        releaseLease(entry, coldLeases);
+        return;
+    }
+    if (nowMs - entry.leaseAskedAtMs >= askIntervalMs) {
+        entry.leaseAskedAtMs = nowMs;
+        entry.hasLease = true;
+        coldLeases.request(entry.config.id);
+    }
+    if (entry.limit === 0) {
+        return;
+    }
+    const endMs = computeColdEndMs(entry, coldLeases);
+    const neededMs = Math.min(longestColdDemandMs, Math.max(shortestColdCallMs, coldLatencyFactor * meanMs));
+    if (endMs === undefined || endMs - nowMs < neededMs) {
+        entry.limit = 0;
+    }
+};
+
+/**
+ * Gives the lease of a target up, unless a call that needed it is in flight.
+ *
+ * @param entry - the target
+ * @param coldLeases - the leases that this entry VM holds
+ */
+export const releaseLease = (entry: targetEntry.TargetEntry, coldLeases: types.ColdLeases): void => {
+    if (!entry.hasLease || entry.coldInFlight > 0) {
+        return;
+    }
+    entry.hasLease = false;
+    entry.leaseAskedAtMs = -Infinity;
+    coldLeases.release(entry.config.id);
+};
--- /dev/null
+++ b/src/common/routing/dispatcher.ts
@@ -0,0 +1,286 @@
+/**
+ * Hands out the slots of the targets that this entry VM owns, and names the owner for all others.
+ */
+import * as blackboards from "../blackboard/Types.js";
+import * as errors from "../errors/Types.js";
+import * as events from "../events.js";
+import * as targetHealth from "../health/targetHealth.js";
+import * as shared from "../Types.js";
+import * as callEnd from "./callEnd.js";
+import * as cellEntry from "./cellEntry.js";
+import * as cellOptions from "./cellOptions.js";
+import * as cellTables from "./cellTable.js";
+import * as coldGate from "./coldGate.js";
+import * as pickTarget from "./pickTarget.js";
+import * as spillOver from "./spillOver.js";
+import * as targetEntry from "./targetEntry.js";
+import * as types from "./Types.js";
+import * as views from "./views.js";
+import * as waitQueue from "./waitQueue.js";
+
+/** While calls wait, limits that grow with time are looked at again this often. */
+const recheckMs = 25;
+
+export interface DispatcherOptions {
+    readonly blackboard: blackboards.Blackboard;
+    readonly scheduler: shared.Scheduler;
+    readonly random: shared.Random;
+    readonly coldLeases: types.ColdLeases;
+    readonly logger: shared.Logger;
+    /** Whether a call may go to another zone while its own has an owner; false only in experiments. */
+    readonly spillOver?: boolean;
+}
+
+/**
+ * Creates the dispatcher of an entry VM. It follows the configuration and the owners on the blackboard. A grant may be
+ * given in the same turn in which the request's signal is aborted; the receiver then releases it as cancelled.
+ *
+ * @param options - what the dispatcher depends on
+ * @returns the dispatcher
+ */
+export const createDispatcher = (options: DispatcherOptions): types.Dispatcher => {
+    const { blackboard, scheduler, random, coldLeases, logger } = options;
+    const table = cellTables.createCellTable(blackboard.self);
+    const remoteLoads = cellOptions.createOptionList(blackboard, table, options.spillOver ?? true);
+    const lifetimes = events.createDisposableStore();
+    let disposed = false;
+
+    const refuse = (request: types.SlotRequest, error: errors.ErrorKind, message: string): types.SlotGrant => {
+        logger.info("route: refused", { call: request.call, service: request.service, error });
+        return { kind: "refused", error, message };
+    };
+
+    const updateCell = (cell: cellEntry.CellEntry, nowMs: number): void => {
+        cellEntry.updateMedian(cell, nowMs);
+        for (const entry of cell.owned) {
+            targetEntry.updateLimit(entry, cell.medianMs, nowMs);
+            coldGate.applyColdLease(entry, coldLeases, cell.meanMs, nowMs);
+        }
+    };
+
+    const findFree = (
+        cell: cellEntry.CellEntry,
+        request: types.SlotRequest,
+        nowMs: number,
+    ): targetEntry.TargetEntry | undefined => {
+        const start = cell.owned.length > 1 ? random.nextInt(cell.owned.length) : 0;
+        const exclude = request.exclude;
+        return pickTarget.pickTarget(cell.owned, start, nowMs, entry => !exclude.includes(entry.config.id));
+    };
+
+    const grantLocal = (
+        cell: cellEntry.CellEntry,
+        entry: targetEntry.TargetEntry,
+        request: types.SlotRequest,
+        sinceMs: number,
+    ): types.SlotGrant => {
+        const nowMs = scheduler.now();
+        const isCold = targetHealth.isCold(entry.health, nowMs);
+        const coldEndMs = isCold ? (coldGate.computeColdEndMs(entry, coldLeases) ?? nowMs) : Infinity;
+        targetEntry.addCall(entry, nowMs, isCold);
+        logger.info("route: local", {
+            call: request.call,
+            cell: cell.id,
+            target: entry.config.id,
+            inFlight: entry.inFlight,
+            limit: entry.limit,
+            waitedMs: nowMs - sinceMs,
+        });
+        let released = false;
+        return {
+            kind: "local",
+            target: entry.config,
+            endsAtMs: Math.min(request.deadlineAtMs, coldEndMs),
+            release: report => {
+                if (!released) {
+                    released = true;
+                    finishCall(cell, entry, { startMs: nowMs, isCold, report });
+                }
+            },
+        };
+    };
+
+    const finishCall = (cell: cellEntry.CellEntry, entry: targetEntry.TargetEntry, end: callEnd.CallEnd): void => {
+        const nowMs = scheduler.now();
+        const before = entry.health.state.kind;
+        cellEntry.updateMedian(cell, nowMs);
+        callEnd.applyCallEnd(cell, entry, end, nowMs);
+        logChange(entry, before);
+        const current = targetEntry.findCurrent(entry);
+        if (!table.isConfigured(current) || !current.owned) {
+            coldGate.releaseLease(current, coldLeases);
+            table.removeRetired(current);
+        }
+        if (cell.queue.count() > 0) {
+            drainQueue(cell);
+        }
+    };
+
+    const logChange = (entry: targetEntry.TargetEntry, before: types.TargetState["kind"]): void => {
+        const after = entry.health.state.kind;
+        if (after !== before) {
+            logger.info("target: state", { target: entry.config.id, from: before, to: after });
+        }
+    };
+
+    const drainQueue = (cell: cellEntry.CellEntry): void => {
+        const nowMs = scheduler.now();
+        updateCell(cell, nowMs);
+        for (const waiter of cell.queue.list()) {
+            const entry = findFree(cell, waiter.request, nowMs);
+            if (entry !== undefined) {
+                cell.queue.remove(waiter);
+                waiter.resolve(grantLocal(cell, entry, waiter.request, waiter.sinceMs));
+            } else if (waiter.request.exclude.length === 0) {
+                // No slot is free for any target, so none is for the calls behind.
+                break;
+            }
+        }
+        if (cell.queue.count() > 0 && cellEntry.computeCapacity(cell).expectedWaitMs === Infinity) {
+            rerouteQueue(cell);
+        }
+        scheduleRecheck(cell);
+    };
+
+    const scheduleRecheck = (cell: cellEntry.CellEntry): void => {
+        if (cell.queue.count() === 0) {
+            cell.timer?.dispose();
+            cell.timer = undefined;
+            return;
+        }
+        cell.timer ??= scheduler.schedule(recheckMs, () => {
+            cell.timer = undefined;
+            drainQueue(cell);
+        });
+    };
+
+    const enqueue = (cell: cellEntry.CellEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
+        const nowMs = scheduler.now();
+        const expiresAtMs = request.deadlineAtMs - cell.medianMs;
+        const refuseLate = (): types.SlotGrant =>
+            refuse(request, "deadline_exceeded_not_run", "the deadline leaves no time for the call");
+        if (nowMs >= expiresAtMs) {
+            return Promise.resolve(refuseLate());
+        }
+        if (cell.queue.count() >= cell.queueLimit) {
+            return Promise.resolve(refuse(request, "queue_full", "too many calls wait for this service"));
+        }
+        return new Promise((resolve, reject) => {
+            const waiter: waitQueue.Waiter = { request, sinceMs: nowMs, resolve, reject };
+            const onExpire = (): void => {
+                resolve(refuseLate());
+                scheduleRecheck(cell);
+            };
+            cell.queue.add(waiter, { scheduler, expiresAtMs, onExpire });
+            drainQueue(cell);
+        });
+    };
+
+    const routeByCost = (service: cellTables.ServiceEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
+        const nowMs = scheduler.now();
+        service.cells.forEach(cell => updateCell(cell, nowMs));
+        const option = spillOver.pickOption(remoteLoads.list(service, request, nowMs));
+        if (option === undefined) {
+            return Promise.resolve(refuse(request, "no_target", "no target of the service may receive the call"));
+        }
+        if (option.kind === "local") {
+            return enqueue(option.cell, request);
+        }
+        remoteLoads.recordForward(option.cell, option.member);
+        logger.info("route: remote", {
+            call: request.call,
+            cell: option.cell.id,
+            vm: option.member.info.vm,
+            costMs: option.costMs,
+            spill: service.home !== undefined && option.cell !== service.home,
+        });
+        return Promise.resolve({ kind: "remote", member: option.member, cell: option.cell.id });
+    };
+
+    const route = (request: types.SlotRequest): Promise<types.SlotGrant> => {
+        if (disposed) {
+            return Promise.resolve(refuse(request, "leaving", "the entry VM is stopping"));
+        }
+        const service = table.findService(request.service);
+        if (service === undefined) {
+            const isKnown = blackboard.configuration.get() !== undefined;
+            const error = isKnown ? "unknown_service" : "stale_configuration";
+            return Promise.resolve(refuse(request, error, "the configuration has no such service"));
+        }
+        const home = service.home;
+        if (home !== undefined && home.owned.length > 0 && home.queue.count() === 0) {
+            const nowMs = scheduler.now();
+            updateCell(home, nowMs);
+            const entry = request.deadlineAtMs > nowMs ? findFree(home, request, nowMs) : undefined;
+            if (entry !== undefined) {
+                return Promise.resolve(grantLocal(home, entry, request, nowMs));
+            }
+        }
+        return routeByCost(service, request);
+    };
+
+    /** Routes the waiting calls again of a cell that has no usable target of its own any more. */
+    const rerouteQueue = (cell: cellEntry.CellEntry): void => {
+        for (const waiter of cell.queue.list()) {
+            cell.queue.remove(waiter);
+            void route(waiter.request).then(waiter.resolve, waiter.reject);
+        }
+    };
+
+    const update = (): void => {
+        table.update(blackboard.configuration.get(), blackboard.ownership.get());
+        for (const entry of table.listTargets()) {
+            if (!entry.owned) {
+                coldGate.releaseLease(entry, coldLeases);
+            }
+        }
+        for (const cell of [...table.listCells()]) {
+            if (cell.queue.count() === 0) {
+                continue;
+            }
+            if (cell.owned.length === 0) {
+                rerouteQueue(cell);
+            } else {
+                drainQueue(cell);
+            }
+            scheduleRecheck(cell);
+        }
+    };
+
+    const drainCellOf = (target: shared.TargetId): void => {
+        for (const cell of table.listCells()) {
+            if (cell.queue.count() > 0 && cell.owned.some(entry => entry.config.id === target)) {
+                drainQueue(cell);
+            }
+        }
+    };
+
+    lifetimes.add(blackboard.configuration.onDidChange(update));
+    lifetimes.add(blackboard.ownership.onDidChange(update));
+    lifetimes.add(coldLeases.onDidTake(drainCellOf));
+    update();
+
+    return {
+        acquire: request => (request.signal.aborted ? Promise.reject(request.signal.reason as Error) : route(request)),
+        applyReport: (target, report, askedAtMs) => {
+            const entry = table.findTarget(target);
+            if (entry === undefined) {
+                return;
+            }
+            const before = entry.health.state.kind;
+            callEnd.applyTargetReport(entry, report, askedAtMs, scheduler.now());
+            logChange(entry, before);
+            drainCellOf(target);
+        },
+        listTargets: () => views.listTargetViews(table),
+        listCellLoads: () => views.listCellLoads(table, blackboard.self.vm, scheduler.now(), updateCell),
+        dispose: () => {
+            disposed = true;
+            lifetimes.dispose();
+            for (const cell of [...table.listCells()]) {
+                rerouteQueue(cell);
+                scheduleRecheck(cell);
+            }
+        },
+    };
+};
--- /dev/null
+++ b/src/common/routing/fixture.ts
@@ -0,0 +1,232 @@
+/**
+ * Small configurations and a dispatcher on virtual time, for tests and experiments.
+ */
+import * as blackboards from "../blackboard/blackboard.js";
+import * as blackboardTypes from "../blackboard/Types.js";
+import * as config from "../config/Types.js";
+import * as events from "../events.js";
+import * as ids from "../ids.js";
+import * as membership from "../membership/Types.js";
+import * as random from "../random.js";
+import * as shared from "../Types.js";
+import * as dispatchers from "./dispatcher.js";
+import * as types from "./Types.js";
+
+/** Size of a service in an experiment. */
+export interface ServiceShape {
+    readonly name: string;
+    readonly targets: number;
+    readonly zones: readonly string[];
+    readonly slots: number;
+    readonly queueLimit: number;
+    readonly linkDelayMs: number;
+}
+
+export const smallShape: ServiceShape = {
+    name: "bookings",
+    targets: 2,
+    zones: ["a"],
+    slots: 2,
+    queueLimit: 4,
+    linkDelayMs: 5,
+};
+
+/**
+ * Creates the configuration of a target; targets `t0`, `t1` and so on are spread over the zones in turn.
+ *
+ * @param shape - size of the service
+ * @param index - number of the target
+ * @returns the target
+ */
+export const createTarget = (shape: ServiceShape, index: number): config.TargetConfig => ({
+    id: ids.toTargetId(`t${String(index)}`),
+    address: ids.toAddress(`127.0.0.1:${String(9000 + index)}`),
+    zone: ids.toZoneName(shape.zones[index % shape.zones.length] ?? "a"),
+    vm: ids.toVmId(`target-vm-${String(index)}`),
+    slots: shape.slots,
+    coldSlots: 1,
+    out: false,
+});
+
+/**
+ * Creates a configuration with one service.
+ *
+ * @param shape - size of the service
+ * @param revision - number of the revision
+ * @returns the configuration
+ */
+export const createConfiguration = (shape: ServiceShape, revision = 1): config.Configuration => {
+    const service = ids.toServiceName(shape.name);
+    const zones = shape.zones.map(name => ids.toZoneName(name));
+    const section: config.ServiceSection = {
+        kind: "service",
+        service,
+        deadlineMs: 10_000,
+        connections: 200,
+        queueLimit: shape.queueLimit,
+        maxBodyBytes: 1_000_000,
+        ownersPerZone: 1,
+        idempotent: [],
+        nonIdempotent: [],
+        targets: Array.from({ length: shape.targets }, (_, index) => createTarget(shape, index)),
+    };
+    const links = zones.flatMap((from, index) =>
+        zones.slice(index + 1).map(to => ({ from, to, delayMs: shape.linkDelayMs })),
+    );
+    const region = ids.toRegionName("r");
+    return {
+        revision: ids.toRevision(revision),
+        digests: new Map(),
+        topology: {
+            kind: "topology",
+            zones: zones.map(name => ({ name, region, out: false })),
+            links,
+            vmsOut: [],
+        },
+        services: new Map([[service, section]]),
+    };
+};
+
+/**
+ * Creates a copy of a configuration with changed targets.
+ *
+ * @param configuration - the configuration
+ * @param change - called for each target; undefined removes it
+ * @returns the copy
+ */
+export const createChanged = (
+    configuration: config.Configuration,
+    change: (target: config.TargetConfig) => config.TargetConfig | undefined,
+): config.Configuration => {
+    const services = new Map(
+        [...configuration.services].map(([name, section]) => {
+            const targets = section.targets.map(change).filter(target => target !== undefined);
+            return [name, { ...section, targets }];
+        }),
+    );
+    return { ...configuration, services };
+};
+
+/**
+ * Creates a member.
+ *
+ * @param vm - its name
+ * @param zone - its zone
+ * @returns a serving member
+ */
+export const createMember = (vm: string, zone: string): membership.Member => ({
+    info: {
+        vm: ids.toVmId(vm),
+        incarnation: ids.toIncarnationId(`${vm}-1`),
+        zone: ids.toZoneName(zone),
+        address: ids.toAddress("127.0.0.1:8000"),
+        control: ids.toAddress("127.0.0.1:8001"),
+        state: "serving",
+        revision: ids.toRevision(1),
+        synced: true,
+    },
+    seenAtMs: 0,
+});
+
+/**
+ * Creates owners by zone: the first member of a cell's zone owns the cell.
+ *
+ * @param configuration - the configuration
+ * @param members - the members
+ * @returns the owners
+ */
+export const createOwnership = (
+    configuration: config.Configuration,
+    members: readonly membership.Member[],
+): membership.Ownership => {
+    const zoneOf = new Map<shared.TargetId, string>();
+    for (const section of configuration.services.values()) {
+        section.targets.forEach(target => zoneOf.set(target.id, target.zone));
+    }
+    const findOwner = (zone: string | undefined): membership.Member | undefined =>
+        members.find(member => member.info.zone === zone);
+    return {
+        ownersOfCell: cell => [findOwner(cell.split("/")[1])].filter(member => member !== undefined),
+        ownerOfTarget: target => findOwner(zoneOf.get(target)),
+    };
+};
+
+/** A dispatcher together with the means to change what it sees. */
+export interface DispatcherFixture {
+    readonly dispatcher: types.Dispatcher;
+    readonly blackboard: blackboardTypes.Blackboard;
+    setConfiguration(configuration: config.Configuration): void;
+    setOwnership(ownership: membership.Ownership): void;
+    setCellLoads(loads: readonly membership.CellLoad[]): void;
+    /** Lets all targets report that they are warm. */
+    setWarm(): void;
+    /** Leases by target; a change takes effect at once. */
+    readonly leases: Map<shared.TargetId, number>;
+    readonly asked: shared.TargetId[];
+    readonly given: shared.TargetId[];
+    fireTaken(target: shared.TargetId): void;
+}
+
+export interface FixtureOptions {
+    readonly self: membership.Member;
+    readonly members: readonly membership.Member[];
+    readonly configuration: config.Configuration;
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+    readonly seed: number;
+    readonly spillOver?: boolean;
+}
+
+/**
+ * Creates a dispatcher with its blackboard and leases that are set by hand.
+ *
+ * @param options - what it sees at the start
+ * @returns the dispatcher and its controls
+ */
+export const createDispatcherFixture = (options: FixtureOptions): DispatcherFixture => {
+    const { self, members, scheduler, logger } = options;
+    const blackboard = blackboards.createBlackboard(self.info);
+    const setConfiguration = blackboard.configuration.takeWriter("fixture");
+    const setOwnership = blackboard.ownership.takeWriter("fixture");
+    const writeLoads = blackboard.cellLoads.takeWriter("fixture");
+    setConfiguration(options.configuration);
+    setOwnership(createOwnership(options.configuration, members));
+    const taken = events.createEmitter<shared.TargetId>();
+    const leases = new Map<shared.TargetId, number>();
+    const asked: shared.TargetId[] = [];
+    const given: shared.TargetId[] = [];
+    const dispatcher = dispatchers.createDispatcher({
+        blackboard,
+        scheduler,
+        random: random.createRandom(options.seed),
+        logger,
+        coldLeases: {
+            leaseEndMs: target => leases.get(target),
+            request: target => void asked.push(target),
+            release: target => void given.push(target),
+            onDidTake: taken.event,
+        },
+        spillOver: options.spillOver ?? true,
+    });
+    return {
+        dispatcher,
+        blackboard,
+        setConfiguration,
+        setOwnership,
+        setCellLoads: loads => {
+            const byCell = new Map<shared.CellId, membership.CellLoad[]>();
+            loads.forEach(load => byCell.set(load.cell, [...(byCell.get(load.cell) ?? []), load]));
+            writeLoads(byCell);
+        },
+        setWarm: () => {
+            const report = { state: "warm", busy: undefined, boot: ids.toBootId("b1") } as const;
+            for (const view of dispatcher.listTargets()) {
+                dispatcher.applyReport(view.target.id, report, scheduler.now());
+            }
+        },
+        leases,
+        asked,
+        given,
+        fireTaken: target => taken.fire(target),
+    };
+};
--- /dev/null
+++ b/src/common/routing/spillOver.ts
@@ -0,0 +1,98 @@
+/**
+ * Choice between the cells of a service by the expected wait and the delay of the links.
+ */
+import * as config from "../config/Types.js";
+import * as membership from "../membership/Types.js";
+import * as shared from "../Types.js";
+
+/** Load figures of other owners that are older are not used. */
+export const cellLoadStaleMs = 3_000;
+/** Wait assumed for a cell in another zone whose load is not known. */
+export const unknownWaitMs = 20;
+/** Delay assumed between zones for which the topology names no link. */
+export const unknownDelayMs = 20;
+
+/** Looks up the one-way delay between two zones. */
+export type GetDelay = (from: shared.ZoneName, to: shared.ZoneName) => number;
+
+/**
+ * Creates the look-up of link delays.
+ *
+ * @param topology - the topology section
+ * @returns the look-up; 0 within a zone
+ */
+export const createGetDelay = (topology: config.TopologySection): GetDelay => {
+    const delays = new Map<string, number>();
+    for (const link of topology.links) {
+        delays.set(`${link.from} ${link.to}`, link.delayMs);
+        delays.set(`${link.to} ${link.from}`, link.delayMs);
+    }
+    return (from, to) => (from === to ? 0 : (delays.get(`${from} ${to}`) ?? unknownDelayMs));
+};
+
+/** What is known of a remote cell when a call may go there. */
+export interface RemoteCell {
+    readonly load: membership.CellLoad | undefined;
+    /** Calls that this entry VM has forwarded there since the load was measured. */
+    readonly forwarded: number;
+    /** Slots of the cell in the configuration. */
+    readonly slots: number;
+    /** Mean service time, taken from the own cell of the same service. */
+    readonly meanMs: number;
+    /** Whether the cell is in the zone of this entry VM, where the wait is 0 unless known otherwise. */
+    readonly isHome: boolean;
+}
+
+/**
+ * Computes the expected wait in a cell of another owner.
+ *
+ * @param remote - what is known of the cell
+ * @param nowMs - local monotonic time
+ * @returns the wait in milliseconds, without the delay of the link
+ */
+export const computeRemoteWaitMs = (remote: RemoteCell, nowMs: number): number => {
+    const load = remote.load;
+    if (load === undefined || nowMs - load.measuredAtMs > cellLoadStaleMs) {
+        return remote.isHome ? 0 : unknownWaitMs;
+    }
+    const perCallMs = remote.meanMs / Math.max(1, remote.slots);
+    // Calls forwarded since the measurement use up the free slots that it shows.
+    const beyondFree = remote.forwarded - load.freeSlots;
+    if (load.freeSlots > 0 && beyondFree < 0) {
+        return load.expectedWaitMs;
+    }
+    return load.expectedWaitMs + (Math.max(0, beyondFree) + 1) * perCallMs;
+};
+
+/** A place that could serve a call. */
+export type CellOption<Cell> =
+    | { readonly kind: "local"; readonly cell: Cell; readonly costMs: number }
+    | {
+          readonly kind: "remote";
+          readonly cell: Cell;
+          readonly costMs: number;
+          readonly member: membership.Member;
+      };
+
+/**
+ * Picks the option with the lowest cost; a local one wins a tie.
+ *
+ * @param options - the options
+ * @returns the best one, or undefined if there is none with a finite cost
+ */
+export const pickOption = <Cell>(options: readonly CellOption<Cell>[]): CellOption<Cell> | undefined => {
+    let best: CellOption<Cell> | undefined;
+    for (const option of options) {
+        if (option.costMs === Infinity) {
+            continue;
+        }
+        const isBetter =
+            best === undefined ||
+            option.costMs < best.costMs ||
+            (option.costMs === best.costMs && option.kind === "local" && best.kind === "remote");
+        if (isBetter) {
+            best = option;
+        }
+    }
+    return best;
+};
--- /dev/null
+++ b/src/common/routing/targetEntry.ts
@@ -0,0 +1,221 @@
+/**
+ * Mutable record of a target in its owner, with the limit derived from its health.
+ */
+import * as adaptiveLimit from "../limits/adaptiveLimit.js";
+import * as config from "../config/Types.js";
+import * as health from "../health/Types.js";
+import * as targetHealth from "../health/targetHealth.js";
+import * as shared from "../Types.js";
+import * as pickTarget from "./pickTarget.js";
+import * as types from "./Types.js";
+
+/** Latency assumed for a target without an answer. */
+export const defaultLatencyMs = 10;
+/** Weight of a new sample in the smoothed latency. */
+export const latencyWeight = 0.1;
+export const freshReportMs = 500;
+/** A slow target without calls for this long is tried again with the usual latency of its cell. */
+export const slowRetryMs = 1_000;
+const firstRefusalPauseMs = 20;
+const longestRefusalPauseMs = 1_000;
+/** Differences below this are not taken for slowness, whatever the ratio. */
+const slowFloorMs = 2;
+
+export interface TargetEntry extends pickTarget.Candidate {
+    config: config.TargetConfig;
+    service: shared.ServiceName;
+    /** Whether this entry VM sends calls to it, as far as ownership and configuration say. */
+    owned: boolean;
+    health: health.TargetHealth;
+    limit: number;
+    inFlight: number;
+    /** Calls in flight that were sent under the cold lease. */
+    coldInFlight: number;
+    latencyMs: number;
+    answers: number;
+    answeredAtMs: number;
+    oldestStartMs: number | undefined;
+    /** Start times of the calls in flight, oldest first. */
+    readonly starts: number[];
+    failures: number;
+    /** A target that refused gets no call before this time. */
+    pausedUntilMs: number;
+    lastReport: types.TargetReport | undefined;
+    reportedAtMs: number | undefined;
+    /** Busy slots in the last report that this entry VM cannot account for. */
+    foreignBusy: number;
+    /** Most calls in flight in this period and the one before. */
+    peak: number;
+    lastPeak: number;
+    peakSinceMs: number;
+    /** When the cold lease was last asked for. */
+    leaseAskedAtMs: number;
+    hasLease: boolean;
+    /** Record that took over the calls in flight, after the target's address has changed. */
+    successor: TargetEntry | undefined;
+}
+
+/**
+ * Creates the record of a target that has never been seen.
+ *
+ * @param target - its configuration
+ * @param service - its service
+ * @returns the record
+ */
+export const createTargetEntry = (target: config.TargetConfig, service: shared.ServiceName): TargetEntry => ({
+    config: target,
+    service,
+    owned: false,
+    health: targetHealth.initialHealth,
+    limit: 0,
+    inFlight: 0,
+    coldInFlight: 0,
+    latencyMs: defaultLatencyMs,
+    answers: 0,
+    answeredAtMs: 0,
+    oldestStartMs: undefined,
+    starts: [],
+    failures: 0,
+    pausedUntilMs: 0,
+    lastReport: undefined,
+    reportedAtMs: undefined,
+    foreignBusy: 0,
+    peak: 0,
+    lastPeak: 0,
+    peakSinceMs: 0,
+    leaseAskedAtMs: -Infinity,
+    hasLease: false,
+    successor: undefined,
+});
+
+/**
+ * Lets a new record count the calls of the one that it replaces.
+ *
+ * @param from - record of the former server; its calls still end there
+ * @param to - record of the new server
+ */
+export const moveCalls = (from: TargetEntry, to: TargetEntry): void => {
+    to.inFlight = from.inFlight;
+    to.coldInFlight = from.coldInFlight;
+    to.hasLease = from.hasLease;
+    to.starts.push(...from.starts);
+    to.oldestStartMs = from.oldestStartMs;
+    from.successor = to;
+};
+
+/**
+ * Finds the record that counts the calls of a target now.
+ *
+ * @param entry - a record, possibly replaced
+ * @returns the record in use
+ */
+export const findCurrent = (entry: TargetEntry): TargetEntry => {
+    let current = entry;
+    while (current.successor !== undefined) {
+        current = current.successor;
+    }
+    return current;
+};
+
+/**
+ * Updates the limit of a target, without regard to its cold lease.
+ *
+ * @param entry - the target
+ * @param medianMs - median latency of its cell
+ * @param nowMs - local monotonic time
+ */
+export const updateLimit = (entry: TargetEntry, medianMs: number, nowMs: number): void => {
+    if (!entry.owned || nowMs < entry.pausedUntilMs) {
+        entry.limit = 0;
+        return;
+    }
+    const isFresh = entry.reportedAtMs !== undefined && nowMs - entry.reportedAtMs <= freshReportMs;
+    const isLatencyHigh = entry.latencyMs > targetHealth.recoveredRatio * medianMs;
+    const foreignBusy = isFresh ? entry.foreignBusy : 0;
+    entry.limit = adaptiveLimit.computeLimit(entry.health, entry.config, foreignBusy, isLatencyHigh, nowMs);
+    if (entry.health.state.kind === "warming" && entry.limit >= entry.config.slots) {
+        entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "warmedUp" }, nowMs);
+    }
+    if (entry.health.state.kind === "slow" && entry.inFlight === 0 && nowMs - entry.answeredAtMs > slowRetryMs) {
+        entry.latencyMs = Math.min(entry.latencyMs, medianMs);
+    }
+};
+
+/**
+ * Records that a call starts.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ * @param isCold - whether it is sent under the cold lease
+ */
+export const addCall = (entry: TargetEntry, nowMs: number, isCold: boolean): void => {
+    entry.inFlight++;
+    entry.coldInFlight += isCold ? 1 : 0;
+    entry.starts.push(nowMs);
+    entry.oldestStartMs ??= nowMs;
+    if (nowMs - entry.peakSinceMs > freshReportMs) {
+        entry.lastPeak = entry.peak;
+        entry.peak = 0;
+        entry.peakSinceMs = nowMs;
+    }
+    entry.peak = Math.max(entry.peak, entry.inFlight);
+};
+
+/**
+ * Records that a call has ended.
+ *
+ * @param entry - the target
+ * @param startMs - when it started
+ * @param isCold - whether it was sent under the cold lease
+ */
+export const removeCall = (entry: TargetEntry, startMs: number, isCold: boolean): void => {
+    entry.inFlight--;
+    entry.coldInFlight -= isCold ? 1 : 0;
+    entry.starts.splice(entry.starts.indexOf(startMs), 1);
+    entry.oldestStartMs = entry.starts[0];
+};
+
+/**
+ * Records a report and what it says about calls of others.
+ *
+ * @param entry - the target
+ * @param report - the report
+ * @param nowMs - local monotonic time
+ */
+export const recordReport = (entry: TargetEntry, report: types.TargetReport, nowMs: number): void => {
+    entry.lastReport = report;
+    entry.reportedAtMs = nowMs;
+    // The report may be older than calls that have ended since, so the recent peak counts as this entry VM's own.
+    const own = Math.max(entry.peak, entry.lastPeak, entry.inFlight);
+    entry.foreignBusy = Math.max(0, (report.busy ?? 0) - own);
+};
+
+/**
+ * Records the latency of an answer.
+ *
+ * @param entry - the target
+ * @param latencyMs - time from sending to the end of the answer
+ * @param medianMs - median latency of its cell
+ * @param nowMs - local monotonic time
+ */
+export const recordLatency = (entry: TargetEntry, latencyMs: number, medianMs: number, nowMs: number): void => {
+    const isFirst = entry.answers === 0;
+    entry.latencyMs = isFirst ? latencyMs : entry.latencyMs + latencyWeight * (latencyMs - entry.latencyMs);
+    entry.answers++;
+    entry.answeredAtMs = nowMs;
+    entry.failures = 0;
+    const ratio = entry.latencyMs < medianMs + slowFloorMs ? 1 : entry.latencyMs / medianMs;
+    entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "compared", ratio }, nowMs);
+};
+
+/**
+ * Records that a target refused a call, so that it is left alone for a short time.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ */
+export const recordRefusal = (entry: TargetEntry, nowMs: number): void => {
+    const pauseMs = Math.min(longestRefusalPauseMs, firstRefusalPauseMs * 2 ** Math.min(entry.failures, 10));
+    entry.failures++;
+    entry.pausedUntilMs = nowMs + pauseMs;
+};
