--- a/src/common/routing/cellOptions.ts
+++ b/src/common/routing/cellOptions.ts
@@ -99,6 +99,9 @@
                     options.push({ kind: "local", cell, costMs: computeLocalCostMs(cell, request) });
                 }
                 for (const member of request.mayForward ? cell.peers : []) {
+                    if (request.excludeMembers.includes(member.info.vm)) {
+                        continue;
+                    }
                     const costMs = computeRemoteCostMs(cell, member, meanMs, nowMs);
                     options.push({ kind: "remote", cell, costMs, member });
                 }
--- a/src/common/routing/dispatcher.test.ts
+++ b/src/common/routing/dispatcher.test.ts
@@ -22,6 +22,7 @@
             service: ids.toServiceName("bookings"),
             deadlineAtMs: scheduler.now() + 1_000,
             exclude: [],
+            excludeMembers: [],
             mayForward: true,
             signal: new AbortController().signal,
             ...request,
--- a/src/common/routing/fixture.ts
+++ b/src/common/routing/fixture.ts
@@ -124,6 +124,7 @@
         state: "serving",
         revision: ids.toRevision(1),
         synced: true,
+        epoch: 0,
     },
     seenAtMs: 0,
 });
