Add the publisher of configuration changes

A commit whose answer was lost is resolved by the token in the row of its revision. It is sent again only after a read showed that it has not taken effect; if it arrives late all the same, the condition on the head's version lets only one of the two commit. A change is repeated on the newest head only while others changed other sections.

An answer counts towards the majority only under the listed name of the VM, because two names on the platform's list can share an address after a replacement.

--- /dev/null
+++ b/src/node/publish/plan.ts
@@ -0,0 +1,138 @@
+/**
+ * The next head that a change leads to, checked as a whole.
+ */
+import * as configuration from "../../common/config/configuration.js";
+import * as sections from "../../common/config/sections.js";
+import * as config from "../../common/config/Types.js";
+import * as ids from "../../common/ids.js";
+import * as types from "../../common/Types.js";
+import * as platform from "../platform/Types.js";
+import * as applyChange from "./applyChange.js";
+import * as headStore from "./headStore.js";
+import * as publish from "./Types.js";
+
+export interface Plan {
+    readonly head: config.ConfigHead;
+    /** Sections in which it differs from the head in force. */
+    readonly changed: readonly types.SectionName[];
+    /** Texts of the changed sections by digest. */
+    readonly newTexts: ReadonlyMap<types.Digest, string>;
+}
+
+export type PlanResult =
+    { readonly kind: "planned"; readonly plan: Plan } | Extract<publish.PublishResult, { kind: "refused" }>;
+
+export interface PlanContext {
+    readonly platform: platform.Platform;
+    readonly createToken: () => string;
+    readonly author: string;
+}
+
+/**
+ * Creates the result for a service of the platform that did not answer.
+ *
+ * @param cause - what happened
+ * @returns the result
+ */
+export const createUnavailable = (cause: string): Extract<publish.PublishResult, { kind: "refused" }> => ({
+    kind: "refused",
+    cause: "unavailable",
+    faults: [{ where: "platform", message: cause }],
+});
+
+const createInvalid = (faults: readonly config.Fault[]): Extract<publish.PublishResult, { kind: "refused" }> => ({
+    kind: "refused",
+    cause: "invalid",
+    faults,
+});
+
+/** Digests of the sections that stay as they are, and of the topology, which most changes rewrite in part. */
+const listNeededDigests = (change: publish.Change, head: config.ConfigHead): types.Digest[] => {
+    const replaced = new Set<string>();
+    if (change.kind === "publishFiles") {
+        change.services.forEach(({ section }) => replaced.add(sections.toSectionName(section)));
+    }
+    return Object.entries(head.sections)
+        .filter(([name]) => !replaced.has(name))
+        .map(([, digest]) => digest);
+};
+
+const createNext = (context: PlanContext, current: config.ConfigHead, writes: applyChange.SectionWrites) => {
+    const next: Record<string, types.Digest> = { ...current.sections };
+    const texts = new Map<types.Digest, string>();
+    for (const [name, text] of writes) {
+        if (text === undefined) {
+            delete next[name];
+            continue;
+        }
+        const digest = sections.computeSectionDigest(text);
+        next[name] = digest;
+        texts.set(digest, text);
+    }
+    const revision = ids.toRevision(current.revision + 1);
+    const head = { revision, sections: next, author: context.author, token: context.createToken() };
+    return { head, texts };
+};
+
+/**
+ * Checks that a VM to be taken out of service exists, since a misspelt name would have no effect. While the platform's
+ * list is unavailable every name is allowed, so that an outage does not prevent the command.
+ */
+const checkVm = async (
+    context: PlanContext,
+    change: publish.Change,
+    next: config.Configuration,
+): Promise<readonly config.Fault[]> => {
+    if (change.kind !== "setVmOut" || !change.out) {
+        return [];
+    }
+    const services = [...next.services.values()];
+    if (services.some(service => service.targets.some(target => target.vm === change.vm))) {
+        return [];
+    }
+    const listed = await context.platform.vms.list();
+    if (listed.kind === "unavailable" || listed.vms.some(item => item.vm === change.vm)) {
+        return [];
+    }
+    const message = "is neither the VM of a target nor on the platform's list";
+    return [{ where: `vm ${change.vm}`, message }];
+};
+
+/**
+ * Creates the plan of a change on top of the head in force.
+ *
+ * @param context - the platform and the author
+ * @param change - the change
+ * @param current - the head in force
+ * @returns the plan, or why it cannot be made
+ */
+export const createPlan = async (
+    context: PlanContext,
+    change: publish.Change,
+    current: config.ConfigHead,
+): Promise<PlanResult> => {
+    const fetched = await headStore.fetchTexts(context.platform.objects, listNeededDigests(change, current));
+    if (fetched.kind === "failed") {
+        return createUnavailable(fetched.cause);
+    }
+    const topologyDigest = current.sections[sections.topologySectionName];
+    const topologyText = topologyDigest === undefined ? undefined : fetched.texts.get(topologyDigest);
+    const applied = applyChange.applyChange(change, topologyText);
+    if (applied.kind === "refused") {
+        return createInvalid(applied.faults);
+    }
+    const { head, texts } = createNext(context, current, applied.writes);
+    const all = new Map([...fetched.texts, ...texts]);
+    const assembled = configuration.assembleLabelled(head, all, applyChange.createLabels(change));
+    if (assembled.kind === "invalid") {
+        return createInvalid(assembled.faults);
+    }
+    const changed = headStore.listChangedSections(current, head);
+    const vmFaults = changed.length === 0 ? [] : await checkVm(context, change, assembled.configuration);
+    if (vmFaults.length > 0) {
+        return createInvalid(vmFaults);
+    }
+    const newDigests = new Set(changed.map(name => head.sections[name]));
+    const newTexts = new Map([...texts].filter(([digest]) => newDigests.has(digest)));
+    return { kind: "planned", plan: { head, changed, newTexts } };
+};
--- /dev/null
+++ b/src/node/publish/publisher.test.ts
@@ -0,0 +1,276 @@
+import test from "ava";
+import * as configFiles from "../../common/config/configFiles.js";
+import * as sections from "../../common/config/sections.js";
+import * as ids from "../../common/ids.js";
+import * as memoryPlatform from "../../testing/memoryPlatform.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as platformTypes from "../platform/Types.js";
+import * as exitCode from "./exitCode.js";
+import * as fakes from "./fakeEntryVms.js";
+import * as publisher from "./publisher.js";
+import * as publish from "./Types.js";
+
+type TransactParameters = Parameters<platformTypes.TableService["transact"]>;
+
+const topologyText = "zones: { a: north, b: north }\n";
+const toServiceText = (name: string, port: number, extra = ""): string =>
+    `service: ${name}\n${extra}targets:\n  - { id: ${name}-1, address: "127.0.0.1:${port}", zone: a }\n`;
+
+const toChange = (files: Record<string, string>, base?: number): publish.Change => {
+    const parsed = configFiles.parseConfigFiles(Object.entries(files).map(([path, text]) => ({ path, text })));
+    if (parsed.kind === "invalid") {
+        throw new Error(JSON.stringify(parsed.faults));
+    }
+    const { services, topology } = parsed.files;
+    return { kind: "publishFiles", services, topology, base: base === undefined ? undefined : ids.toRevision(base) };
+};
+
+const zoneOut: publish.Change = { kind: "setZoneOut", zone: ids.toZoneName("b"), out: true };
+const first = { "topology.yaml": topologyText, "s.yaml": toServiceText("s", 1), "p.yaml": toServiceText("p", 2) };
+const toService = (deadlineMs: number) => toChange({ "s.yaml": toServiceText("s", 1, `deadlineMs: ${deadlineMs}\n`) });
+const otherService = toChange({ "p.yaml": toServiceText("p", 2, "deadlineMs: 7\n") });
+
+const createWorld = (...modes: fakes.FakeMode[]) => {
+    const platform = memoryPlatform.createMemoryPlatform();
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const vms = modes.map((mode, index) => fakes.createFakeEntryVm(index, mode));
+    platform.setVms(vms.map(vm => vm.listed));
+    let tokens = 0;
+    const createPublisher = (author: string): publish.Publisher =>
+        publisher.createPublisher({
+            platform,
+            rpc: fakes.createFakeRpc(vms),
+            scheduler,
+            createToken: () => `${author}-${tokens++}`,
+            logger: silentLogger.createSilentLogger(),
+            author,
+        });
+    const publishAs = async (author: string, change: publish.Change): Promise<publish.PublishResult> => {
+        let result: publish.PublishResult | undefined;
+        void createPublisher(author)
+            .publish(change)
+            .then(value => (result = value));
+        // Bounded: all limits of the publisher together are below 60 s.
+        for (let step = 0; step < 600 && result === undefined; step++) {
+            await scheduler.advance(100);
+        }
+        if (result === undefined) {
+            throw new Error("the publisher did not end");
+        }
+        return result;
+    };
+    const readHead = async (key = "config/head") => {
+        const result = await platform.table.read(key);
+        return result.kind === "found" ? sections.parseHead(result.row.value) : undefined;
+    };
+    return { platform, scheduler, vms, createPublisher, publishAs, readHead };
+};
+
+const createPublishedWorld = async (...modes: fakes.FakeMode[]) => {
+    const world = createWorld(...modes);
+    const result = await world.publishAs("setup", toChange(first));
+    return { ...world, result };
+};
+
+test("a first publication stores, commits and announces all sections", async t => {
+    const { result, readHead, vms } = await createPublishedWorld("adopting", "adopting", "adopting");
+    const changed = ["service/p", "service/s", "topology"].map(ids.toSectionName);
+    t.like(result, { kind: "accepted", revision: ids.toRevision(1), changed, missing: [] });
+    t.is(exitCode.toExitCode(result), 0);
+    t.deepEqual(await readHead("config/revision/1"), await readHead());
+    t.deepEqual(
+        vms.map(vm => vm.announced.length),
+        [3, 3, 3],
+    );
+});
+
+test("a change that changes nothing commits nothing but still waits until the revision is in force", async t => {
+    const world = await createPublishedWorld("adopting");
+    const { transactions } = world.platform.counts;
+    const result = await world.publishAs("x", toChange(first));
+    t.like(result, { kind: "accepted", revision: ids.toRevision(1), changed: [] });
+    const removal: publish.Change = { kind: "removeService", service: ids.toServiceName("none") };
+    t.like(await world.publishAs("x", removal), { kind: "accepted", changed: [] });
+    t.is(world.platform.counts.transactions, transactions);
+});
+
+test("the loser of a race on one section is told what the winner changed and overwrites nothing", async t => {
+    for (const [winner, loser] of [
+        [1, 2],
+        [2, 1],
+    ] as const) {
+        const world = await createPublishedWorld("adopting");
+        let won: publish.PublishResult | undefined;
+        world.platform.setBeforeTransact(async () => {
+            won = await world.createPublisher("winner").publish(toService(winner));
+        });
+        const result = await world.publishAs("loser", toService(loser));
+        t.is(won?.kind, "accepted");
+        const names = [ids.toSectionName("service/s")];
+        t.like(result, { kind: "conflict", author: "winner", changedByOthers: names, overlapping: names });
+        t.is(exitCode.toExitCode(result), 3);
+        t.is((await world.readHead())?.revision, ids.toRevision(2));
+    }
+});
+
+test("zone out wins over a race with files and files over a race with zone out, in either order", async t => {
+    for (const [winner, loser] of [
+        [otherService, zoneOut],
+        [zoneOut, otherService],
+    ] as const) {
+        const world = await createPublishedWorld("adopting");
+        world.platform.setBeforeTransact(async () => {
+            await world.createPublisher("winner").publish(winner);
+        });
+        const result = await world.publishAs("loser", loser);
+        t.like(result, { kind: "accepted", revision: ids.toRevision(3) });
+        t.is((result.kind === "accepted" ? result.changed : []).length, 1);
+    }
+});
+
+test("zone out does not overwrite another change of the topology, and an equal one is no conflict", async t => {
+    const zoneIn: publish.Change = { kind: "setZoneOut", zone: ids.toZoneName("a"), out: true };
+    for (const [winner, expected] of [
+        [zoneIn, "conflict"],
+        [zoneOut, "accepted"],
+    ] as const) {
+        const world = await createPublishedWorld("adopting");
+        world.platform.setBeforeTransact(async () => {
+            await world.createPublisher("winner").publish(winner);
+        });
+        t.is((await world.publishAs("loser", zoneOut)).kind, expected);
+        t.is((await world.readHead())?.revision, ids.toRevision(2));
+    }
+});
+
+test("files written against an old revision do not overwrite later changes of the same section", async t => {
+    const world = await createPublishedWorld("adopting");
+    await world.publishAs("other", toService(5));
+    const stale = toChange({ "s.yaml": toServiceText("s", 1, "deadlineMs: 9\n") }, 1);
+    t.like(await world.publishAs("me", stale), { kind: "conflict", revision: ids.toRevision(2) });
+    const disjoint = toChange({ "p.yaml": toServiceText("p", 2, "deadlineMs: 9\n") }, 1);
+    t.like(await world.publishAs("me", disjoint), { kind: "accepted", revision: ids.toRevision(3) });
+    t.like(await world.publishAs("me", toChange(first, 99)), { kind: "refused", cause: "invalid" });
+});
+
+test("a commit whose answer was lost is recognised by its token and not repeated", async t => {
+    const world = await createPublishedWorld("adopting");
+    const { transactions } = world.platform.counts;
+    world.platform.addTransactFaults("loseAnswer");
+    t.like(await world.publishAs("x", toService(5)), { kind: "accepted", revision: ids.toRevision(2) });
+    t.is(world.platform.counts.transactions, transactions + 1);
+});
+
+test("a transaction that was lost before the commit is sent again after a read showed its absence", async t => {
+    const world = await createPublishedWorld("adopting");
+    world.platform.addTransactFaults("loseRequest");
+    t.like(await world.publishAs("x", toService(5)), { kind: "accepted", revision: ids.toRevision(2) });
+});
+
+test("a lost transaction that takes effect late is recognised when its repetition conflicts", async t => {
+    const world = await createPublishedWorld("adopting");
+    world.platform.addTransactFaults("loseRequest");
+    const { table } = world.platform;
+    const sent: TransactParameters[] = [];
+    const transact = async (...parameters: TransactParameters) => {
+        const [earlier] = sent;
+        sent.push(parameters);
+        if (earlier !== undefined) {
+            await table.transact(...earlier);
+        }
+        return table.transact(...parameters);
+    };
+    Object.assign(world.platform, { table: { ...table, transact } });
+    t.like(await world.publishAs("x", toService(5)), { kind: "accepted", revision: ids.toRevision(2) });
+    t.is(sent.length, 2);
+});
+
+test("a lost answer after another publisher's commit is a conflict, not a success", async t => {
+    const world = await createPublishedWorld("adopting");
+    world.platform.setBeforeTransact(async () => {
+        await world.createPublisher("winner").publish(toService(8));
+        world.platform.addTransactFaults("loseAnswer");
+    });
+    t.like(await world.publishAs("loser", toService(5)), { kind: "conflict", author: "winner" });
+});
+
+test("an outage before the commit is refused, an outage after a lost answer leaves the outcome unknown", async t => {
+    const world = await createPublishedWorld("adopting");
+    world.platform.setTableDown(true);
+    const refused = await world.publishAs("x", toService(5));
+    t.like(refused, { kind: "refused", cause: "unavailable" });
+    t.is(exitCode.toExitCode(refused), 2);
+    world.platform.setTableDown(false);
+    world.platform.setBeforeTransact(() => Promise.resolve(world.platform.setTableDown(true)));
+    t.like(await world.publishAs("x", toService(5)), { kind: "refused", cause: "unavailable" });
+    world.platform.setTableDown(false);
+
+    const { table } = world.platform;
+    const transact = async (...parameters: TransactParameters) => {
+        const result = await table.transact(...parameters);
+        world.platform.setTableDown(true);
+        return result;
+    };
+    Object.assign(world.platform, { table: { ...table, transact } });
+    world.platform.addTransactFaults("loseAnswer");
+    const unknown = await world.publishAs("x", toService(6));
+    t.like(unknown, { kind: "unknown", revision: ids.toRevision(2) });
+    t.is(exitCode.toExitCode(unknown), 5);
+    world.platform.setTableDown(false);
+    t.like(await world.publishAs("x", toService(6)), { kind: "accepted", changed: [], revision: ids.toRevision(2) });
+});
+
+test("an outage of the object store commits nothing", async t => {
+    const world = await createPublishedWorld("adopting");
+    world.platform.setObjectsDown(true);
+    t.like(await world.publishAs("x", toService(5)), { kind: "refused", cause: "unavailable" });
+    t.is((await world.readHead())?.revision, ids.toRevision(1));
+});
+
+test("acceptance needs a majority of the list, of answers under the listed names", async t => {
+    for (const modes of [["adopting", "deaf", "silent"], ["adopting", "wrongName"], ["deaf"], []] as const) {
+        const { result, readHead } = await createPublishedWorld(...modes);
+        t.is(result.kind, "notAccepted", modes.join());
+        t.is(exitCode.toExitCode(result), 4);
+        t.is((await readHead())?.revision, ids.toRevision(1));
+    }
+    const { result, scheduler } = await createPublishedWorld("adopting", "adopting", "silent");
+    t.like(result, { kind: "accepted", missing: [ids.toVmId("entry-2")] });
+    t.true(scheduler.now() >= publisher.defaultTimes.acceptTimeoutMs);
+});
+
+test("VMs that recover or join while the publisher waits are announced to", async t => {
+    const world = createWorld("adopting", "silent", "silent");
+    world.scheduler.schedule(2000, () => world.vms.forEach(vm => (vm.mode = "adopting")));
+    t.like(await world.publishAs("x", toChange(first)), { kind: "accepted", missing: [] });
+    t.true(world.scheduler.now() < publisher.defaultTimes.acceptTimeoutMs);
+});
+
+test("changes that make the whole invalid are refused with the operator's file", async t => {
+    const world = await createPublishedWorld("adopting");
+    const check = async (change: publish.Change, pattern: RegExp): Promise<void> => {
+        const result = await world.publishAs("x", change);
+        t.is(exitCode.toExitCode(result), 2);
+        t.regex(JSON.stringify(result), pattern);
+    };
+    await check(toChange({ "q.yaml": toServiceText("q", 1) }), /q\.yaml: targets\[0\]\.address/);
+    await check(toChange({ "topology.yaml": "zones: { b: north }\n" }), /service\/s: targets\[0\]\.zone/);
+    await check({ kind: "setZoneOut", zone: ids.toZoneName("x"), out: true }, /zone x.*does not exist/);
+    await check({ kind: "setVmOut", vm: ids.toVmId("x"), out: true }, /vm x.*platform's list/);
+    t.is((await world.readHead())?.revision, ids.toRevision(1));
+});
+
+test("publishing the files again leaves zones and VMs out of service", async t => {
+    const world = await createPublishedWorld("adopting");
+    await world.publishAs("x", zoneOut);
+    t.like(await world.publishAs("x", { kind: "setVmOut", vm: ids.toVmId("127.0.0.1"), out: true }), {
+        kind: "accepted",
+    });
+    t.like(await world.publishAs("x", { kind: "setVmOut", vm: ids.toVmId("entry-0"), out: true }), {
+        kind: "accepted",
+    });
+    t.like(await world.publishAs("x", toChange(first)), { kind: "accepted", changed: [], revision: ids.toRevision(4) });
+    const removal: publish.Change = { kind: "removeService", service: ids.toServiceName("p") };
+    t.like(await world.publishAs("x", removal), { kind: "accepted", changed: [ids.toSectionName("service/p")] });
+});
