Claim foreign idempotency keys in the table service

An ambiguous write is read back and its token compared; the end of the call is recorded in the background and repeated after an outage.

--- a/src/common/claims/Types.ts
+++ b/src/common/claims/Types.ts
@@ -104,3 +104,48 @@
     readonly state: KeyState;
     readonly decision: KeyDecision;
 }
+
+/** Content of the row that claims a foreign key. The row is removed if the call did not run. */
+export interface ClaimRow {
+    /** Random text of one attempt to claim; only the attempt with this token may run, update or remove the row. */
+    readonly token: string;
+    /** For operators: the entry VM incarnation that wrote the row. */
+    readonly incarnation: string;
+    readonly signature: string;
+    readonly end: { readonly kind: "running" } | Exclude<KeyEnd, { kind: "notRun" }>;
+}
+
+/** Answer to a request whose key another attempt has claimed. */
+export type TakenDecision = Extract<KeyDecision, { kind: "replay" | "refuse" }>;
+
+/** How far an attempt to claim a row has come. */
+export interface RowClaim {
+    readonly token: string;
+    readonly signature: RequestSignature;
+    /** Writes that may still be tried after an ambiguous one. */
+    readonly writesLeft: number;
+    /** True if a write of this attempt may have taken effect, or may do so later. */
+    readonly mayExist: boolean;
+}
+
+/** What the table service answered. `row` comes from a read or from the conflict of a write. */
+export type RowObservation =
+    | { readonly kind: "committed" }
+    | { readonly kind: "row"; readonly row: ClaimRow | undefined }
+    /** The write surely had no effect, or the read failed. */
+    | { readonly kind: "unavailable" }
+    /** The answer to the write was lost. */
+    | { readonly kind: "unknown" };
+
+export type RowStep =
+    | { readonly kind: "write" }
+    | { readonly kind: "read" }
+    /** The row holds this attempt's token, so the call may be sent. */
+    | { readonly kind: "granted" }
+    /** The call must not be sent by this attempt. */
+    | { readonly kind: "taken"; readonly decision: TakenDecision }
+    | { readonly kind: "failed"; readonly mayExist: boolean };
+
+/** What to do with the row of an attempt that has ended. */
+export type SettleStep =
+    { readonly kind: "write"; readonly value: ClaimRow | undefined } | { readonly kind: "finished" };
--- a/src/node/claims/claimController.ts
+++ b/src/node/claims/claimController.ts
@@ -3,9 +3,11 @@
  */
 import * as keys from "../../common/claims/keys.js";
 import * as claims from "../../common/claims/Types.js";
+import * as errorTable from "../../common/errors/errorTable.js";
 import * as errors from "../../common/errors/errors.js";
 import * as errorTypes from "../../common/errors/Types.js";
 import * as shared from "../../common/Types.js";
+import * as claimStore from "./claimStore.js";
 import * as keyArbiter from "./keyArbiter.js";
 import * as types from "./Types.js";
 
@@ -18,9 +20,10 @@
 export const createClaimController = (options: types.ClaimControllerOptions): claims.ClaimController => {
     const { incarnation, logger } = options;
     const arbiter = keyArbiter.createKeyArbiter(options.scheduler, options.limits, logger);
+    const store = claimStore.createClaimStore(options);
     let isDisposed = false;
 
-    const createClaim = (run: types.ClaimRun): claims.Claim => {
+    const createClaim = (run: types.ClaimRun, settle?: (end: claims.KeyEnd) => void): claims.Claim => {
         let isFinished = false;
         return {
             key: run.key,
@@ -31,6 +34,7 @@
                 }
                 isFinished = true;
                 arbiter.finish(run, result);
+                settle?.(keyArbiter.toKeyEnd(result));
                 logger.info(`claim: key ${run.key} ended`, { attempt: run.attempt, result: result.kind });
             },
         };
@@ -41,10 +45,61 @@
         return decision.kind === "run" ? { kind: "run", claim: createClaim(decision.run) } : decision;
     };
 
-    const begin = (key: claims.KeyId, request: claims.ClaimRequest): claims.ClaimDecision => {
+    const finishTaken = (run: types.ClaimRun, decision: claims.TakenDecision): claims.ClaimDecision => {
+        switch (decision.kind) {
+            case "replay": {
+                const answer = keyArbiter.createEmptyAnswer(decision.status);
+                arbiter.finish(run, { kind: "done", answer });
+                return { kind: "replay", answer };
+            }
+            case "refuse": {
+                // Nothing is remembered, so that the next resend asks the table service again.
+                const kind = errorTable.errorTable[decision.error].outcome === "not-run" ? "notRun" : "mayHaveRun";
+                arbiter.finish(run, { kind, error: decision.error }, { kind: "notRun" });
+                return decision;
+            }
+        }
+    };
+
+    const finishFailed = (run: types.ClaimRun, message: string): claims.ClaimDecision => {
+        const error = "claim_store_unavailable";
+        arbiter.finish(run, { kind: "notRun", error });
+        return createRefusal(error, message);
+    };
+
+    const claimForeign = async (run: types.ClaimRun, request: claims.ClaimRequest): Promise<claims.ClaimDecision> => {
+        const rowKey = keys.formatClaimRowKey(request.service, request.key);
+        const claim = await store.claim(rowKey, request.signature);
+        switch (claim.kind) {
+            case "granted":
+                return { kind: "run", claim: createClaim(run, end => claim.settle(end)) };
+            case "taken":
+                return finishTaken(run, claim.decision);
+            case "failed":
+                return finishFailed(run, claim.message);
+        }
+    };
+
+    const beginForeign = async (key: claims.KeyId, request: claims.ClaimRequest): Promise<claims.ClaimDecision> => {
+        const decision = arbiter.beginForeign(key, request.signature);
+        if (decision.kind !== "run") {
+            return decision;
+        }
+        try {
+            return await claimForeign(decision.run, request);
+        } catch (error) {
+            logger.error(`claim: key ${key} could not be claimed`, { error: String(error) });
+            return finishFailed(decision.run, "The key could not be claimed.");
+        }
+    };
+
+    const begin = async (key: claims.KeyId, request: claims.ClaimRequest): Promise<claims.ClaimDecision> => {
+        if (isDisposed) {
+            return createRefusal("leaving", "The entry VM is leaving.");
+        }
         const origin = keys.parseKeyOrigin(request.key);
         if (origin.kind === "foreign") {
-            return createRefusal("claim_store_unavailable", "Foreign keys are not accepted.");
+            return beginForeign(key, request);
         }
         if (origin.incarnation !== incarnation) {
             return { kind: "forward", incarnation: origin.incarnation };
@@ -52,12 +107,9 @@
         return beginIssued(key, request, origin.epoch);
     };
 
-    const beginChecked = (key: claims.KeyId, request: claims.ClaimRequest): claims.ClaimDecision => {
-        if (isDisposed) {
-            return createRefusal("leaving", "The entry VM is leaving.");
-        }
+    const beginChecked = async (key: claims.KeyId, request: claims.ClaimRequest): Promise<claims.ClaimDecision> => {
         try {
-            return begin(key, request);
+            return await begin(key, request);
         } catch (error) {
             if (errors.isCallError(error)) {
                 return createRefusal(error.kind, error.message);
@@ -71,14 +123,17 @@
             const mayIssue = !isDisposed && (options.mayIssue?.() ?? true);
             return mayIssue ? keys.formatKeyPrefix(incarnation, arbiter.computeEpoch()) : undefined;
         },
-        begin: request => {
+        begin: async request => {
             const key = keys.computeKeyId(request.service, request.key);
-            const decision = beginChecked(key, request);
+            const decision = await beginChecked(key, request);
             logDecision(logger, key, request.service, decision);
-            return Promise.resolve(decision);
+            return decision;
         },
         measure: () => arbiter.measure(),
-        dispose: () => (isDisposed = true),
+        dispose: () => {
+            isDisposed = true;
+            store.dispose();
+        },
     };
 };
 
