--- /dev/null
+++ b/src/node/entry/callPath.ts
@@ -0,0 +1,125 @@
+/**
+ * Composition of the call path.
+ */
+import * as blackboard from "../../common/blackboard/Types.js";
+import * as claimKeys from "../../common/claims/keys.js";
+import * as claims from "../../common/claims/Types.js";
+import * as requestMatcher from "../../common/config/requestMatcher.js";
+import * as crashes from "../../common/crashes/Types.js";
+import * as fingerprints from "../../common/crashes/fingerprint.js";
+import * as retryBudgets from "../../common/limits/retryBudget.js";
+import * as membership from "../../common/membership/Types.js";
+import * as routing from "../../common/routing/Types.js";
+import * as shared from "../../common/Types.js";
+import * as forward from "../forward/Types.js";
+import * as callHandlers from "../front/callHandler.js";
+import * as callRunners from "../front/callRunner.js";
+import * as front from "../front/Types.js";
+import * as latencyTrackers from "../front/latencyTracker.js";
+import * as peerSteps from "../front/peerStep.js";
+import * as targetSteps from "../front/targetStep.js";
+
+export interface CallPathOptions {
+    readonly board: blackboard.Blackboard;
+    readonly scheduler: shared.Scheduler;
+    readonly dispatcher: routing.Dispatcher;
+    readonly sender: forward.Sender;
+    readonly claims: claims.ClaimController;
+    readonly crashes: crashes.CrashRegistry;
+    readonly traces: front.TraceStore;
+    readonly logger: shared.Logger;
+    isFresh(): boolean;
+    /** Tells the other entry VMs of a crash. */
+    publishCrash(fingerprint: string, count: number): void;
+}
+
+const maxOtherAddresses = 5;
+
+/** Matchers are compiled once for each section; a changed section is a new object. */
+const createIdempotencyLookup = (
+    board: blackboard.Blackboard,
+): ((service: shared.ServiceName, method: string, path: string) => boolean) => {
+    const matchers = new WeakMap<object, requestMatcher.RequestMatcher>();
+    return (name, method, path) => {
+        const section = board.configuration.get()?.services.get(name);
+        if (section === undefined) {
+            return false;
+        }
+        let matcher = matchers.get(section);
+        if (matcher === undefined) {
+            matcher = requestMatcher.createRequestMatcher(section);
+            matchers.set(section, matcher);
+        }
+        return matcher.isIdempotent(method, path);
+    };
+};
+
+const computeFingerprint = (call: front.Call): string =>
+    fingerprints.computeFingerprint({
+        service: call.head.service,
+        method: call.head.method,
+        path: call.head.path,
+        bodyLength: call.body.length,
+        bodyStart: call.body.prefix,
+    });
+
+/**
+ * Connects the parts through which a call passes.
+ *
+ * @param options - the parts that other controllers share
+ * @returns the handler of calls
+ */
+export const createCallPath = (options: CallPathOptions): callHandlers.CallHandler => {
+    const { board, scheduler, traces } = options;
+    const latencies = latencyTrackers.createLatencyTracker(scheduler);
+    const stepOptions: front.StepOptions = {
+        scheduler,
+        sender: options.sender,
+        crashes: {
+            isEmpty: options.crashes.isEmpty,
+            isBlocked: options.crashes.isBlocked,
+            recordCrash: fingerprint => options.publishCrash(fingerprint, options.crashes.recordCrash(fingerprint)),
+        },
+        traces,
+        isFresh: options.isFresh,
+        computeFingerprint,
+        getSilentAfterMs: latencies.getSilentAfterMs,
+        recordLatency: latencies.record,
+    };
+    const peerStep = peerSteps.createPeerStep(stepOptions);
+    const runner = callRunners.createCallRunner({
+        dispatcher: options.dispatcher,
+        targetStep: targetSteps.createTargetStep(stepOptions),
+        peerStep,
+        retryBudget: retryBudgets.createRetryBudget({ scheduler }),
+        crashes: stepOptions.crashes,
+        traces,
+        computeFingerprint,
+    });
+
+    const listOthers = (): membership.Member[] =>
+        [...board.members.get().values()].filter(
+            member => member.info.vm !== board.self.vm && member.info.state === "serving",
+        );
+
+    return callHandlers.createCallHandler({
+        self: board.self,
+        scheduler,
+        claims: options.claims,
+        runner,
+        peerStep,
+        traces,
+        logger: options.logger,
+        isFresh: options.isFresh,
+        isLeaving: () => board.lifecycle.get() !== "serving",
+        findService: name => board.configuration.get()?.services.get(name),
+        isIdempotent: createIdempotencyLookup(board),
+        computeSignature: claimKeys.computeSignature,
+        findIncarnation: incarnation =>
+            [...board.members.get().values()].find(member => member.info.incarnation === incarnation),
+        listOtherAddresses: () =>
+            listOthers()
+                .slice(0, maxOtherAddresses)
+                .map(member => member.info.address),
+    });
+};
--- /dev/null
+++ b/src/node/entry/daemon.ts
@@ -0,0 +1,258 @@
+/**
+ * Composition of the entry daemon.
+ */
+import * as crypto from "node:crypto";
+import * as moleculer from "moleculer";
+import * as blackboards from "../../common/blackboard/blackboard.js";
+import * as blackboardTypes from "../../common/blackboard/Types.js";
+import * as configuration from "../../common/config/configuration.js";
+import * as crashRegistries from "../../common/crashes/crashRegistry.js";
+import * as events from "../../common/events.js";
+import * as freshness from "../../common/freshness/freshness.js";
+import * as ids from "../../common/ids.js";
+import * as randoms from "../../common/random.js";
+import * as dispatchers from "../../common/routing/dispatcher.js";
+import * as shared from "../../common/Types.js";
+import * as claimControllers from "../claims/claimController.js";
+import * as coldLeaseControllers from "../coldstart/coldLeases.js";
+import * as configurationControllers from "../configuration/configurationController.js";
+import * as adminHandlers from "../control/adminHandlers.js";
+import * as rpcRoutes from "../control/rpcRoute.js";
+import * as senders from "../forward/sender.js";
+import * as callHandlers from "../front/callHandler.js";
+import * as healthRoutes from "../front/healthRoute.js";
+import * as lookups from "../front/lookup.js";
+import * as traceStores from "../front/traceStore.js";
+import * as gateways from "../http/gateway.js";
+import * as logging from "../logging/Types.js";
+import * as gossips from "../peers/gossip.js";
+import * as rpcClients from "../peers/rpcClient.js";
+import * as rpcServers from "../peers/rpcServer.js";
+import * as platformClients from "../platform/platformClient.js";
+import * as probers from "../probes/prober.js";
+import * as settingsTypes from "../settings/Types.js";
+import * as systemSchedulers from "../systemScheduler.js";
+import * as callPaths from "./callPath.js";
+import * as lifecycles from "./lifecycle.js";
+import * as probing from "./probing.js";
+
+export interface EntryDaemon {
+    start(): Promise<void>;
+    /** Leaves gracefully and ends all work. */
+    stop(): Promise<void>;
+}
+
+const maxTracedCalls = 10_000;
+const incarnationBytes = 12;
+const crashLimit = 2;
+const maxCrashEntries = 1_000;
+const crashRetentionMs = 600_000;
+const crashReportTimeoutMs = 1_000;
+
+const createIncarnation = (): shared.IncarnationId =>
+    ids.toIncarnationId(crypto.randomBytes(incarnationBytes).toString("base64url"));
+
+const createToken = (): string => crypto.randomUUID();
+
+const createSelf = (settings: settingsTypes.EntrySettings): blackboardTypes.Self => ({
+    vm: settings.vm,
+    incarnation: createIncarnation(),
+    zone: settings.zone,
+    address: settings.listen,
+    control: settings.control,
+});
+
+/**
+ * Creates an entry daemon.
+ *
+ * @param settings - checked settings
+ * @param logs - where its log lines go
+ * @returns the daemon, not yet started
+ */
+export const createEntryDaemon = (settings: settingsTypes.EntrySettings, logs: logging.LogSink): EntryDaemon => {
+    const board = blackboards.createBlackboard(createSelf(settings));
+    const { incarnation } = board.self;
+    const scheduler = systemSchedulers.createSystemScheduler();
+    const random = randoms.createRandom(crypto.randomInt(2 ** 31));
+    const lifetimes = events.createDisposableStore();
+    const platform = platformClients.createPlatformClient(settings.platform);
+    const rpcClient = rpcClients.createRpcClient();
+    const rpcServer = rpcServers.createRpcServer(logs.createLogger("member"));
+    const sender = senders.createSender();
+    const traces = traceStores.createTraceStore(scheduler, maxTracedCalls);
+    const crashes = crashRegistries.createCrashRegistry({
+        scheduler,
+        limit: crashLimit,
+        maxEntries: maxCrashEntries,
+        retentionMs: crashRetentionMs,
+    });
+
+    const isFresh = (): boolean =>
+        freshness.computeVerdict(board.freshness.get(), scheduler.now(), settings.freshnessMs).kind === "fresh";
+
+    const configurationController = lifetimes.add(
+        configurationControllers.createConfigurationController({
+            blackboard: board,
+            table: platform.table,
+            objects: platform.objects,
+            rpcClient,
+            rpcServer,
+            scheduler,
+            settings,
+            assembleConfiguration: configuration.assembleConfiguration,
+            logger: logs.createLogger("config"),
+        }),
+    );
+    const claims = lifetimes.add(
+        claimControllers.createClaimController({
+            incarnation,
+            scheduler,
+            table: platform.table,
+            createToken,
+            limits: settings,
+            logger: logs.createLogger("claim"),
+        }),
+    );
+    const coldLeases = lifetimes.add(
+        coldLeaseControllers.createColdLeases({
+            incarnation,
+            table: platform.table,
+            scheduler,
+            createToken,
+            leaseMs: settings.coldLeaseMs,
+            logger: logs.createLogger("cold"),
+        }),
+    );
+    const dispatcher = lifetimes.add(
+        dispatchers.createDispatcher({
+            blackboard: board,
+            scheduler,
+            random,
+            coldLeases,
+            logger: logs.createLogger("route"),
+        }),
+    );
+    lifetimes.add(
+        gossips.createGossip({
+            blackboard: board,
+            rpcClient,
+            rpcServer,
+            vmList: platform.vms,
+            scheduler,
+            random,
+            settings,
+            configuration: configurationController,
+            listCellLoads: dispatcher.listCellLoads,
+            listCrashes: crashes.list,
+            applyCrash: crashes.mergeCount,
+            getKeyEpoch: claims.getEpoch,
+            logger: logs.createLogger("member"),
+        }),
+    );
+    lifetimes.add(
+        probers.createProber({
+            blackboard: board,
+            dispatcher,
+            scheduler,
+            random,
+            sendProbe: probing.createProbeSender(sender, scheduler),
+            logger: logs.createLogger("target"),
+        }),
+    );
+
+    const publishCrash = (fingerprint: string, count: number): void => {
+        for (const member of board.members.get().values()) {
+            if (member.info.vm !== board.self.vm) {
+                void rpcClient.call(member.info.control, "crash.report", { fingerprint, count }, crashReportTimeoutMs);
+            }
+        }
+    };
+    const calls = callPaths.createCallPath({
+        board,
+        scheduler,
+        dispatcher,
+        sender,
+        claims,
+        crashes,
+        traces,
+        logger: logs.createLogger("front"),
+        isFresh,
+        publishCrash,
+    });
+    rpcServer.addHandlers(adminHandlers.createAdminHandlers({ board, clock: scheduler, dispatcher, traces }));
+
+    const front = createFrontGateway(settings, board, calls, isFresh, logs);
+    const control = createControlGateway(settings, rpcRoutes.createRpcRoute(rpcServer), calls, logs);
+    const broker = new moleculer.ServiceBroker({ logger: false, transporter: null, metrics: false, tracing: false });
+    broker.createService(front.schema);
+    broker.createService(control.schema);
+
+    const lifecycle = lifecycles.createLifecycleController({
+        board,
+        scheduler,
+        logger: logs.createLogger("life"),
+        lookupTtlMs: settings.lookupTtlMs,
+        drainTimeoutMs: settings.drainTimeoutMs,
+        countCalls: calls.countCalls,
+        closeFront: front.closeListener,
+    });
+
+    const setServingWhenSynced = (): void => {
+        if (board.freshness.get().confirmedAtMs !== undefined) {
+            lifecycle.setServing();
+        }
+    };
+
+    return {
+        start: async () => {
+            await broker.start();
+            lifetimes.add(board.freshness.onDidChange(setServingWhenSynced));
+            setServingWhenSynced();
+        },
+        stop: async () => {
+            await lifecycle.leave();
+            lifetimes.dispose();
+            await Promise.all([sender.close(), rpcClient.close(), platform.close()]);
+            control.closeConnections();
+            front.closeConnections();
+            await broker.stop();
+        },
+    };
+};
+
+const createFrontGateway = (
+    settings: settingsTypes.EntrySettings,
+    board: blackboardTypes.Blackboard,
+    calls: callHandlers.CallHandler,
+    isFresh: () => boolean,
+    logs: logging.LogSink,
+): gateways.Gateway =>
+    gateways.createGateway({
+        name: "front",
+        address: settings.listen,
+        logger: logs.createLogger("front"),
+        routes: [
+            { segment: "call", handle: (request, response) => calls.handle(request, response, false) },
+            {
+                segment: "lookup",
+                handle: lookups.createLookupHandler({ blackboard: board, ttlMs: settings.lookupTtlMs, isFresh }),
+            },
+            { segment: "health", handle: healthRoutes.createHealthRoute(board, isFresh) },
+        ],
+    });
+
+const createControlGateway = (
+    settings: settingsTypes.EntrySettings,
+    rpcRoute: gateways.GatewayRoute["handle"],
+    calls: callHandlers.CallHandler,
+    logs: logging.LogSink,
+): gateways.Gateway =>
+    gateways.createGateway({
+        name: "control",
+        address: settings.control,
+        logger: logs.createLogger("member"),
+        routes: [
+            { segment: "rpc", handle: rpcRoute },
+            { segment: "forward", handle: (request, response) => calls.handle(request, response, true) },
+        ],
+    });
--- /dev/null
+++ b/src/node/entry/probing.ts
@@ -0,0 +1,56 @@
+/**
+ * Sends the probes that the prober asks for.
+ */
+import * as config from "../../common/config/Types.js";
+import * as routing from "../../common/routing/Types.js";
+import * as shared from "../../common/Types.js";
+import * as attemptWatch from "../front/attemptWatch.js";
+import * as forward from "../forward/Types.js";
+import * as targetReports from "../front/targetReports.js";
+
+export type ProbeResult =
+    | { readonly kind: "answered"; readonly report: routing.TargetReport | undefined; readonly latencyMs: number }
+    | { readonly kind: "failed" };
+
+/** Probes need one connection to a target. */
+const probeConnections = 1;
+
+/**
+ * Creates the function that sends one probe.
+ *
+ * @param sender - connections to targets
+ * @param scheduler - time limits
+ * @returns a function that never rejects
+ */
+export const createProbeSender =
+    (sender: forward.Sender, scheduler: shared.Scheduler) =>
+    async (target: config.TargetConfig, timeoutMs: number): Promise<ProbeResult> => {
+        const attemptId = attemptWatch.createAttemptId();
+        const startedAtMs = scheduler.now();
+        const attempt = sender.send({
+            address: target.address,
+            connectionClass: "probe",
+            connections: probeConnections,
+            method: "GET",
+            path: "/probe",
+            headers: { "tarragon-attempt-id": attemptId, "tarragon-deadline-ms": String(timeoutMs) },
+            body: { prefix: Buffer.alloc(0), rest: undefined, length: 0 },
+            attempt: attemptId,
+            mayWrite: () => true,
+        });
+        const timer = scheduler.schedule(timeoutMs, () => attempt.abort("probe timed out"));
+        try {
+            const head = await attempt.head;
+            if (head.kind !== "response") {
+                return { kind: "failed" };
+            }
+            const latencyMs = scheduler.now() - startedAtMs;
+            await attempt.readBody({ write: () => true, onDrain: resume => resume() });
+            if (head.status >= 500) {
+                return { kind: "failed" };
+            }
+            return { kind: "answered", report: targetReports.parseTargetReport(head.headers), latencyMs };
+        } finally {
+            timer.dispose();
+        }
+    };
--- /dev/null
+++ b/src/node/entry/runEntry.ts
@@ -0,0 +1,36 @@
+/**
+ * The entry daemon as a process.
+ */
+import * as fs from "node:fs";
+import * as logSinks from "../logging/logSink.js";
+import * as settingsTypes from "../settings/Types.js";
+import * as daemons from "./daemon.js";
+
+const standardOutput = 1;
+
+const writeAll = (text: string): void => {
+    try {
+        fs.writeSync(standardOutput, text);
+    } catch {
+        // A reader that is slow or gone must not stop the daemon; its lines are lost.
+    }
+};
+
+/**
+ * Runs an entry daemon until SIGTERM or SIGINT.
+ *
+ * @param settings - checked settings
+ * @returns when the daemon has left gracefully
+ */
+export const runEntry = async (settings: settingsTypes.EntrySettings): Promise<void> => {
+    const logs = logSinks.createLogSink({ level: settings.logLevel, format: settings.logFormat, write: writeAll });
+    const daemon = daemons.createEntryDaemon(settings, logs);
+    const stopped = new Promise<void>(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
+    await daemon.start();
+    await stopped;
+    await daemon.stop();
+    logs.dispose();
+};
--- a/src/node/forward/Types.ts
+++ b/src/node/forward/Types.ts
@@ -15,7 +15,7 @@
 }
 
 /** A connection class decides how long an idle connection may be reused. */
-export type ConnectionClass = "idempotent" | "nonIdempotent" | "peer";
+export type ConnectionClass = "idempotent" | "nonIdempotent" | "peer" | "probe";
 
 export interface AttemptRequest {
     readonly address: types.Address;
--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -17,6 +17,8 @@
     idempotent: 4_000,
     nonIdempotent: 1_000,
     peer: 1_000,
+    // Each probe opens a connection of its own, since an open one may be silent while new ones work.
+    probe: 1,
 };
 
 const createBody = (body: types.RequestBody): Buffer | stream.Readable | null => {
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -11,6 +11,7 @@
 import * as answerPorts from "./answerPort.js";
 import * as bodyReader from "./bodyReader.js";
 import * as callRunner from "./callRunner.js";
+import * as peerSteps from "./peerStep.js";
 import * as requestParser from "./requestParser.js";
 import * as types from "./Types.js";
 
@@ -28,13 +29,7 @@
     computeSignature(method: string, path: string, length: number | undefined): claims.RequestSignature;
     findIncarnation(incarnation: shared.IncarnationId): membership.Member | undefined;
     listOtherAddresses(): readonly shared.Address[];
-    /** Sends a call to the arbiter of its key and relays the answer. */
-    forwardToArbiter(
-        call: types.Call,
-        member: membership.Member,
-        port: types.AnswerPort,
-        signal: AbortSignal,
-    ): Promise<void>;
+    readonly peerStep: peerSteps.PeerStep;
 }
 
 export interface CallHandler {
@@ -177,7 +172,12 @@
             return;
         }
         traces.record(call.head.id, `forwarded to ${member.info.vm}, arbiter of the key`);
-        await options.forwardToArbiter(call, member, port, signal);
+        const step = await options.peerStep.send(call, port, signal, member, "arbiter");
+        if (step.kind !== "finished" && port.isOpen()) {
+            // Without the arbiter it cannot be told whether an earlier call with this key has run.
+            const kind = step.kind === "notRun" && step.error === "target_unreachable" ? "arbiter_gone" : step.error;
+            refuse(call.head, port, kind, "the arbiter of the key has not answered");
+        }
     };
 
     const dispatchCall = async (call: types.Call, port: types.AnswerPort, signal: AbortSignal): Promise<void> => {
--- a/src/node/http/gateway.ts
+++ b/src/node/http/gateway.ts
@@ -84,6 +84,8 @@
     readonly schema: moleculer.ServiceSchema;
     /** Stops accepting connections and closes idle ones; resolves when the last connection is closed. */
     closeListener(): Promise<void>;
+    /** Closes all connections, those of requests in flight included. */
+    closeConnections(): void;
 }
 
 const splitAddress = (address: shared.Address): { ip: string; port: number } => {
@@ -148,5 +150,5 @@
             server.closeIdleConnections();
         });
 
-    return { schema, closeListener };
+    return { schema, closeListener, closeConnections: () => server?.closeAllConnections() };
 };
