Add the configuration controller and gossip

The table, the object store and peers each can be away, so sections come from whichever answers, and confirmations from the table, a peer or a majority. Gossip sends only what the other side does not know, because addresses and names hardly ever change.

--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -45,3 +45,13 @@
     /** The one entry VM that sends calls to the target. */
     ownerOfTarget(target: types.TargetId): Member | undefined;
 }
+
+/** Load of a cell as its owner sends it, in whole numbers. */
+export type PublishedLoad = Pick<CellLoad, "cell" | "freeSlots" | "queued" | "expectedWaitMs">;
+
+/** A member together with what gossip needs to tell old news from new. */
+export interface MemberRecord extends Member {
+    /** Grows with each change of what the member says of itself, except its age. */
+    readonly version: number;
+    readonly loads: readonly PublishedLoad[];
+}
--- a/src/common/membership/rendezvous.ts
+++ b/src/common/membership/rendezvous.ts
@@ -9,7 +9,13 @@
 /** Above the 920 targets, 210 cells and 100 VMs of the target size; a full cache is emptied. */
 const maxHashes = 10_000;
 
-const computeHash = (name: string): number => {
+/**
+ * Hashes a name to 32 bits, the same in every process.
+ *
+ * @param name - the name
+ * @returns the first four bytes of its SHA-256 digest
+ */
+export const computeHash = (name: string): number => {
     const known = hashes.get(name);
     if (known !== undefined) {
         return known;
--- /dev/null
+++ b/src/node/configuration/headPoll.ts
@@ -0,0 +1,95 @@
+/**
+ * Regular reads of the row `config/head`.
+ */
+import * as config from "../../common/config/Types.js";
+import * as ids from "../../common/ids.js";
+import * as shared from "../../common/Types.js";
+import * as parameters from "../peers/parameters.js";
+import * as platform from "../platform/Types.js";
+import * as waiting from "./waiting.js";
+
+const headKey = "config/head";
+
+export interface HeadPollOptions {
+    readonly table: platform.TableService;
+    readonly scheduler: shared.Scheduler;
+    readonly intervalMs: number;
+    /** An answer that takes longer confirms nothing that is still fresh. */
+    readonly timeoutMs: number;
+    readonly logger: shared.Logger;
+    /** Called for each successful read, with the time of its start; no head stands for an absent row. */
+    onRead(head: config.ConfigHead | undefined, requestedAtMs: number): void;
+}
+
+/**
+ * Starts to poll. One read runs at a time.
+ *
+ * @param options - the table, the interval and the receiver
+ * @returns the lifetime of the poll
+ */
+export const startHeadPoll = (options: HeadPollOptions): shared.Disposable => {
+    const { table, scheduler, logger } = options;
+    let isDisposed = false;
+    let isDown = false;
+    let lastRow: { readonly version: number; readonly head: config.ConfigHead } | undefined;
+    let timer: shared.Disposable | undefined;
+
+    const parseRow = (row: platform.Row): config.ConfigHead | undefined => {
+        if (row.version === lastRow?.version) {
+            return lastRow.head;
+        }
+        const parsed = parameters.configHead.safeParse(row.value);
+        if (!parsed.success) {
+            logger.error("config: the row config/head is malformed", { version: row.version });
+            return undefined;
+        }
+        const head = parsed.data as unknown as config.ConfigHead;
+        lastRow = { version: row.version, head };
+        return head;
+    };
+
+    const applyResult = (result: platform.ReadResult | undefined, requestedAtMs: number): void => {
+        const wasDown = isDown;
+        isDown = result === undefined || result.kind === "unavailable";
+        if (isDown !== wasDown) {
+            logger.warn(isDown ? "config: the table service is unavailable" : "config: the table service is back", {
+                cause: result?.kind === "unavailable" ? result.cause : undefined,
+            });
+        }
+        if (result?.kind === "absent") {
+            options.onRead(undefined, requestedAtMs);
+        }
+        const head = result?.kind === "found" ? parseRow(result.row) : undefined;
+        if (head !== undefined) {
+            options.onRead(head, requestedAtMs);
+        }
+    };
+
+    const poll = async (): Promise<void> => {
+        const requestedAtMs = scheduler.now();
+        const result = await waiting.waitAtMost(scheduler, table.read(headKey), options.timeoutMs);
+        if (isDisposed) {
+            return;
+        }
+        applyResult(result, requestedAtMs);
+        const elapsedMs = scheduler.now() - requestedAtMs;
+        timer = scheduler.schedule(Math.max(0, options.intervalMs - elapsedMs), () => void poll());
+    };
+
+    void poll();
+    return {
+        dispose: () => {
+            isDisposed = true;
+            timer?.dispose();
+        },
+    };
+};
+
+/**
+ * Names the revision of a read head.
+ *
+ * @param head - the head, or undefined for an absent row
+ * @returns its revision; 0 before the first publication
+ */
+export const getRevision = (head: config.ConfigHead | undefined): shared.Revision =>
+    head?.revision ?? ids.toRevision(0);
--- a/src/node/peers/Types.ts
+++ b/src/node/peers/Types.ts
@@ -30,6 +30,61 @@
     readonly crashes: readonly { readonly fingerprint: string; readonly count: number }[];
 }
 
+/** Cell, free slots, queued calls, expected wait in milliseconds. */
+export type GossipLoad = readonly [types.CellId, number, number, number];
+
+/** Version, state, revision, synced, loads: what changes while an incarnation runs. */
+export type GossipNews = readonly [number, membership.MemberState, types.Revision, boolean, readonly GossipLoad[]];
+
+/** What an incarnation says of itself, with its age in units of {@link GossipChangesAnswer.unitMs}. */
+export type GossipRecord = readonly [
+    vm: types.VmId,
+    incarnation: types.IncarnationId,
+    zone: types.ZoneName,
+    address: types.Address,
+    control: types.Address,
+    age: number,
+    news: GossipNews,
+];
+
+/**
+ * What the sender knows already, so that the answer contains only changes. Members are in the order of their VM ids.
+ */
+export interface GossipChangesRequest {
+    /** Control address of the sender, which may not be listed yet. */
+    readonly from: types.Address;
+    readonly revision: types.Revision;
+    /** Digest of all VMs and incarnations that the sender knows. */
+    readonly set: string;
+    /** The lowest byte of the version of each member, in Base64. */
+    readonly versions: string;
+    /** A 32-bit hash of each VM and incarnation, in Base64; sent only after the answer `mismatch`. */
+    readonly ids?: string | undefined;
+    /** `cursor` of the last answer of the same peer. */
+    readonly cursor?: string | undefined;
+}
+
+export interface GossipChangesAnswer {
+    readonly unitMs: number;
+    /** Age of each member of the request in units, one byte each, in Base64; 255 for a member that is not known. */
+    readonly ages: string;
+    /** News of members of the request, with the index of the member. */
+    readonly news: readonly (readonly [number, GossipNews])[];
+    /** Members that are not in the request. */
+    readonly added: readonly GossipRecord[];
+    /** Newest confirmation of the sender: a revision and its age in milliseconds. */
+    readonly confirmation?: readonly [types.Revision, number] | undefined;
+    /** Present if the sender has a greater revision in use than the request says. */
+    readonly head?: config.ConfigHead | undefined;
+    /** Crash counts that have changed since `cursor`. */
+    readonly crashes?: readonly (readonly [string, number])[] | undefined;
+    /** Present if it differs from the request's. */
+    readonly cursor?: string | undefined;
+}
+
+/** `mismatch`: the two know different sets of members, so the request has to be repeated with `ids`. */
+export type GossipChangesResult = GossipChangesAnswer | { readonly mismatch: true };
+
 export interface ConfigStatus {
     readonly vm: types.VmId;
     readonly incarnation: types.IncarnationId;
@@ -66,6 +121,7 @@
 /** Method name to parameters and result. */
 export interface RpcMethods {
     "gossip.pull": { params: { readonly from: membership.MemberInfo }; result: GossipPullAnswer };
+    "gossip.pullChanges": { params: GossipChangesRequest; result: GossipChangesResult };
     /** `sections` are the changed ones, as text by digest, so that the object store need not be read. */
     "config.announce": {
         params: { readonly head: config.ConfigHead; readonly sections: Readonly<Record<string, string>> };
--- /dev/null
+++ b/src/node/peers/candidates.ts
@@ -0,0 +1,119 @@
+/**
+ * Whom to ask for gossip: the platform's list, the members, and daemons that have asked this one.
+ */
+import * as shared from "../../common/Types.js";
+import * as platform from "../platform/Types.js";
+
+/** The list lags by seconds anyway, and it serves about two thousand reads per second for the whole platform. */
+const listPollMs = 2000;
+
+/** A peer that did not answer is left alone this long, unless there is no other. */
+const failureBackoffMs = 2000;
+
+/** Daemons remembered because they asked; they are members or listed soon after. */
+const maxHeard = 200;
+
+export interface Candidates extends shared.Disposable {
+    /** All entry VMs on the newest list that was read. */
+    getListed(): readonly shared.VmId[];
+    /** Notes the control address of a daemon that asked. */
+    addHeard(control: shared.Address): void;
+    /** Notes how a request has ended. */
+    recordResult(control: shared.Address, isAnswered: boolean): void;
+    /**
+     * Picks a peer at random.
+     *
+     * @param members - control addresses of live members
+     * @returns a peer that is not being asked now; undefined if there is none
+     */
+    pick(members: readonly shared.Address[]): shared.Address | undefined;
+}
+
+export interface CandidatesOptions {
+    readonly self: shared.Address;
+    readonly vmList: platform.VmList;
+    readonly scheduler: shared.Scheduler;
+    readonly random: shared.Random;
+    readonly logger: shared.Logger;
+}
+
+/**
+ * Creates the set of candidates and starts to poll the platform's list. An outage of the list keeps the last one.
+ *
+ * @param options - the list, time and randomness
+ * @returns the candidates
+ */
+export const createCandidates = (options: CandidatesOptions): Candidates => {
+    const { self, vmList, scheduler, random, logger } = options;
+    const heard = new Set<shared.Address>();
+    const asked = new Set<shared.Address>();
+    const backoffUntilMs = new Map<shared.Address, number>();
+    let listed: readonly platform.ListedVm[] = [];
+    let isDown = false;
+    let isReading = false;
+
+    const readList = async (): Promise<void> => {
+        if (isReading) {
+            return;
+        }
+        isReading = true;
+        const result = await vmList
+            .list()
+            .catch((error: unknown) => ({ kind: "unavailable", cause: String(error) }) as const);
+        isReading = false;
+        if (result.kind === "found") {
+            listed = result.vms.filter(vm => vm.role === "entry");
+        }
+        const wasDown = isDown;
+        isDown = result.kind !== "found";
+        if (isDown !== wasDown) {
+            logger.warn(
+                isDown ? "member: the list of VMs is unavailable; the last one is kept" : "member: list is back",
+            );
+        }
+    };
+
+    let timer: shared.Disposable;
+    const poll = (): void => {
+        void readList();
+        timer = scheduler.schedule(listPollMs, poll);
+    };
+    poll();
+
+    return {
+        getListed: () => listed.map(vm => vm.vm),
+        addHeard: control => {
+            if (heard.size < maxHeard) {
+                heard.add(control);
+            }
+        },
+        recordResult: (control, isAnswered) => {
+            asked.delete(control);
+            if (isAnswered) {
+                backoffUntilMs.delete(control);
+                return;
+            }
+            heard.delete(control);
+            backoffUntilMs.set(control, scheduler.now() + failureBackoffMs);
+        },
+        pick: members => {
+            const nowMs = scheduler.now();
+            const controls = listed.map(vm => vm.control).filter(control => control !== undefined);
+            const all = new Set([...controls, ...members, ...heard]);
+            const free = [...all].filter(control => control !== self && !asked.has(control));
+            for (const control of backoffUntilMs.keys()) {
+                if (!all.has(control)) {
+                    backoffUntilMs.delete(control);
+                }
+            }
+            const ready = free.filter(control => (backoffUntilMs.get(control) ?? 0) <= nowMs);
+            const choice = ready.length > 0 ? ready : free;
+            const picked = choice.length === 0 ? undefined : choice[random.nextInt(choice.length)];
+            if (picked !== undefined) {
+                asked.add(picked);
+            }
+            return picked;
+        },
+        dispose: () => timer.dispose(),
+    };
+};
--- /dev/null
+++ b/src/node/peers/cluster.test.ts
@@ -0,0 +1,161 @@
+import test from "ava";
+import * as clusters from "../../bench/control/virtualCluster.js";
+import * as ids from "../../common/ids.js";
+
+const openCluster = (t: { teardown(action: () => void): void }, size: number, seed: number) => {
+    const cluster = clusters.createVirtualCluster({ size, seed });
+    t.teardown(() => cluster.dispose());
+    const indexes = Array.from({ length: size }, (_, index) => index);
+    const listRevisions = () => indexes.map(index => cluster.nodes.get(index)?.blackboard.freshness.get().revision);
+    const listFresh = () => indexes.filter(index => cluster.isFresh(index));
+    return { cluster, indexes, listRevisions, listFresh };
+};
+
+test("a change is in force everywhere within seconds, also without the object store on most VMs", async t => {
+    const { cluster, indexes, listRevisions, listFresh } = openCluster(t, 15, 1);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    t.deepEqual(new Set(listRevisions()), new Set([1]));
+    t.deepEqual(listFresh(), indexes);
+    const head = await cluster.commit({ "service/s": "two" });
+    cluster.platform.setObjectsDown(true);
+    await cluster.nodes.get(0)?.server.receive(
+        JSON.stringify({
+            jsonrpc: "2.0",
+            id: 1,
+            method: "config.announce",
+            params: { head, sections: { [head.sections["service/s"] as string]: "two" } },
+        }),
+    );
+    await cluster.scheduler.advance(4000);
+    t.deepEqual(new Set(listRevisions()), new Set([2]));
+});
+
+test("during an outage of the table all stay fresh, and a restarted VM learns from its peers", async t => {
+    const { cluster, indexes, listRevisions, listFresh } = openCluster(t, 15, 2);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    cluster.platform.setTableDown(true);
+    cluster.platform.setObjectsDown(true);
+    for (let second = 0; second < 60; second++) {
+        await cluster.scheduler.advance(1000);
+        t.deepEqual(listFresh(), indexes, `second ${second}`);
+    }
+    cluster.stop(4);
+    await cluster.scheduler.advance(7000);
+    t.false(cluster.nodes.get(0)?.blackboard.members.get().has(ids.toVmId("entry-4")));
+    cluster.start(4);
+    t.false(cluster.isFresh(4));
+    await cluster.scheduler.advance(6000);
+    t.deepEqual(listFresh(), indexes);
+    t.deepEqual(new Set(listRevisions()), new Set([1]));
+    t.is(cluster.nodes.get(0)?.blackboard.members.get().size, 15);
+});
+
+test("a VM that is cut off goes stale by the deadline, and is fresh on the new revision when it is back", async t => {
+    const { cluster, listFresh } = openCluster(t, 5, 3);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    cluster.setCut(2, true);
+    await cluster.scheduler.advance(clusters.clusterSettings.freshnessMs);
+    t.deepEqual(listFresh(), [0, 1, 3, 4]);
+    await cluster.commit({ topology: "two" });
+    await cluster.scheduler.advance(4000);
+    t.is(cluster.nodes.get(2)?.blackboard.members.get().size, 1);
+    cluster.setCut(2, false);
+    await cluster.scheduler.advance(4000);
+    t.deepEqual(listFresh(), [0, 1, 2, 3, 4]);
+    t.is(cluster.nodes.get(2)?.blackboard.freshness.get().revision, ids.toRevision(2));
+    t.is(cluster.nodes.get(2)?.blackboard.members.get().size, 5);
+});
+
+test("a paused VM is stale when it resumes and keeps its members until they can answer", async t => {
+    const { cluster, listFresh } = openCluster(t, 5, 4);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    cluster.setPaused(1, true);
+    await cluster.scheduler.advance(20_000);
+    t.deepEqual(listFresh(), [0, 2, 3, 4]);
+    t.is(cluster.nodes.get(0)?.blackboard.members.get().size, 4);
+    cluster.setPaused(1, false);
+    t.false(cluster.isFresh(1));
+    for (let step = 0; step < 10; step++) {
+        await cluster.scheduler.advance(500);
+        t.is(cluster.nodes.get(1)?.blackboard.members.get().size, 5);
+    }
+    t.deepEqual(listFresh(), [0, 1, 2, 3, 4]);
+});
+
+test("half of the VMs without the table cannot confirm each other", async t => {
+    const { cluster, listFresh } = openCluster(t, 4, 5);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    cluster.platform.setTableDown(true);
+    cluster.stop(2);
+    cluster.stop(3);
+    await cluster.scheduler.advance(6000);
+    t.deepEqual(listFresh(), []);
+    cluster.platform.setTableDown(false);
+    await cluster.scheduler.advance(2000);
+    t.deepEqual(listFresh(), [0, 1]);
+});
+
+test("a committed revision that is invalid is not adopted, and the majority stays fresh on the one before", async t => {
+    const { cluster, listRevisions, listFresh } = openCluster(t, 3, 6);
+    await cluster.commit({ topology: "one" });
+    await cluster.scheduler.advance(3000);
+    await cluster.commit({ topology: "invalid" });
+    await cluster.scheduler.advance(5000);
+    t.deepEqual(listRevisions(), [1, 1, 1].map(ids.toRevision));
+    t.deepEqual(listFresh(), [0, 1, 2]);
+    cluster.setCut(0, true);
+    cluster.setCut(1, true);
+    await cluster.scheduler.advance(5000);
+    // The table alone would confirm only the invalid revision.
+    t.deepEqual(listFresh(), []);
+    cluster.setCut(0, false);
+    cluster.setCut(1, false);
+    await cluster.commit({ topology: "three" });
+    await cluster.scheduler.advance(3000);
+    t.deepEqual(listRevisions(), [3, 3, 3].map(ids.toRevision));
+    t.deepEqual(listFresh(), [0, 1, 2]);
+});
+
+test("a section whose text has another digest is discarded", async t => {
+    const { cluster, listRevisions } = openCluster(t, 3, 7);
+    const head = await cluster.commit({ topology: "one" });
+    await cluster.platform.objects.put(head.sections["topology"] as string, "forged");
+    await cluster.scheduler.advance(4000);
+    t.deepEqual(listRevisions(), [0, 0, 0].map(ids.toRevision));
+});
+
+test("leaving, a new incarnation, loads and crash counts reach all members", async t => {
+    const { cluster, indexes } = openCluster(t, 15, 8);
+    await cluster.scheduler.advance(5000);
+    const first = cluster.nodes.get(3);
+    first?.writeLifecycle("leaving");
+    t.is(first?.blackboard.members.get().get(ids.toVmId("entry-3"))?.info.state, "leaving");
+    const cell = ids.toCellId(ids.toServiceName("s"), ids.toZoneName("a"));
+    const owner = ids.toVmId("entry-5");
+    const load = { cell, owner, freeSlots: 2, queued: 7, expectedWaitMs: 30, measuredAtMs: 0 };
+    const fifth = cluster.nodes.get(5);
+    if (fifth !== undefined) {
+        fifth.loads = [load];
+        fifth.crashes.set("f".repeat(64), 2);
+    }
+    await cluster.scheduler.advance(5000);
+    for (const index of indexes.filter(other => other !== 5)) {
+        const node = cluster.nodes.get(index);
+        t.is(node?.blackboard.members.get().get(ids.toVmId("entry-3"))?.info.state, "leaving");
+        t.like(node?.blackboard.cellLoads.get().get(cell), { 0: { owner, queued: 7 }, length: 1 });
+        t.is(node?.crashes.get("f".repeat(64)), 2);
+    }
+    cluster.stop(3);
+    const second = cluster.start(3);
+    await cluster.scheduler.advance(5000);
+    for (const index of indexes) {
+        const info = cluster.nodes.get(index)?.blackboard.members.get().get(ids.toVmId("entry-3"))?.info;
+        t.is(info?.incarnation, second.blackboard.self.incarnation);
+        t.is(info?.state, "serving");
+    }
+});
--- a/src/node/peers/parameters.ts
+++ b/src/node/peers/parameters.ts
@@ -15,6 +15,9 @@
 const maxSections = 1000;
 const maxSectionCharacters = 1024 * 1024;
 
+/** 4,000 members of 4 bytes, well above any deployment. */
+const base64 = zod.string().max(22_000);
+
 const memberInfo = zod.object({
     vm: name,
     incarnation: shortText,
@@ -45,6 +48,14 @@
 
 const schemas: Readonly<Record<types.RpcMethod, zod.ZodType>> = {
     "gossip.pull": zod.object({ from: memberInfo }),
+    "gossip.pullChanges": zod.object({
+        from: address,
+        revision: count,
+        set: shortText,
+        versions: base64,
+        ids: base64.optional(),
+        cursor: shortText.optional(),
+    }),
     "config.announce": zod.object({ head: configHead, sections: sectionTexts }),
     "config.getSections": zod.object({ digests: zod.array(digest).max(maxSections) }),
     "config.status": zod.object({}),
@@ -54,6 +65,25 @@
     "admin.explain": zod.object({ call: shortText }),
 };
 
+const load = zod.tuple([shortText, count, count, count]);
+const news = zod.tuple([count, zod.enum(["starting", "serving", "leaving"]), count, zod.boolean(), zod.array(load)]);
+const record = zod.tuple([name, shortText, name, address, address, count, news]);
+
+/** Answer to `gossip.pullChanges`; a peer with a fault must not break this daemon either. */
+export const gossipChangesResult = zod.union([
+    zod.object({ mismatch: zod.literal(true) }),
+    zod.object({
+        unitMs: zod.number().positive(),
+        ages: base64,
+        news: zod.array(zod.tuple([count, news])),
+        added: zod.array(record),
+        confirmation: zod.tuple([count, zod.number().min(0)]).optional(),
+        head: configHead.optional(),
+        crashes: zod.array(zod.tuple([digest, count])).optional(),
+        cursor: shortText.optional(),
+    }),
+]);
+
 export type ParameterResult<M extends types.RpcMethod> =
     | { readonly kind: "valid"; readonly params: types.RpcMethods[M]["params"] }
     | { readonly kind: "invalid"; readonly message: string };
