--- a/src/bench/control/virtualCluster.ts
+++ b/src/bench/control/virtualCluster.ts
@@ -212,6 +212,7 @@
                 random: randoms.createRandom(options.seed * 1000 + incarnations),
                 configuration: controller,
                 listCellLoads: () => node.loads,
+                getKeyEpoch: () => 0,
                 listCrashes: () => [...node.crashes].map(([fingerprint, count]) => ({ fingerprint, count })),
                 applyCrash: (fingerprint, count) =>
                     node.crashes.set(fingerprint, Math.max(count, node.crashes.get(fingerprint) ?? 0)),
--- a/src/common/claims/Types.ts
+++ b/src/common/claims/Types.ts
@@ -54,6 +54,8 @@
 export interface ClaimController extends types.Disposable {
     /** Prefix for keys of callers who look up now, or undefined while leaving. */
     issueKeyPrefix(): string | undefined;
+    /** Epoch of the keys that are issued now; peers need it to name this incarnation as arbiter. */
+    getEpoch(): number;
     begin(request: ClaimRequest): Promise<ClaimDecision>;
     /** Entries and bytes in use, for status and capacity. */
     measure(): { readonly keys: number; readonly keptBytes: number };
--- a/src/node/claims/claimController.ts
+++ b/src/node/claims/claimController.ts
@@ -129,6 +129,7 @@
             logDecision(logger, key, request.service, decision);
             return decision;
         },
+        getEpoch: () => arbiter.computeEpoch(),
         measure: () => arbiter.measure(),
         dispose: () => {
             isDisposed = true;
--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -59,7 +59,8 @@
         service: call.head.service,
         method: call.head.method,
         path: call.head.path,
-        bodyLength: call.body.length,
+        query: "",
+        bodyLength: call.body.length ?? -1,
         bodyStart: call.body.prefix,
     });
 
--- a/src/node/peers/Types.ts
+++ b/src/node/peers/Types.ts
@@ -33,8 +33,15 @@
 /** Cell, free slots, queued calls, expected wait in milliseconds. */
 export type GossipLoad = readonly [types.CellId, number, number, number];
 
-/** Version, state, revision, synced, loads: what changes while an incarnation runs. */
-export type GossipNews = readonly [number, membership.MemberState, types.Revision, boolean, readonly GossipLoad[]];
+/** Version, state, revision, synced, loads, key epoch: what changes while an incarnation runs. */
+export type GossipNews = readonly [
+    number,
+    membership.MemberState,
+    types.Revision,
+    boolean,
+    readonly GossipLoad[],
+    number,
+];
 
 /** What an incarnation says of itself, with its age in units of {@link GossipChangesAnswer.unitMs}. */
 export type GossipRecord = readonly [
--- a/src/node/peers/gossip.ts
+++ b/src/node/peers/gossip.ts
@@ -31,6 +31,8 @@
     readonly listCellLoads: () => readonly membership.CellLoad[];
     readonly listCrashes: () => readonly crashFeed.CrashCount[];
     readonly applyCrash: (fingerprint: string, count: number) => void;
+    /** Epoch of the idempotency keys that this VM issues now. */
+    readonly getKeyEpoch: () => number;
     readonly logger: shared.Logger;
 }
 
--- a/src/node/peers/gossipCodec.ts
+++ b/src/node/peers/gossipCodec.ts
@@ -65,6 +65,7 @@
     record.info.revision,
     record.info.synced,
     record.loads.map(load => [load.cell, load.freeSlots, load.queued, load.expectedWaitMs]),
+    record.info.epoch,
 ];
 
 /** Rounds up, so that no member looks younger than it is. */
@@ -135,7 +136,7 @@
 
 const toRecord = (
     fixed: Pick<membership.MemberInfo, "vm" | "incarnation" | "zone" | "address" | "control">,
-    [version, state, revision, synced, loads]: types.GossipNews,
+    [version, state, revision, synced, loads, epoch]: types.GossipNews,
     seenAtMs: number,
 ): membership.MemberRecord => ({
     info: {
@@ -147,6 +148,7 @@
         state,
         revision,
         synced,
+        epoch,
     },
     seenAtMs,
     version,
--- a/src/node/peers/members.ts
+++ b/src/node/peers/members.ts
@@ -16,6 +16,8 @@
     readonly logger: shared.Logger;
     readonly memberTimeoutMs: number;
     readonly listCellLoads: () => readonly membership.CellLoad[];
+    /** Epoch of the idempotency keys that this VM issues now. */
+    readonly getKeyEpoch: () => number;
 }
 
 export interface Members {
@@ -79,6 +81,7 @@
             state: memberStates[blackboard.lifecycle.get()],
             revision,
             synced: confirmedAtMs !== undefined,
+            epoch: options.getKeyEpoch(),
         };
     };
 
@@ -103,6 +106,7 @@
             known.info.state === info.state &&
             known.info.revision === info.revision &&
             known.info.synced === info.synced &&
+            known.info.epoch === info.epoch &&
             known.loads === loads;
         const version = (known?.version ?? 0) + (isSame ? 0 : 1);
         records.set(self.vm, { info, seenAtMs: scheduler.now(), version, loads });
--- a/src/node/peers/parameters.ts
+++ b/src/node/peers/parameters.ts
@@ -27,6 +27,7 @@
     state: zod.enum(["starting", "serving", "leaving"]),
     revision: count,
     synced: zod.boolean(),
+    epoch: count,
 });
 
 export const configHead = zod.object({
@@ -66,7 +67,14 @@
 };
 
 const load = zod.tuple([shortText, count, count, count]);
-const news = zod.tuple([count, zod.enum(["starting", "serving", "leaving"]), count, zod.boolean(), zod.array(load)]);
+const news = zod.tuple([
+    count,
+    zod.enum(["starting", "serving", "leaving"]),
+    count,
+    zod.boolean(),
+    zod.array(load),
+    count,
+]);
 const record = zod.tuple([name, shortText, name, address, address, count, news]);
 
 /** Answer to `gossip.pullChanges`; a peer with a fault must not break this daemon either. */
