Add the command line

Commands take their platform, entry VMs, files and outputs from a context, so that tests run them in process.

--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,222 @@
+/**
+ * The command line.
+ */
+import * as commander from "commander";
+import * as errors from "../common/errors/errors.js";
+import * as ids from "../common/ids.js";
+import * as types from "../common/Types.js";
+import * as platform from "../node/platform/Types.js";
+import * as entrySettings from "../node/settings/entrySettings.js";
+import * as values from "../node/settings/values.js";
+import * as changeCommands from "./changeCommands.js";
+import * as entryCommand from "./entryCommand.js";
+import * as exitCodes from "./exitCodes.js";
+import * as explainCommand from "./explainCommand.js";
+import * as statusCommand from "./statusCommand.js";
+import * as targetsCommand from "./targetsCommand.js";
+import * as cli from "./Types.js";
+
+const defaultPlatform = "http://127.0.0.1:7000";
+const platformVariable = "TARRAGONPATH_PLATFORM";
+const defaultWaitMs = 15_000;
+const maxWaitMs = 600_000;
+
+/** Turns a kind of setting into a parser of commander, which names option, value and what is allowed. */
+const createParser =
+    <T>(kind: values.ValueKind<T>) =>
+    (text: string): T => {
+        const value = kind.parse(text);
+        if (value === undefined) {
+            throw new commander.InvalidArgumentError(`Allowed is ${kind.allowed}.`);
+        }
+        return value;
+    };
+
+const parseServiceName = createParser(values.createName(ids.toServiceName));
+const parseZoneName = createParser(values.createName(ids.toZoneName));
+const parseVmId = createParser(values.createName(ids.toVmId));
+const parseUrl = createParser(values.httpUrl);
+const parseWaitMs = createParser(values.createInteger(0, maxWaitMs));
+const parseRevision = createParser(values.createInteger(1, Number.MAX_SAFE_INTEGER));
+
+const addCommonOptions = (command: commander.Command): commander.Command =>
+    command
+        .addOption(
+            new commander.Option(
+                "--platform <url>",
+                `base URL of the platform's services (default: ${defaultPlatform}; ${platformVariable})`,
+            ).argParser(parseUrl),
+        )
+        .option("--json", "print JSON for scripts");
+
+const addChangeOptions = (command: commander.Command, context: cli.CliContext): commander.Command =>
+    addCommonOptions(command)
+        .addOption(
+            new commander.Option("--author <name>", "name that is kept with the revision").default(
+                context.env["TARRAGONPATH_AUTHOR"] || context.userName,
+            ),
+        )
+        .addOption(
+            new commander.Option("--wait-ms <ms>", "longest wait until the entry VMs have the revision")
+                .argParser(parseWaitMs)
+                .default(defaultWaitMs),
+        );
+
+/** The flag takes precedence over the variable, and an empty variable counts as not set, as for the daemon. */
+const createPlatform = (context: cli.CliContext, options: cli.CommonOptions): platform.Platform => {
+    const variable = context.env[platformVariable] || defaultPlatform;
+    const baseUrl = options.platform ?? values.httpUrl.parse(variable);
+    if (baseUrl === undefined) {
+        const message = `${platformVariable}: "${variable}" is not allowed; allowed is ${values.httpUrl.allowed}`;
+        const error: Error = new errors.InputError(message);
+        throw error;
+    }
+    return context.createPlatform(baseUrl);
+};
+
+/** Runs a command and keeps its exit code. */
+type Run = (action: () => Promise<number>) => Promise<void>;
+type ConnectedAction = (connections: cli.Connections) => Promise<number>;
+
+const runConnected = async (
+    context: cli.CliContext,
+    options: cli.CommonOptions,
+    action: ConnectedAction,
+): Promise<number> => {
+    const services = createPlatform(context, options);
+    const rpc = context.createRpc();
+    try {
+        return await action({ platform: services, rpc });
+    } finally {
+        await rpc.close();
+    }
+};
+
+const addEntryCommand = (program: commander.Command, context: cli.CliContext, run: Run): void => {
+    const command = program.command("entry").description("run the entry daemon until SIGTERM");
+    entryCommand
+        .addSettingOptions(command)
+        .action((flags: entrySettings.FlagValues) => run(() => entryCommand.runEntryCommand(context, flags)));
+};
+
+const addFileCommands = (program: commander.Command, context: cli.CliContext, run: Run): void => {
+    addChangeOptions(program.command("publish <dir>"), context)
+        .description("publish <service>.yaml and topology.yaml below a directory")
+        .option("--base <revision>", "revision that the files were written against", parseRevision)
+        .action((directory: string, options: changeCommands.PublishOptions) =>
+            run(() =>
+                runConnected(context, options, connections =>
+                    changeCommands.runPublish(context, connections, directory, options),
+                ),
+            ),
+        );
+    addCommonOptions(program.command("check <dir>"))
+        .description("check the files below a directory without publishing them")
+        .option("--live", "also check against the configuration in force and print what would change")
+        .action((directory: string, options: changeCommands.CheckOptions) =>
+            run(() => changeCommands.runCheck(context, () => createPlatform(context, options), directory, options)),
+        );
+    addChangeOptions(program.command("remove"), context)
+        .description("remove a service from the configuration")
+        .argument("<service>", "name of the service", parseServiceName)
+        .action((service: types.ServiceName, options: changeCommands.ChangeOptions) =>
+            run(() =>
+                runConnected(context, options, connections =>
+                    changeCommands.runChange(context, connections, { kind: "removeService", service }, options),
+                ),
+            ),
+        );
+};
+
+const directions = [
+    { name: "out", out: true, description: "take out of service: no new work goes there" },
+    { name: "in", out: false, description: "return to service" },
+] as const;
+
+const addOutCommands = (program: commander.Command, context: cli.CliContext, run: Run): void => {
+    const zone = program.command("zone").description("take a zone out of service or return it");
+    const vm = program.command("vm").description("take a VM out of service or return it");
+    for (const { name, out, description } of directions) {
+        addChangeOptions(zone.command(name), context)
+            .description(description)
+            .argument("<zone>", "name of the zone", parseZoneName)
+            .action((zoneName: types.ZoneName, options: changeCommands.ChangeOptions) =>
+                run(() =>
+                    runConnected(context, options, connections => {
+                        const change = { kind: "setZoneOut", zone: zoneName, out } as const;
+                        return changeCommands.runChange(context, connections, change, options);
+                    }),
+                ),
+            );
+        addChangeOptions(vm.command(name), context)
+            .description(description)
+            .argument("<vm>", "name of the VM", parseVmId)
+            .action((vmId: types.VmId, options: changeCommands.ChangeOptions) =>
+                run(() =>
+                    runConnected(context, options, connections => {
+                        const change = { kind: "setVmOut", vm: vmId, out } as const;
+                        return changeCommands.runChange(context, connections, change, options);
+                    }),
+                ),
+            );
+    }
+};
+
+const addReadCommands = (program: commander.Command, context: cli.CliContext, run: Run): void => {
+    addCommonOptions(program.command("status"))
+        .description("print the revision in force at each entry VM")
+        .action((options: cli.CommonOptions) =>
+            run(() => runConnected(context, options, all => statusCommand.runStatus(context, all, options))),
+        );
+    addCommonOptions(program.command("targets"))
+        .description("print state, limit, calls in flight and owner of each target")
+        .option("--service <name>", "only targets of this service", parseServiceName)
+        .action((options: targetsCommand.TargetsOptions) =>
+            run(() => runConnected(context, options, all => targetsCommand.runTargets(context, all, options))),
+        );
+    addCommonOptions(program.command("explain <call>"))
+        .description("print what happened to a call, by its id")
+        .action((call: string, options: cli.CommonOptions) =>
+            run(() => runConnected(context, options, all => explainCommand.runExplain(context, all, call, options))),
+        );
+};
+
+const createProgram = (context: cli.CliContext, run: Run): commander.Command => {
+    const program = new commander.Command("tarragonpath")
+        .description("load balancer for servers whose load changes within milliseconds")
+        .version(context.version)
+        .exitOverride()
+        .configureOutput({
+            writeOut: text => context.writeOut(text),
+            writeErr: text => context.writeError(text),
+        });
+    addEntryCommand(program, context, run);
+    addFileCommands(program, context, run);
+    addOutCommands(program, context, run);
+    addReadCommands(program, context, run);
+    return program;
+};
+
+/**
+ * Runs one command.
+ *
+ * @param args - arguments after the program's name
+ * @param context - the process
+ * @returns the exit code, as documented in `docs/operators.md`
+ */
+export const runCommandLine = async (args: readonly string[], context: cli.CliContext): Promise<number> => {
+    let exitCode = exitCodes.exitDone;
+    const run: Run = async action => {
+        exitCode = await action();
+    };
+    try {
+        await createProgram(context, run).parseAsync(args, { from: "user" });
+        return exitCode;
+    } catch (error) {
+        if (error instanceof commander.CommanderError) {
+            return error.exitCode === 0 ? exitCodes.exitDone : exitCodes.exitFailed;
+        }
+        context.writeError(`${error instanceof Error ? error.message : String(error)}\n`);
+        return exitCodes.exitFailed;
+    }
+};
