--- /dev/null
+++ b/src/testing/system/relay.test.ts
@@ -0,0 +1,49 @@
+import test from "ava";
+import * as undici from "undici";
+import * as httpServer from "../http/httpServer.js";
+import * as relay from "./relay.js";
+
+const startPair = async () => {
+    const server = await httpServer.startHttpServer(async (request, response) => {
+        response.end(await httpServer.readBody(request));
+    });
+    const link = await relay.startRelay(server.address);
+    const agent = new undici.Agent({ connections: 1 });
+    const send = async (body: string): Promise<string> => {
+        const response = await undici.request(link.url, { method: "POST", body, dispatcher: agent });
+        return response.body.text();
+    };
+    const close = async (): Promise<void> => {
+        await agent.destroy();
+        await link.close();
+        await server.close();
+    };
+    return { link, send, close };
+};
+
+test("a relay passes bodies whole, with and without a delay", async t => {
+    const { link, send, close } = await startPair();
+    const body = "x".repeat(1_000_000);
+    t.is(await send(body), body);
+    link.setState({ kind: "delay", delayMs: 1 });
+    t.is(await send("delayed"), "delayed");
+    t.true(link.countBytes() > 2 * body.length);
+    await close();
+});
+
+test("a frozen link holds what is sent, and a cut one breaks connections until it passes again", async t => {
+    const { link, send, close } = await startPair();
+    await send("before");
+    link.setState({ kind: "freeze" });
+    let isAnswered = false;
+    const frozen = send("frozen").finally(() => (isAnswered = true));
+    await httpServer.waitMs(50);
+    t.false(isAnswered);
+    link.setState({ kind: "pass" });
+    t.is(await frozen, "frozen");
+    link.setState({ kind: "cut" });
+    await t.throwsAsync(send("cut"));
+    link.setState({ kind: "pass" });
+    t.is(await send("after"), "after");
+    await close();
+});
--- /dev/null
+++ b/src/testing/system/relay.ts
@@ -0,0 +1,113 @@
+/**
+ * TCP relay that stands for a network link with faults.
+ */
+import * as net from "node:net";
+import * as common from "../../common/Types.js";
+import * as httpServer from "../http/httpServer.js";
+
+export type LinkState =
+    | { readonly kind: "pass" }
+    /** Adds a delay in each direction. */
+    | { readonly kind: "delay"; readonly delayMs: number }
+    /** Keeps connections open, but nothing passes; what was held passes later. */
+    | { readonly kind: "freeze" }
+    /** Resets all connections, and new ones at once. */
+    | { readonly kind: "cut" };
+
+export interface Relay {
+    readonly address: common.Address;
+    readonly url: string;
+    readonly setState: (state: LinkState) => void;
+    readonly countBytes: () => number;
+    readonly close: () => Promise<void>;
+}
+
+/**
+ * Starts a relay.
+ *
+ * @param target - `ip:port` behind the relay
+ * @returns the relay
+ */
+export const startRelay = async (target: string): Promise<Relay> => {
+    const { host, port } = httpServer.parseListen(target);
+    const sockets = new Set<net.Socket>();
+    let state: LinkState = { kind: "pass" };
+    let held: (() => void)[] = [];
+    let bytes = 0;
+
+    /** Runs an action in the order of the calls, when the link lets it pass. */
+    const schedulePass = (action: () => void): void => {
+        switch (state.kind) {
+            case "pass":
+                action();
+                return;
+            case "delay":
+                setTimeout(action, state.delayMs);
+                return;
+            case "freeze":
+                held.push(action);
+                return;
+            case "cut":
+                return;
+        }
+    };
+
+    const addPipe = (from: net.Socket, to: net.Socket): void => {
+        from.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            from.pause();
+            schedulePass(() => {
+                const canContinue = to.write(chunk);
+                if (canContinue) {
+                    from.resume();
+                } else {
+                    to.once("drain", () => from.resume());
+                }
+            });
+        });
+        from.on("end", () => schedulePass(() => to.end()));
+        from.on("error", () => to.destroy());
+        from.on("close", () => {
+            sockets.delete(from);
+            schedulePass(() => to.destroy());
+        });
+        sockets.add(from);
+    };
+
+    const server = net.createServer({ allowHalfOpen: true, noDelay: true }, inner => {
+        if (state.kind === "cut") {
+            inner.resetAndDestroy();
+            return;
+        }
+        const outer = net.connect({ host, port, allowHalfOpen: true, noDelay: true });
+        addPipe(inner, outer);
+        addPipe(outer, inner);
+    });
+    const address = await httpServer.waitForListening(server, "127.0.0.1:0");
+
+    const setState = (next: LinkState): void => {
+        state = next;
+        if (next.kind === "freeze") {
+            return;
+        }
+        const actions = held;
+        held = [];
+        if (next.kind === "cut") {
+            sockets.forEach(socket => socket.resetAndDestroy());
+            return;
+        }
+        actions.forEach(action => schedulePass(action));
+    };
+
+    return {
+        address,
+        url: `http://${address}`,
+        setState,
+        countBytes: () => bytes,
+        close: () =>
+            new Promise(resolve => {
+                setState({ kind: "cut" });
+                server.close(() => resolve());
+            }),
+    };
+};
