--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,7 +10,7 @@
 import * as platformClient from "../node/platform/platformClient.js";
 import * as program from "./program.js";
 import * as sourceFiles from "./sourceFiles.js";
-import * as systemScheduler from "./systemScheduler.js";
+import * as systemScheduler from "../node/systemScheduler.js";
 
 const readVersion = (): string => {
     const text = fs.readFileSync(new URL("../../package.json", import.meta.url), "utf8");
@@ -30,7 +30,7 @@
     env: process.env,
     userName: `${readUserName()}@${os.hostname()}`,
     version: readVersion(),
-    scheduler: systemScheduler.createSystemScheduler(),
+    scheduler: systemScheduler.createSystemScheduler({ keepAlive: true }),
     createPlatform: platformClient.createPlatformClient,
     createRpc: rpcClient.createRpcClient,
     createToken: () => crypto.randomUUID(),
--- a/src/node/claims/keyArbiter.ts
+++ b/src/node/claims/keyArbiter.ts
@@ -41,7 +41,7 @@
         }
         oldestEpoch = oldest;
         const removed = table.removeBefore(oldest);
-        logger.info(`claim: epochs before ${oldest} are forgotten`, { keys: removed });
+        logger.info(`epochs before ${oldest} are forgotten`, { keys: removed });
     };
 
     const waitForResult = (key: claims.KeyId): Promise<claims.ClaimResult> =>
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -72,7 +72,7 @@
 export const createEntryDaemon = (settings: settingsTypes.EntrySettings, logs: logging.LogSink): EntryDaemon => {
     const board = blackboards.createBlackboard(createSelf(settings));
     const { incarnation } = board.self;
-    const scheduler = systemSchedulers.createSystemScheduler();
+    const scheduler = systemSchedulers.createSystemScheduler({ keepAlive: false });
     const random = randoms.createRandom(crypto.randomInt(2 ** 31));
     const lifetimes = events.createDisposableStore();
     const platform = platformClients.createPlatformClient(settings.platform);
--- a/src/node/systemScheduler.ts
+++ b/src/node/systemScheduler.ts
@@ -1,20 +1,23 @@
 /**
  * Real time and real timers.
  */
-import * as perfHooks from "node:perf_hooks";
 import * as events from "../common/events.js";
 import * as types from "../common/Types.js";
 
 /**
- * Creates a scheduler on the monotonic clock.
+ * Creates a scheduler on the monotonic clock of the process.
  *
- * @returns the scheduler; its timers do not keep the process alive
+ * @param options - behaviour of its timers
+ * @param options.keepAlive - whether a pending timer keeps the process from ending
+ * @returns the scheduler
  */
-export const createSystemScheduler = (): types.Scheduler => ({
-    now: () => perfHooks.performance.now(),
+export const createSystemScheduler = (options: { readonly keepAlive: boolean }): types.Scheduler => ({
+    now: () => performance.now(),
     schedule: (delayMs, action) => {
         const timer = setTimeout(action, Math.max(0, delayMs));
-        timer.unref();
+        if (!options.keepAlive) {
+            timer.unref();
+        }
         return events.toDisposable(() => clearTimeout(timer));
     },
 });
