--- a/src/common/config/configFiles.test.ts
+++ b/src/common/config/configFiles.test.ts
@@ -1,3 +1,4 @@
+import * as fs from "node:fs";
 import test from "ava";
 import * as ids from "../ids.js";
 import * as configFiles from "./configFiles.js";
@@ -130,3 +131,11 @@
     t.deepEqual(second.zones, zones);
     t.deepEqual(second.vmsOut, [ids.toVmId("vm-1")]);
 });
+
+test("the examples of docs/configuration-files.md are valid", t => {
+    const page = fs.readFileSync(new URL("../../../docs/configuration-files.md", import.meta.url), "utf8");
+    const examples = [...page.matchAll(/```yaml\n# (\S+)\n(.*?)```/gs)];
+    const files = parse(Object.fromEntries(examples.map(([, path = "", text = ""]) => [path, text])));
+    t.is(files.services.length, 1);
+    t.is(files.topology?.layout.links.length, 3);
+});
