--- a/src/node/publish/publisher.test.ts
+++ b/src/node/publish/publisher.test.ts
@@ -182,7 +182,9 @@
         return table.transact(...parameters);
     };
     Object.assign(world.platform, { table: { ...table, transact } });
-    t.like(await world.publishAs("x", toService(5)), { kind: "accepted", revision: ids.toRevision(2) });
+    const result = await world.publishAs("x", toService(5));
+    const changed = [ids.toSectionName("service/s")];
+    t.like(result, { kind: "accepted", revision: ids.toRevision(2), changed });
     t.is(sent.length, 2);
 });
 
@@ -240,6 +242,15 @@
     t.true(scheduler.now() >= publisher.defaultTimes.acceptTimeoutMs);
 });
 
+test("while the platform's list is unavailable a commit is not accepted, and zone out is still committed", async t => {
+    const world = await createPublishedWorld("adopting");
+    const vms = { list: () => Promise.resolve({ kind: "unavailable", cause: "outage" }) };
+    Object.assign(world.platform, { vms });
+    t.like(await world.publishAs("x", zoneOut), { kind: "notAccepted", revision: ids.toRevision(2) });
+    const vmOut: publish.Change = { kind: "setVmOut", vm: ids.toVmId("entry-0"), out: true };
+    t.like(await world.publishAs("x", vmOut), { kind: "notAccepted", revision: ids.toRevision(3) });
+});
+
 test("VMs that recover or join while the publisher waits are announced to", async t => {
     const world = createWorld("adopting", "silent", "silent");
     world.scheduler.schedule(2000, () => world.vms.forEach(vm => (vm.mode = "adopting")));
