--- a/src/node/coldstart/coldLeases.ts
+++ b/src/node/coldstart/coldLeases.ts
@@ -17,5 +17,5 @@
         release: () => undefined,
         onDidTake: didTake.event,
         dispose: () => didTake.dispose(),
-    } as routing.ColdLeases & shared.Disposable;
+    };
 };
--- a/src/node/publish/fakeEntryVms.ts
+++ b/src/node/publish/fakeEntryVms.ts
@@ -73,6 +73,7 @@
             return { trace: vm.traces.find(trace => trace.call === call) };
         }
         case "gossip.pull":
+        case "gossip.pullChanges":
         case "config.getSections":
         case "crash.report":
         case "target.changed":
