--- /dev/null
+++ b/src/testing/demo/traffic.ts
@@ -0,0 +1,125 @@
+/**
+ * The demo's calls: profile look-ups, bookings with idempotency keys, and photograph uploads.
+ */
+import * as crypto from "node:crypto";
+import * as random from "../../common/random.js";
+import * as caller from "../caller/caller.js";
+import * as callers from "../caller/Types.js";
+import * as history from "../history/Types.js";
+import * as httpServer from "../http/httpServer.js";
+import * as arrivals from "../load/arrivals.js";
+import * as latencies from "../load/latencies.js";
+
+export interface Traffic {
+    readonly service: string;
+    readonly ratePerSecond: number;
+    readonly createRequest: (number: number) => callers.CallRequest;
+}
+
+export interface TrafficResult {
+    readonly service: string;
+    /** Number of calls by outcome, or by error for calls that did not run. */
+    readonly outcomes: ReadonlyMap<string, number>;
+    readonly latency: latencies.LatencySummary;
+    /** Answers that were cut or belonged to another call. */
+    readonly faultyAnswers: number;
+}
+
+export interface TrafficOptions {
+    readonly zones: readonly string[];
+    /** Addresses of the entry VMs to look up at, by zone. */
+    readonly listAddresses: (zone: string) => readonly string[];
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly record: (event: history.CallerEvent) => void;
+}
+
+const mebibyte = 1024 * 1024;
+const photograph = crypto.createHash("sha512").update("photograph").digest();
+const maxSendings = 4;
+const connections = 64;
+
+/** Calls of the Fraserbank deployment. */
+export const fraserbankTraffic: readonly Traffic[] = [
+    {
+        service: "profiles",
+        ratePerSecond: 120,
+        createRequest: number => ({
+            service: "profiles",
+            method: "GET",
+            path: `/profiles/${number}?answerBytes=500`,
+            deadlineMs: 2000,
+            key: { kind: "none" },
+            isIdempotent: true,
+        }),
+    },
+    {
+        service: "bookings",
+        ratePerSecond: 60,
+        createRequest: number => ({
+            service: "bookings",
+            method: "POST",
+            path: "/bookings",
+            body: Buffer.from(JSON.stringify({ customer: number, seat: `${number % 40}B` })),
+            deadlineMs: 5000,
+            key: { kind: "issued" },
+            isIdempotent: false,
+        }),
+    },
+    {
+        service: "inspection",
+        ratePerSecond: 4,
+        createRequest: number => ({
+            service: "inspection",
+            method: "PUT",
+            path: `/photographs/${number}`,
+            body: Buffer.alloc((2 + (number % 3)) * mebibyte, photograph),
+            chunkBytes: 65_536,
+            deadlineMs: 30_000,
+            key: { kind: "none" },
+            isIdempotent: true,
+        }),
+    },
+];
+
+/**
+ * Runs one kind of traffic from a caller in each zone.
+ *
+ * @param traffic - rate and requests
+ * @param options - where callers are and how long they run
+ * @returns outcomes and latencies
+ */
+export const runTraffic = async (traffic: Traffic, options: TrafficOptions): Promise<TrafficResult> => {
+    const clients = options.zones.map((zone, index) =>
+        caller.createCaller({
+            entries: options.listAddresses(zone),
+            zone,
+            seed: options.seed + index,
+            maxSendings,
+            connections,
+            record: options.record,
+        }),
+    );
+    const outcomes = new Map<string, number>();
+    const latency = latencies.createLatencies();
+    let faultyAnswers = 0;
+    let number = 0;
+
+    const send = async (intendedAtMs: number): Promise<void> => {
+        number++;
+        const client = clients[number % clients.length] as callers.Caller;
+        const result = await client.call(traffic.createRequest(number));
+        latency.record(httpServer.readMachineClockMs() - intendedAtMs);
+        const outcome = `${result.outcome ?? "no answer"}${result.error === undefined ? "" : ` (${result.error})`}`;
+        outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+        const { answer } = result;
+        faultyAnswers += answer !== undefined && !(answer.isWhole && answer.isOwn) ? 1 : 0;
+    };
+
+    const { durationMs, seed } = options;
+    const generator = random.createRandom(seed);
+    const { ratePerSecond } = traffic;
+    await arrivals.runArrivals({ ratePerSecond, durationMs, random: generator, isPolling: false }, send);
+    await Promise.all(clients.map(client => client.close()));
+    return { service: traffic.service, outcomes, latency: latency.toSummary(), faultyAnswers };
+};
