--- a/src/bench/Types.ts
+++ b/src/bench/Types.ts
@@ -56,6 +56,8 @@
     readonly deployment: "fraserbank" | "mareeba";
     readonly entries: number;
     readonly routers: readonly Router[];
+    /** Latencies of calls in this time are not counted; outcomes are. */
+    readonly warmUpMs: number;
     readonly durationMs: number;
     readonly loads: readonly CallLoad[];
     readonly faults: readonly TimedFault[];
@@ -100,6 +102,7 @@
           /** Addresses of routers, by zone of the caller. */
           readonly addresses: Readonly<Record<string, readonly string[]>>;
           readonly loads: readonly CallLoad[];
+          readonly warmUpMs: number;
           readonly durationMs: number;
           readonly seed: number;
           /** Gets the callers' events as JSON. */
--- a/src/bench/callLoad.ts
+++ b/src/bench/callLoad.ts
@@ -39,6 +39,7 @@
 ): Promise<types.Metrics> => {
     const latency = latencies.createLatencies();
     const counts: Record<string, number> = { ran: 0, notRun: 0, mayHaveRun: 0, faultyAnswers: 0 };
+    const countedFromMs = httpServer.readMachineClockMs() + job.warmUpMs;
     let number = 0;
     const addOne = (name: string): void => void (counts[name] = (counts[name] ?? 0) + 1);
     const { ratePerSecond } = load;
@@ -48,7 +49,9 @@
         number++;
         const client = clients[number % clients.length] as callers.Caller;
         const result = await client.call(createRequest(load, number));
-        latency.record(httpServer.readMachineClockMs() - intendedAtMs);
+        if (intendedAtMs >= countedFromMs) {
+            latency.record(httpServer.readMachineClockMs() - intendedAtMs);
+        }
         addOne(result.outcome === "ran" ? "ran" : result.outcome === "not-run" ? "notRun" : "mayHaveRun");
         if (result.answer !== undefined && !(result.answer.isWhole && result.answer.isOwn)) {
             addOne("faultyAnswers");
@@ -57,8 +60,8 @@
             addOne(`error.${result.error}`);
         }
     });
-    const { count, p50Ms, p99Ms, p999Ms, maxMs } = latency.toSummary();
-    const all = { calls: count, ...counts, p50Ms, p99Ms, p999Ms, maxMs };
+    const { p50Ms, p99Ms, p999Ms, maxMs } = latency.toSummary();
+    const all = { calls: number, ...counts, p50Ms, p99Ms, p999Ms, maxMs };
     return Object.fromEntries(Object.entries(all).map(([name, value]) => [`${load.service}.${name}`, value]));
 };
 
--- a/src/bench/scenarioFile.ts
+++ b/src/bench/scenarioFile.ts
@@ -59,6 +59,7 @@
         .array(zod.enum(["entry", "twoRandom"]))
         .min(1)
         .default(["entry"]),
+    warmUpMs: zod.int().min(0).default(2000),
     durationMs: zod.int().positive(),
     loads: zod.array(load).min(1),
     faults: zod.array(fault).default([]),
