--- /dev/null
+++ b/src/testing/e2e/badInput.test.ts
@@ -0,0 +1,215 @@
+import test from "ava";
+import * as undici from "undici";
+import * as caller from "../caller/caller.js";
+import * as history from "../history/Types.js";
+import * as system from "../system/system.js";
+import * as systemTypes from "../system/Types.js";
+import * as rawClient from "./rawClient.js";
+
+const maxBodyBytes = 100_000;
+
+// One slot in all: a call that does not give it back blocks the call after it.
+const plan: systemTypes.DeploymentPlan = {
+    name: "bad-input",
+    region: "region",
+    zones: ["zone-a"],
+    linkDelayMs: 1,
+    entries: 1,
+    services: [
+        {
+            service: "bookings",
+            targets: 1,
+            slots: 1,
+            coldSlots: 1,
+            connections: 10,
+            serviceTime: { kind: "fixed", ms: 1 },
+            deadlineMs: 5000,
+            maxBodyBytes,
+            idempotent: ["PUT /notes/*"],
+            nonIdempotent: [],
+        },
+    ],
+};
+
+let running: system.System;
+let address: string;
+
+test.before(async () => {
+    running = await system.startSystem({ plan, seed: 5 });
+    const published = await running.publish();
+    if (published.exitCode !== 0) {
+        throw new Error(`publish ended with ${published.exitCode}: ${published.lines.join("\n")}`);
+    }
+    const entry = running.entries[0] as systemTypes.EntryVm;
+    await running.waitForHealth(entry);
+    address = entry.listen;
+});
+
+test.after.always(async () => {
+    await running.close();
+});
+
+const sendRaw = async (text: string): Promise<rawClient.RawAnswer> => {
+    const client = rawClient.openRawClient(address);
+    client.write(text);
+    const answer = await client.waitForAnswer();
+    client.destroy();
+    return answer;
+};
+
+const formatHead = (lines: readonly string[], path = "/call/bookings/bookings", method = "POST"): string =>
+    `${method} ${path} HTTP/1.1\r\nHost: x\r\n${lines.map(line => `${line}\r\n`).join("")}\r\n`;
+
+const listStarted = async (requestId: string): Promise<history.TargetEvent[]> =>
+    (await running.readTargetEvents()).filter(event => event.kind === "started" && event.requestId === requestId);
+
+/** Sends a good call, which needs the only slot. */
+const callOnce = async () => {
+    const client = caller.createCaller({ entries: [address], zone: "zone-a", seed: 1, maxSendings: 1, connections: 1 });
+    const result = await client.call({
+        service: "bookings",
+        method: "POST",
+        path: "/bookings",
+        body: Buffer.from("a seat"),
+        deadlineMs: 20_000,
+        key: { kind: "issued" },
+        isIdempotent: false,
+    });
+    await client.close();
+    return result;
+};
+
+const checkServes = async (t: { is: (left: unknown, right: unknown, message: string) => void }): Promise<void> => {
+    const result = await callOnce();
+    t.is(result.outcome, "ran", `the daemon does not serve any more: ${result.error}`);
+};
+
+test.serial("a malformed header line is refused and nothing reaches a target", async t => {
+    const answer = await sendRaw(formatHead(["X-Request-Id: malformed", "no colon here", "Content-Length: 0"]));
+    t.is(answer.status, 400);
+    t.deepEqual(await listStarted("malformed"), []);
+    await checkServes(t);
+});
+
+test.serial("headers beyond the limit are refused as 431", async t => {
+    const answer = await sendRaw(formatHead([`X-Large: ${"x".repeat(200_000)}`]));
+    t.is(answer.status, 431);
+    await checkServes(t);
+});
+
+test.serial("conflicting body lengths are refused, as a proxy and a server could read them differently", async t => {
+    const body = "0\r\n\r\nGET /call/bookings/smuggled HTTP/1.1\r\nHost: x\r\nX-Request-Id: smuggled\r\n\r\n";
+    const key = "Idempotency-Key: conflicting";
+    const both = formatHead([
+        key,
+        "X-Request-Id: both",
+        `Content-Length: ${body.length}`,
+        "Transfer-Encoding: chunked",
+    ]);
+    t.is((await sendRaw(both + body)).status, 400);
+    const twice = formatHead([key, "X-Request-Id: twice", "Content-Length: 5", `Content-Length: ${body.length}`]);
+    t.is((await sendRaw(twice + body)).status, 400);
+    const negative = formatHead([key, "X-Request-Id: negative", "Content-Length: -1"]);
+    t.is((await sendRaw(negative)).status, 400);
+    for (const requestId of ["both", "twice", "negative", "smuggled"]) {
+        t.deepEqual(await listStarted(requestId), [], requestId);
+    }
+    await checkServes(t);
+});
+
+test.serial("an unknown service, a missing key and a repeated key are refused as not run", async t => {
+    const unknown = await sendRaw(formatHead(["Content-Length: 0"], "/call/nowhere/a", "GET"));
+    t.is(unknown.status, 404);
+    t.is(unknown.headers["tarragon-error"], "unknown_service");
+    t.is(unknown.headers["tarragon-outcome"], "not-run");
+    const keyless = await sendRaw(formatHead(["Content-Length: 0"]));
+    t.is(keyless.headers["tarragon-error"], "idempotency_key_required");
+    const repeated = await sendRaw(formatHead(["Idempotency-Key: a", "Idempotency-Key: b", "Content-Length: 0"]));
+    t.is(repeated.status, 400);
+    t.is(repeated.headers["tarragon-outcome"], "not-run");
+    await checkServes(t);
+});
+
+test.serial(
+    "a deadline that is no number is refused, and internal headers of a caller do not reach a target",
+    async t => {
+        const bad = await sendRaw(formatHead(["Tarragon-Deadline-Ms: soon", "Content-Length: 0"], undefined, "GET"));
+        t.is(bad.status, 400);
+        t.is(bad.headers["tarragon-error"], "bad_request");
+        const lines = ["X-Request-Id: forged", "Tarragon-Attempt-Id: mine", "Tarragon-Arbitrated: true"];
+        const forged = await sendRaw(formatHead(lines, "/call/bookings/a", "GET"));
+        t.is(forged.status, 200);
+        t.not((await listStarted("forged"))[0]?.attempt, "mine");
+        const forward = await sendRaw(formatHead(["Tarragon-Hop: route"], "/forward/bookings/a", "GET"));
+        t.true(forward.status >= 400, "the peers' path must not be open to callers");
+        await checkServes(t);
+    },
+);
+
+test.serial("a client that sends its head slowly does not keep others from being served", async t => {
+    const slow = rawClient.openRawClient(address);
+    const head = formatHead(["X-Request-Id: slow-head"], "/call/bookings/a", "GET");
+    slow.write(head.slice(0, 20));
+    await checkServes(t);
+    slow.write(head.slice(20));
+    t.is((await slow.waitForAnswer()).status, 200);
+    slow.destroy();
+});
+
+test.serial("a client that stops in mid-body loses the slot at its deadline at the latest", async t => {
+    const slow = rawClient.openRawClient(address);
+    const lines = ["Idempotency-Key: slow-body", "X-Request-Id: slow-body", "Tarragon-Deadline-Ms: 1000"];
+    slow.write(`${formatHead([...lines, "Content-Length: 1000"])}half of it`);
+    const answer = await slow.waitForAnswer();
+    t.not(answer.headers["tarragon-outcome"], "ran");
+    if (answer.headers["tarragon-outcome"] === "not-run") {
+        t.deepEqual(await listStarted("slow-body"), []);
+    }
+    await checkServes(t);
+    slow.destroy();
+});
+
+test.serial("a client that leaves in mid-body gives the slot back, and its call does not run", async t => {
+    const leaving = rawClient.openRawClient(address);
+    const lines = ["X-Request-Id: leaving", "Tarragon-Deadline-Ms: 60000", "Content-Length: 50000"];
+    leaving.write(`${formatHead(lines, "/call/bookings/notes/1", "PUT")}${"x".repeat(10_000)}`);
+    await closeAfterHead(leaving);
+    await checkServes(t);
+    const received = (await running.readTargetEvents()).filter(
+        event => event.kind === "received" && event.requestId === "leaving",
+    );
+    t.deepEqual(received, [], "a target took the cut body for the whole one");
+});
+
+const closeAfterHead = async (client: rawClient.RawClient): Promise<void> => {
+    // Gives the daemon time to read the head, which was written before.
+    await undici.request(`http://${address}/health`).then(response => response.body.dump());
+    client.destroy();
+    await client.waitForClose();
+};
+
+test.serial("a declared body beyond the limit is refused and never started", async t => {
+    const lines = ["Idempotency-Key: large", "X-Request-Id: large", `Content-Length: ${maxBodyBytes + 1}`];
+    const answer = await sendRaw(formatHead(lines));
+    t.is(answer.status, 413);
+    t.is(answer.headers["tarragon-error"], "body_too_large");
+    t.deepEqual(await listStarted("large"), []);
+    await checkServes(t);
+});
+
+test.serial("a chunked body beyond the limit never counts as run, and 'not run' is true", async t => {
+    const client = rawClient.openRawClient(address);
+    const lines = ["Idempotency-Key: chunked", "X-Request-Id: chunked", "Transfer-Encoding: chunked"];
+    client.write(formatHead(lines));
+    const piece = "x".repeat(0x4000);
+    for (let bytes = 0; bytes <= maxBodyBytes; bytes += piece.length) {
+        client.write(`4000\r\n${piece}\r\n`);
+    }
+    const answer = await client.waitForAnswer();
+    client.destroy();
+    t.not(answer.headers["tarragon-outcome"], "ran");
+    if (answer.headers["tarragon-outcome"] === "not-run") {
+        t.deepEqual(await listStarted("chunked"), []);
+    }
+    await checkServes(t);
+});
--- /dev/null
+++ b/src/testing/e2e/rawClient.ts
@@ -0,0 +1,87 @@
+/**
+ * A client that writes bytes as they are, for requests that no HTTP library would send.
+ */
+import * as net from "node:net";
+import * as httpServer from "../http/httpServer.js";
+
+export interface RawAnswer {
+    /** 0 if the connection ended without an answer. */
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: string;
+}
+
+export interface RawClient {
+    readonly write: (text: string | Buffer) => void;
+    /** Resolves when one answer is complete, or the connection has ended. */
+    readonly waitForAnswer: () => Promise<RawAnswer>;
+    readonly waitForClose: () => Promise<void>;
+    readonly destroy: () => void;
+}
+
+const noAnswer: RawAnswer = { status: 0, headers: {}, body: "" };
+
+const parseHead = (head: string): Pick<RawAnswer, "status" | "headers"> => {
+    const [first = "", ...lines] = head.split("\r\n");
+    const headers = lines.map(line => {
+        const colon = line.indexOf(":");
+        return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    });
+    return { status: Number(first.split(" ")[1] ?? 0), headers: Object.fromEntries(headers) as Record<string, string> };
+};
+
+/** Returns undefined while the answer is not complete. */
+const parseAnswer = (text: string, hasEnded: boolean): RawAnswer | undefined => {
+    const end = text.indexOf("\r\n\r\n");
+    if (end < 0) {
+        return hasEnded ? noAnswer : undefined;
+    }
+    const head = parseHead(text.slice(0, end));
+    const body = text.slice(end + 4);
+    const length = head.headers["content-length"];
+    const isComplete = length === undefined ? body.endsWith("0\r\n\r\n") : body.length >= Number(length);
+    return isComplete || hasEnded ? { ...head, body } : undefined;
+};
+
+/**
+ * Opens a connection.
+ *
+ * @param address - `ip:port`
+ * @returns the client
+ */
+export const openRawClient = (address: string): RawClient => {
+    const socket = net.connect(httpServer.parseListen(address));
+    let text = "";
+    let hasEnded = false;
+    const waiters = new Set<() => void>();
+    const runWaiters = (): void => waiters.forEach(waiter => waiter());
+    socket.on("data", (chunk: Buffer) => {
+        text += chunk.toString("latin1");
+        runWaiters();
+    });
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+        hasEnded = true;
+        runWaiters();
+    });
+
+    const waitUntil = <T>(read: () => T | undefined): Promise<T> =>
+        new Promise(resolve => {
+            const check = (): void => {
+                const value = read();
+                if (value !== undefined) {
+                    waiters.delete(check);
+                    resolve(value);
+                }
+            };
+            waiters.add(check);
+            check();
+        });
+
+    return {
+        write: bytes => void socket.write(bytes),
+        waitForAnswer: () => waitUntil(() => parseAnswer(text, hasEnded)),
+        waitForClose: () => waitUntil(() => (hasEnded ? true : undefined)).then(() => undefined),
+        destroy: () => void socket.destroy(),
+    };
+};
