Model-check the claims of foreign keys

Two entry VMs, ambiguous and late writes, crashes and paused writers. The model also shows that the removal of a row relies on versions that are not reused afterwards.

--- /dev/null
+++ b/src/common/claims/foreignModel.test.ts
@@ -0,0 +1,76 @@
+import test from "ava";
+import * as explorer from "./model/explorer.js";
+import * as foreignModel from "./model/foreignModel.js";
+import * as rowClaim from "./rowClaim.js";
+
+const maxStates = 2_000_000;
+
+const boundsList: readonly foreignModel.ForeignBounds[] = [
+    { calls: 2, crashes: 1, faults: 3 },
+    { calls: 3, crashes: 1, faults: 1 },
+];
+
+for (const bounds of boundsList) {
+    test(`foreign keys: at most one start and true answers, within ${JSON.stringify(bounds)}`, t => {
+        const model = foreignModel.createForeignModel(foreignModel.foreignRules, bounds);
+        const result = explorer.runExploration(model, maxStates);
+        t.log(JSON.stringify(result));
+        t.is(result.kind, "holds");
+    });
+}
+
+const refute = (
+    change: Partial<foreignModel.ForeignRules>,
+    bounds: foreignModel.ForeignBounds = { calls: 2, crashes: 0, faults: 1 },
+): explorer.Exploration =>
+    explorer.runExploration(
+        foreignModel.createForeignModel({ ...foreignModel.foreignRules, ...change }, bounds),
+        maxStates,
+    );
+
+test("foreign keys: the model finds the fault of sending after an ambiguous write without reading back", t => {
+    const result = refute({
+        applyRowObservation: (claim, observation) =>
+            rowClaim.applyRowObservation(claim, observation.kind === "unknown" ? { kind: "committed" } : observation),
+    });
+    t.log(result);
+    t.is(result.kind === "refuted" && result.fault, "the key started twice");
+});
+
+test("foreign keys: the model finds the fault of repeating an ambiguous write without a condition", t => {
+    const result = refute({
+        isRepeatConditional: false,
+        applyRowObservation: (claim, observation) =>
+            observation.kind === "unknown"
+                ? { claim: { ...claim, mayExist: true }, step: { kind: "write" } }
+                : rowClaim.applyRowObservation(claim, observation),
+    });
+    t.log(result);
+    t.is(result.kind === "refuted" && result.fault, "the key started twice");
+});
+
+test("foreign keys: the model finds the fault of taking over the claim of a paused writer", t => {
+    const result = refute({
+        applyRowObservation: (claim, observation) =>
+            rowClaim.applyRowObservation(
+                claim,
+                observation.kind === "row" && observation.row?.end.kind === "running"
+                    ? { kind: "committed" }
+                    : observation,
+            ),
+    });
+    t.log(result);
+    t.is(result.kind === "refuted" && result.fault, "the key started twice");
+});
+
+test("foreign keys: the model finds the fault of removing a row without a condition", t => {
+    const result = refute({ isRemovalConditional: false }, { calls: 3, crashes: 0, faults: 1 });
+    t.log(result);
+    t.is(result.kind === "refuted" && result.fault, "the key started twice");
+});
+
+test("foreign keys: the model finds the fault of a table service that reuses the versions of removed rows", t => {
+    const result = refute({ areVersionsReused: true }, { calls: 3, crashes: 0, faults: 1 });
+    t.log(result);
+    t.is(result.kind === "refuted" && result.fault, "the key started twice");
+});
--- a/src/common/claims/model/attempts.ts
+++ b/src/common/claims/model/attempts.ts
@@ -125,11 +125,14 @@
  * Checks the promises to the caller.
  *
  * @param calls - the calls with one key
- * @param attempts - the attempts with that key
+ * @param attempts - the attempts with that key, as far as they have begun
  * @returns the broken promise, or undefined
  */
-export const checkPromises = (calls: readonly Call[], attempts: readonly Attempt[]): string | undefined => {
-    const starts = attempts.filter(attempt => attempt.hasStarted).length;
+export const checkPromises = (
+    calls: readonly Call[],
+    attempts: readonly (Attempt | undefined)[],
+): string | undefined => {
+    const starts = attempts.filter(attempt => attempt?.hasStarted === true).length;
     if (starts > 1) {
         return "the key started twice";
     }
