Deliver crossed answers to the calls that they belong to; limit streamed bodies

An answer whose echoed attempt id belongs to another waiting attempt at the same address was dropped, so both calls of a swapped pair failed. It now feeds the attempt that it belongs to. A chunked body was not limited while it was streamed; it is now cut off at maxBodyBytes and answered as may have run, because the target has seen its beginning.

--- a/src/common/errors/Types.ts
+++ b/src/common/errors/Types.ts
@@ -12,6 +12,7 @@
     | "idempotency_key_required"
     | "idempotency_key_reused"
     | "body_too_large"
+    | "body_limit_exceeded"
     | "request_truncated"
     | "deadline_exceeded_not_run"
     | "deadline_exceeded"
--- a/src/common/errors/errorTable.ts
+++ b/src/common/errors/errorTable.ts
@@ -15,6 +15,7 @@
     idempotency_key_required: { status: 400, outcome: "not-run", advice: "Send it with an Idempotency-Key header." },
     idempotency_key_reused: { status: 422, outcome: "not-run", advice: "Use a new key for a different request." },
     body_too_large: { status: 413, outcome: "not-run", advice: correct },
+    body_limit_exceeded: { status: 413, outcome: "may-have-run", advice: correct },
     request_truncated: { status: 400, outcome: "may-have-run", advice: askWithSameKey },
     deadline_exceeded_not_run: { status: 504, outcome: "not-run", advice: sendAgain },
     deadline_exceeded: { status: 504, outcome: "may-have-run", advice: askWithSameKey },
--- a/src/node/entry/probing.ts
+++ b/src/node/entry/probing.ts
@@ -5,6 +5,7 @@
 import * as routing from "../../common/routing/Types.js";
 import * as shared from "../../common/Types.js";
 import * as attemptWatch from "../front/attemptWatch.js";
+import * as bodyReader from "../front/bodyReader.js";
 import * as forward from "../forward/Types.js";
 import * as targetReports from "../front/targetReports.js";
 
@@ -34,7 +35,7 @@
             method: "GET",
             path: "/probe",
             headers: { "tarragon-attempt-id": attemptId, "tarragon-deadline-ms": String(timeoutMs) },
-            body: { prefix: Buffer.alloc(0), rest: undefined, length: 0 },
+            body: bodyReader.createWholeBody(Buffer.alloc(0)),
             attempt: attemptId,
             mayWrite: () => true,
         });
--- a/src/node/forward/Types.ts
+++ b/src/node/forward/Types.ts
@@ -12,8 +12,13 @@
     readonly rest: stream.Readable | undefined;
     /** Declared length in bytes; undefined for a chunked body that was not read to its end. */
     readonly length: number | undefined;
+    /** Why the rest could not be read to its end, once that is known. */
+    getFault(): BodyFault | undefined;
 }
 
+/** `truncated`: the caller left in mid-body. `tooLarge`: the body is larger than the service allows. */
+export type BodyFault = "truncated" | "tooLarge";
+
 /** A connection class decides how long an idle connection may be reused. */
 export type ConnectionClass = "idempotent" | "nonIdempotent" | "peer" | "probe";
 
--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -42,6 +42,7 @@
  */
 export const createSender = (): types.Sender => {
     const pools = new Map<string, undici.Pool>();
+    const waiting: attempts.WaitingAttempts = new Map();
 
     const getPool = (request: types.AttemptRequest): undici.Pool => {
         const key = `${request.connectionClass} ${request.address}`;
@@ -64,7 +65,7 @@
 
     return {
         send: request => {
-            const driver = attempts.createAttempt(request);
+            const driver = attempts.createAttempt(request, waiting);
             getPool(request).dispatch(
                 {
                     method: request.method,
--- a/src/node/front/bodyReader.ts
+++ b/src/node/front/bodyReader.ts
@@ -2,28 +2,77 @@
  * Reads the first part of a body into memory, so that a small body can be sent to another target.
  */
 import type * as http from "node:http";
+import * as stream from "node:stream";
 import * as errors from "../../common/errors/errors.js";
 import * as forward from "../forward/Types.js";
 
 /** Bodies up to this size can be sent again. Larger ones are streamed and sent once. */
 export const replayableBytes = 64 * 1024;
 
-const emptyBody: forward.RequestBody = { prefix: Buffer.alloc(0), rest: undefined, length: 0 };
+/**
+ * Makes a body that is wholly in memory.
+ *
+ * @param content - the body
+ * @returns the body
+ */
+export const createWholeBody = (content: Buffer): forward.RequestBody => ({
+    prefix: content,
+    rest: undefined,
+    length: content.length,
+    getFault: () => undefined,
+});
+
+const emptyBody = createWholeBody(Buffer.alloc(0));
+
+interface BodyLimits {
+    readonly contentLength: number | undefined;
+    /** Largest body that the service takes, in bytes. */
+    readonly maxBytes: number;
+}
+
+/** Makes a body of which only the first part is in memory. */
+const createStreamedBody = (request: http.IncomingMessage, prefix: Buffer, limits: BodyLimits): forward.RequestBody => {
+    let size = prefix.length;
+    let fault: forward.BodyFault | undefined;
+
+    const readChunks = async function* (): AsyncGenerator<Buffer> {
+        // The request is not destroyed at the end, because its connection still carries the answer.
+        const chunks = request.iterator({ destroyOnReturn: false });
+        try {
+            for await (const chunk of chunks) {
+                size += (chunk as Buffer).length;
+                if (size > limits.maxBytes) {
+                    fault = "tooLarge";
+                    throw new Error(`the body has more than ${limits.maxBytes} bytes`);
+                }
+                yield chunk as Buffer;
+            }
+        } catch (error) {
+            fault ??= "truncated";
+            throw error;
+        }
+    };
+    const rest = stream.Readable.from(readChunks(), { objectMode: false });
+    // The sender reports a failed body; without a listener it would end the process if it fails before that.
+    rest.on("error", () => undefined);
+    return { prefix, rest, length: limits.contentLength, getFault: () => fault };
+};
 
 /**
  * Reads a body until its end or until {@link replayableBytes} are in memory.
  *
  * @param request - the request; left paused if there is more to read
- * @param contentLength - declared length, undefined if chunked
+ * @param limits - declared length, undefined if chunked, and the largest length allowed
  * @param signal - ends the wait for a sender that is too slow
  * @returns the body
  * @throws a call error of kind `bad_request` if the caller leaves before that; nothing has been sent yet
  */
 export const readBody = (
     request: http.IncomingMessage,
-    contentLength: number | undefined,
+    limits: BodyLimits,
     signal: AbortSignal,
 ): Promise<forward.RequestBody> => {
+    const { contentLength } = limits;
     if (contentLength === 0) {
         return Promise.resolve(emptyBody);
     }
@@ -43,12 +92,12 @@
             if (size > replayableBytes) {
                 request.pause();
                 stop();
-                resolve({ prefix: Buffer.concat(chunks), rest: request, length: contentLength });
+                resolve(createStreamedBody(request, Buffer.concat(chunks), limits));
             }
         };
         const onEnd = (): void => {
             stop();
-            resolve({ prefix: Buffer.concat(chunks), rest: undefined, length: size });
+            resolve(createWholeBody(Buffer.concat(chunks)));
         };
         const onClose = (): void => {
             stop();
@@ -79,12 +128,3 @@
  * @returns true if the whole body is in memory
  */
 export const isReplayable = (body: forward.RequestBody): boolean => body.rest === undefined;
-
-/**
- * Tells whether the caller left before the end of a body that was being streamed.
- *
- * @param body - the body
- * @returns true if the rest of the body will not arrive
- */
-export const isTruncated = (body: forward.RequestBody): boolean =>
-    body.rest !== undefined && body.rest.destroyed && !body.rest.readableEnded;
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -101,7 +101,11 @@
                 `${head.method} ${head.path} is not idempotent at ${head.service}, so it needs an Idempotency-Key`,
             );
         }
-        const body = await bodyReader.readBody(request, head.contentLength, signal);
+        const body = await bodyReader.readBody(
+            request,
+            { contentLength: head.contentLength, maxBytes: service.maxBodyBytes },
+            signal,
+        );
         return { head, service, isIdempotent, body, deadlineAtMs };
     };
 
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -5,7 +5,6 @@
 import * as forward from "../forward/Types.js";
 import * as answerRelay from "./answerRelay.js";
 import * as attemptWatch from "./attemptWatch.js";
-import * as bodyReader from "./bodyReader.js";
 import * as headers from "./headers.js";
 import * as targetReports from "./targetReports.js";
 import * as types from "./Types.js";
@@ -90,9 +89,10 @@
         signal: AbortSignal,
     ): types.StepResult => {
         traces.record(call.head.id, `no answer from ${grant.target.id}: ${head.cause}`);
-        if (bodyReader.isTruncated(call.body)) {
+        const fault = call.body.getFault();
+        if (fault !== undefined) {
             grant.release({ kind: "cancelled" });
-            return { kind: "unknown", error: "request_truncated" };
+            return { kind: "unknown", error: fault === "tooLarge" ? "body_limit_exceeded" : "request_truncated" };
         }
         if (!head.aborted) {
             grant.release({ kind: "broken" });
