--- a/src/testing/targets/targetState.ts
+++ b/src/testing/targets/targetState.ts
@@ -39,7 +39,7 @@
 
 /** A collapsed target is this much slower, until its calls in flight have ended. */
 const collapseFactor = 50;
-const keptLoadsMs = 10_000;
+const keptLoads = 10_000;
 
 const noFaults: types.TargetFaults = {
     isDraining: false,
@@ -80,10 +80,9 @@
     const getState = (): types.TargetReport["state"] => (faults.isDraining ? "draining" : isCold() ? "cold" : "warm");
 
     const recordLoad = (): void => {
-        const atMs = now();
-        loads.push({ atMs, busy: running.size, state: getState() });
-        if (loads.length > 1000) {
-            loads = loads.filter(load => load.atMs > atMs - keptLoadsMs);
+        loads.push({ atMs: now(), busy: running.size, state: getState() });
+        if (loads.length > 2 * keptLoads) {
+            loads = loads.slice(-keptLoads);
         }
     };
 
