Check random histories of two claim controllers

The test found that requests waiting for a foreign key were never answered if the table forgot the key while it ran and the key was begun again. Waiting requests are now kept by attempt instead of by key.

--- a/src/common/claims/Types.ts
+++ b/src/common/claims/Types.ts
@@ -92,7 +92,8 @@
 
 export type KeyDecision =
     | { readonly kind: "run"; readonly attempt: number }
-    | { readonly kind: "wait" }
+    /** The result of the running attempt answers this request as well. */
+    | { readonly kind: "wait"; readonly attempt: number }
     | { readonly kind: "replay"; readonly status: number }
     | { readonly kind: "refuse"; readonly error: errors.ErrorKind; readonly message: string }
     /** The end of the attempt was recorded. */
--- a/src/common/claims/arbiter.ts
+++ b/src/common/claims/arbiter.ts
@@ -76,7 +76,7 @@
     }
     switch (state.kind) {
         case "running":
-            return { state, decision: { kind: "wait" } };
+            return { state, decision: { kind: "wait", attempt: state.attempt } };
         case "done":
             return { state, decision: { kind: "replay", status: state.status } };
         case "mayHaveRun":
--- a/src/common/claims/model/foreignModel.ts
+++ b/src/common/claims/model/foreignModel.ts
@@ -118,10 +118,7 @@
                 return setAttempt(setCall({ ...open, attempt: index }), index, attempt);
             }
             case "wait":
-                return setCall({
-                    ...open,
-                    attempt: result.state.kind === "running" ? result.state.attempt : undefined,
-                });
+                return setCall({ ...open, attempt: result.decision.attempt });
             case "replay":
                 return setCall(attempts.toClosed(open, "ran"));
             case "refuse":
--- a/src/common/claims/model/issuedModel.ts
+++ b/src/common/claims/model/issuedModel.ts
@@ -70,7 +70,7 @@
                 return setCall({ ...next, attempts: [...next.attempts, started] }, index, { attempt });
             }
             case "wait":
-                return setCall(next, index, result.state.kind === "running" ? { attempt: result.state.attempt } : {});
+                return setCall(next, index, { attempt: result.decision.attempt });
             case "replay":
                 return closeCall(next, index, "ran");
             case "refuse":
--- a/src/node/claims/keyArbiter.ts
+++ b/src/node/claims/keyArbiter.ts
@@ -7,11 +7,7 @@
 import * as shared from "../../common/Types.js";
 import * as types from "./Types.js";
 
-/** A running attempt and the requests that wait for its result. */
-interface Running {
-    readonly attempt: number;
-    readonly waiters: ((result: claims.ClaimResult) => void)[];
-}
+type Waiter = (result: claims.ClaimResult) => void;
 
 /**
  * Creates an arbiter that knows no keys.
@@ -27,7 +23,8 @@
     logger: shared.Logger,
 ): types.KeyArbiter => {
     const table = keyTable.createKeyTable(limits);
-    const running = new Map<claims.KeyId, Running>();
+    // By attempt, not by key: the table can forget a foreign key that runs, and the key is then begun again.
+    const waiters = new Map<number, Waiter[]>();
     const startedAtMs = clock.now();
     let oldestEpoch = 0;
     let lastAttempt = 0;
@@ -44,15 +41,21 @@
         logger.info(`claim: epochs before ${oldest} are forgotten`, { keys: removed });
     };
 
-    const waitForResult = (key: claims.KeyId): Promise<claims.ClaimResult> =>
+    const waitForResult = (attempt: number): Promise<claims.ClaimResult> =>
         new Promise(resolve => {
-            const entry = running.get(key);
-            if (entry === undefined) {
-                throw new Error(`key ${key} is running but has no attempt`);
-            }
-            entry.waiters.push(resolve);
+            const resolvers = waiters.get(attempt) ?? [];
+            resolvers.push(resolve);
+            waiters.set(attempt, resolvers);
         });
 
+    const resolveWaiters = (attempt: number, result: claims.ClaimResult): void => {
+        const resolvers = waiters.get(attempt) ?? [];
+        waiters.delete(attempt);
+        for (const resolve of resolvers) {
+            resolve(result);
+        }
+    };
+
     const begin = (
         key: claims.KeyId,
         signature: claims.RequestSignature,
@@ -66,10 +69,9 @@
             case "run":
                 lastAttempt = attempt;
                 table.set(epoch, key, state);
-                running.set(key, { attempt, waiters: [] });
                 return { kind: "run", run: { key, epoch, attempt } };
             case "wait":
-                return { kind: "wait", result: waitForResult(key) };
+                return { kind: "wait", result: waitForResult(decision.attempt) };
             case "replay":
                 return { kind: "replay", answer: table.findAnswer(key) ?? createEmptyAnswer(decision.status) };
             case "refuse":
@@ -89,14 +91,7 @@
                 table.addAnswer(run.key, result.answer);
             }
         }
-        const entry = running.get(run.key);
-        if (entry?.attempt !== run.attempt) {
-            return;
-        }
-        running.delete(run.key);
-        for (const resolve of entry.waiters) {
-            resolve(result);
-        }
+        resolveWaiters(run.attempt, result);
     };
 
     return {
