--- /dev/null
+++ b/src/common/freshness/revisionModel.ts
@@ -0,0 +1,307 @@
+/**
+ * Model of three entry VMs and one publication, for an exhaustive check of the rules in `revisions.ts`.
+ *
+ * Time is discrete. A step is left out at will, which covers cut links, lost messages, a table that is down, and pauses:
+ * a paused VM is one that takes no step while time passes. All VMs start synced on revision 1. Revision 2 is committed
+ * once, in the tick in which time starts: what happened in earlier ticks would only be older.
+ */
+import * as ids from "../ids.js";
+import * as shared from "../Types.js";
+import * as freshness from "./freshness.js";
+import * as revisions from "./revisions.js";
+import * as types from "./Types.js";
+
+/** Rules that a check replaces by a broken version. */
+export interface ModelRules {
+    /** Counts VMs without a confirmation since their start towards the majority. */
+    readonly countsUnsynced: boolean;
+    /** Dates a confirmation at the arrival of the answer instead of the start of the request. */
+    readonly datesAtAnswer: boolean;
+    /** Adopts any revision that a message names. */
+    readonly adoptsLower: boolean;
+    /** Lets confirmations from before its start sync a VM. */
+    readonly syncsByOldNews: boolean;
+    /** Accepts a revision when a majority has adopted it at any time, restarted since or not. */
+    readonly acceptsPastAdoption: boolean;
+}
+
+export const soundRules: ModelRules = {
+    countsUnsynced: false,
+    datesAtAnswer: false,
+    adoptsLower: false,
+    syncsByOldNews: false,
+    acceptsPastAdoption: false,
+};
+
+export interface ModelBounds {
+    readonly ticks: number;
+    readonly restarts: number;
+    /** Answers of the table after the start. */
+    readonly tableReads: number;
+    /** Requests between VMs. */
+    readonly pulls: number;
+    /** 0: an exchange takes no time, which leaves room for more of them. 1: its three moments may lie apart. */
+    readonly delays: number;
+}
+
+/** One answer that a VM has not received yet; a VM has at most one. */
+interface Message {
+    readonly from: number | "table";
+    readonly requestedAt: number;
+    readonly content: Content;
+}
+
+/** What the answer says; the age of the confirmation is relative to the making of the answer. */
+interface Content {
+    readonly revision: number;
+    readonly synced: boolean;
+    readonly confirmation: { readonly revision: number; readonly age: number } | undefined;
+}
+
+export interface ModelVm {
+    readonly state: types.RevisionState;
+    readonly digests: readonly (types.VmDigest | undefined)[];
+    readonly message: Message | undefined;
+    readonly hasEverAdopted: boolean;
+    readonly hasReverted: boolean;
+}
+
+export interface ModelState {
+    readonly now: number;
+    readonly committed: number;
+    readonly acceptedAt: number | undefined;
+    readonly vms: readonly ModelVm[];
+    readonly left: ModelBounds;
+}
+
+export type ModelEvent =
+    | { readonly type: "tick" }
+    | { readonly type: "commit" }
+    | { readonly type: "announce"; readonly vm: number }
+    | { readonly type: "restart"; readonly vm: number }
+    /** The answer to a request that was started at `requestedAt` is made now. */
+    | { readonly type: "answer"; readonly vm: number; readonly from: number | "table"; readonly requestedAt: number }
+    | { readonly type: "receive"; readonly vm: number };
+
+/** Freshness deadline in ticks; with fewer than 2, the date of a request would hardly matter. */
+export const freshnessTicks = 2;
+
+const vmCount = 3;
+const vmIndexes = [0, 1, 2];
+const vmIds = vmIndexes.map(index => ids.toVmId(`v${index}`));
+
+const noDigests: readonly undefined[] = [undefined, undefined, undefined];
+
+const createVm = (): ModelVm => {
+    const unsynced = revisions.applyAdoption(revisions.createRevisionState(-1), ids.toRevision(1));
+    const state = revisions.applyConfirmation(unsynced, { revision: ids.toRevision(1), atMs: 0 });
+    return { state, digests: noDigests, message: undefined, hasEverAdopted: false, hasReverted: false };
+};
+
+/**
+ * Creates the initial state.
+ *
+ * @param bounds - how often the costly events may occur
+ * @returns all VMs synced on revision 1 at time 0
+ */
+export const createModelState = (bounds: ModelBounds): ModelState => ({
+    now: 0,
+    committed: 1,
+    acceptedAt: undefined,
+    vms: vmIndexes.map(createVm),
+    left: bounds,
+});
+
+const updateVm = (state: ModelState, index: number, change: (vm: ModelVm) => ModelVm): ModelState => ({
+    ...state,
+    vms: state.vms.map((vm, other) => (other === index ? change(vm) : vm)),
+});
+
+const takeOne = (state: ModelState, bound: keyof ModelBounds): ModelState => ({
+    ...state,
+    left: { ...state.left, [bound]: state.left[bound] - 1 },
+});
+
+const adopt = (vm: ModelVm, revision: number, rules: ModelRules): ModelVm => {
+    const before = vm.state.inUse.revision;
+    const state =
+        rules.adoptsLower && revision > 0
+            ? { ...vm.state, inUse: { ...vm.state.inUse, revision: ids.toRevision(revision) } }
+            : revisions.applyAdoption(vm.state, ids.toRevision(revision));
+    const after = state.inUse.revision;
+    return {
+        ...vm,
+        state,
+        hasEverAdopted: vm.hasEverAdopted || after >= 2,
+        hasReverted: vm.hasReverted || after < before,
+    };
+};
+
+const confirm = (vm: ModelVm, confirmation: types.Confirmation, rules: ModelRules): ModelVm => {
+    const startedAtMs = rules.syncsByOldNews ? -Infinity : vm.state.startedAtMs;
+    const next = revisions.applyConfirmation({ ...vm.state, startedAtMs }, confirmation);
+    return { ...vm, state: { ...next, startedAtMs: vm.state.startedAtMs } };
+};
+
+const confirmByMajority = (vm: ModelVm, index: number, now: number, rules: ModelRules): ModelVm => {
+    const { revision, confirmedAtMs } = vm.state.inUse;
+    const self = { vm: vmIds[index] as shared.VmId, revision, synced: confirmedAtMs !== undefined, seenAtMs: now };
+    const known = vm.digests.map((digest, other) => (other === index ? self : digest));
+    const counted = known
+        .filter(digest => digest !== undefined)
+        .map(digest => (rules.countsUnsynced ? { ...digest, synced: true } : digest));
+    const byVm = new Map(counted.map(digest => [digest.vm, digest]));
+    const majority = revisions.computeMajorityConfirmation(vmIds, byVm);
+    return majority === undefined ? vm : confirm(vm, majority, rules);
+};
+
+/** The same steps as the daemon's on an answer: adopt, merge the digest, then confirm by the peer and by majority. */
+const receive = (vm: ModelVm, index: number, now: number, rules: ModelRules): ModelVm => {
+    if (vm.message === undefined) {
+        return vm;
+    }
+    const { from, content, requestedAt } = vm.message;
+    const date = rules.datesAtAnswer ? now : requestedAt;
+    const revision = ids.toRevision(content.revision);
+    let next = adopt({ ...vm, message: undefined }, content.revision, rules);
+    if (from === "table") {
+        return confirm(next, revisions.toReadConfirmation(revision, date), rules);
+    }
+    const digest = { vm: vmIds[from] as shared.VmId, revision, synced: content.synced, seenAtMs: date };
+    next = { ...next, digests: next.digests.map((old, other) => (other === from ? digest : old)) };
+    if (content.confirmation !== undefined) {
+        const { revision: confirmed, age } = content.confirmation;
+        next = confirm(next, revisions.toPeerConfirmation(ids.toRevision(confirmed), age, date), rules);
+    }
+    return confirmByMajority(next, index, now, rules);
+};
+
+const createContent = (state: ModelState, from: number | "table"): Content => {
+    const vm = from === "table" ? undefined : state.vms[from];
+    if (vm === undefined) {
+        return { revision: state.committed, synced: true, confirmation: undefined };
+    }
+    const { revision, confirmedAtMs } = vm.state.inUse;
+    const confirmation = confirmedAtMs === undefined ? undefined : { revision, age: state.now - confirmedAtMs };
+    return { revision, synced: confirmedAtMs !== undefined, confirmation };
+};
+
+/** Acceptance needs a majority that has adopted at one moment; the publisher finds that out by asking twice. */
+const accept = (state: ModelState, rules: ModelRules): ModelState => {
+    if (state.acceptedAt !== undefined) {
+        return state;
+    }
+    const adopters = state.vms.filter(vm =>
+        rules.acceptsPastAdoption ? vm.hasEverAdopted : vm.state.inUse.revision >= 2,
+    );
+    return adopters.length * 2 > vmCount ? { ...state, acceptedAt: state.now } : state;
+};
+
+const restart = (state: ModelState, index: number): ModelState =>
+    updateVm(takeOne(state, "restarts"), index, vm => ({
+        state: revisions.createRevisionState(state.now),
+        digests: noDigests,
+        message: undefined,
+        hasEverAdopted: vm.hasEverAdopted,
+        hasReverted: vm.hasReverted,
+    }));
+
+const applyEvent = (state: ModelState, event: ModelEvent, rules: ModelRules): ModelState => {
+    switch (event.type) {
+        case "tick":
+            return { ...takeOne(state, "ticks"), now: state.now + 1 };
+        case "commit":
+            return { ...state, committed: 2 };
+        case "announce":
+            return updateVm(state, event.vm, vm => adopt(vm, state.committed, rules));
+        case "restart":
+            return restart(state, event.vm);
+        case "answer": {
+            const { from, requestedAt } = event;
+            const message: Message = { from, requestedAt, content: createContent(state, from) };
+            const next = takeOne(state, from === "table" ? "tableReads" : "pulls");
+            return updateVm(next, event.vm, vm => ({ ...vm, message }));
+        }
+        case "receive":
+            return updateVm(state, event.vm, vm => receive(vm, event.vm, state.now, rules));
+    }
+};
+
+/**
+ * Applies an event.
+ *
+ * @param state - the state
+ * @param event - one of {@link listEvents}
+ * @param rules - the rules, sound or broken
+ * @returns the next state
+ */
+export const computeNextState = (state: ModelState, event: ModelEvent, rules: ModelRules): ModelState =>
+    accept(applyEvent(state, event, rules), rules);
+
+/** An answer may be made up to one tick after the request was started; it may be received at any later time. */
+const listAnswers = (state: ModelState, vm: number, from: number | "table"): readonly ModelEvent[] => {
+    const startedAt = state.vms[vm]?.state.startedAtMs ?? 0;
+    return (state.left.delays > 0 ? [state.now, state.now - 1] : [state.now])
+        .filter(requestedAt => requestedAt >= startedAt)
+        .map(requestedAt => ({ type: "answer", vm, from, requestedAt }));
+};
+
+const listVmEvents = (state: ModelState, vm: number): readonly ModelEvent[] => {
+    const { message, state: known } = state.vms[vm] as ModelVm;
+    const list: ModelEvent[] = [];
+    if (message !== undefined) {
+        list.push({ type: "receive", vm });
+    }
+    if (state.committed === 2 && known.inUse.revision < 2) {
+        list.push({ type: "announce", vm });
+    }
+    if (state.left.restarts > 0) {
+        list.push({ type: "restart", vm });
+    }
+    if (state.left.tableReads > 0) {
+        list.push(...listAnswers(state, vm, "table"));
+    }
+    if (state.left.pulls > 0) {
+        const peers = vmIndexes.filter(other => other !== vm);
+        list.push(...peers.flatMap(from => listAnswers(state, vm, from)));
+    }
+    return list;
+};
+
+const listAllEvents = (state: ModelState): readonly ModelEvent[] => [
+    ...(state.committed === 2 && state.left.ticks > 0 ? [{ type: "tick" } as const] : []),
+    ...(state.committed === 1 ? [{ type: "commit" } as const] : []),
+    ...vmIndexes.flatMap(vm => listVmEvents(state, vm)),
+];
+
+/**
+ * Lists the events that may happen next. A new answer replaces one that has not been received, which is then lost.
+ *
+ * @param state - the state
+ * @returns the events
+ */
+export const listEvents = (state: ModelState): readonly ModelEvent[] => {
+    const receiver = state.vms.findIndex(vm => vm.message !== undefined);
+    return state.left.delays === 0 && receiver >= 0 ? [{ type: "receive", vm: receiver }] : listAllEvents(state);
+};
+
+/**
+ * Checks the invariants in a state.
+ *
+ * @param state - the state
+ * @returns the invariant that is broken, or undefined
+ */
+export const findViolation = (state: ModelState): string | undefined => {
+    if (state.vms.some(vm => vm.hasReverted)) {
+        return "the revision in use of an incarnation decreased";
+    }
+    const { acceptedAt, now } = state;
+    if (acceptedAt === undefined || now - acceptedAt <= freshnessTicks) {
+        return undefined;
+    }
+    const isOutdated = state.vms.some(
+        ({ state: { inUse } }) =>
+            inUse.revision < 2 && freshness.computeVerdict(inUse, now, freshnessTicks).kind === "fresh",
+    );
+    return isOutdated ? "a VM may dispatch on a revision older than one accepted before the deadline" : undefined;
+};
--- a/src/common/freshness/revisions.test.ts
+++ b/src/common/freshness/revisions.test.ts
@@ -31,7 +31,7 @@
 
 test("news from before the start does not sync a restarted VM", t => {
     const state = revisions.createRevisionState(1000);
-    t.is(revisions.applyConfirmation(state, confirm(0, 999)), state);
+    t.is(revisions.applyConfirmation(state, confirm(0, 1000)), state);
 });
 
 test("a majority is dated by its oldest digest and counts neither unsynced nor unlisted VMs", t => {
--- a/src/common/freshness/revisions.ts
+++ b/src/common/freshness/revisions.ts
@@ -45,8 +45,9 @@
 /**
  * Applies a confirmation. One of a greater revision takes effect when that revision has been adopted.
  *
- * A confirmation dated before the start of the incarnation is ignored. Otherwise a restarted VM could be synced by old
- * news, count towards a majority, and outvote the VMs that still hold a revision that it had helped to accept.
+ * A confirmation that is not dated after the start of the incarnation is ignored. Otherwise a restarted VM could be
+ * synced by old news, count towards a majority, and outvote the VMs that still hold a revision that it had helped to
+ * accept. The model check in `revisionModel.test.ts` shows the trace.
  *
  * @param state - what the incarnation knows
  * @param confirmation - the confirmation, with a local time
@@ -56,7 +57,7 @@
     state: types.RevisionState,
     confirmation: types.Confirmation,
 ): types.RevisionState => {
-    if (confirmation.atMs < state.startedAtMs) {
+    if (confirmation.atMs <= state.startedAtMs) {
         return state;
     }
     const { revision, confirmedAtMs } = state.inUse;
--- a/src/node/configuration/headPoll.ts
+++ b/src/node/configuration/headPoll.ts
@@ -10,6 +10,9 @@
 
 const headKey = "config/head";
 
+/** A confirmation has to be dated after the start; a clock in whole milliseconds would not tell them apart. */
+const firstDelayMs = 1;
+
 export interface HeadPollOptions {
     readonly table: platform.TableService;
     readonly scheduler: shared.Scheduler;
@@ -76,7 +79,7 @@
         timer = scheduler.schedule(Math.max(0, options.intervalMs - elapsedMs), () => void poll());
     };
 
-    void poll();
+    timer = scheduler.schedule(firstDelayMs, () => void poll());
     return {
         dispose: () => {
             isDisposed = true;
