--- /dev/null
+++ b/src/common/crashes/crashes.test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import * as crashRegistry from "./crashRegistry.js";
+import * as fingerprint from "./fingerprint.js";
+
+const createSetup = (maxEntries = 1_000) => {
+    const time = { nowMs: 0 };
+    const scheduler = { now: () => time.nowMs };
+    return { time, ...crashRegistry.createCrashRegistry({ scheduler, limit: 2, maxEntries, retentionMs: 600_000 }) };
+};
+
+test("a request is blocked after two crashes, wherever they were seen", t => {
+    const setup = createSetup();
+    t.true(setup.isEmpty());
+    t.is(setup.recordCrash("f"), 1);
+    t.false(setup.isBlocked("f"));
+    setup.mergeCount("f", 1);
+    t.false(setup.isBlocked("f"), "a peer's copy of the same count is no second crash");
+    t.is(setup.recordCrash("f"), 2);
+    t.true(setup.isBlocked("f"));
+    setup.mergeCount("g", 2);
+    t.true(setup.isBlocked("g"));
+    t.deepEqual(setup.list(), [
+        { fingerprint: "f", count: 2 },
+        { fingerprint: "g", count: 2 },
+    ]);
+});
+
+test("entries expire although peers repeat them, and the oldest is dropped when the registry is full", t => {
+    const setup = createSetup(2);
+    setup.recordCrash("f");
+    setup.time.nowMs = 599_999;
+    setup.mergeCount("f", 1);
+    t.false(setup.isEmpty());
+    setup.time.nowMs = 600_000;
+    t.true(setup.isEmpty());
+    ["a", "b", "c"].forEach(text => setup.recordCrash(text));
+    t.deepEqual(
+        setup.list().map(entry => entry.fingerprint),
+        ["b", "c"],
+    );
+});
+
+test("the fingerprint depends on each part, and on the first 64 KiB of the body only", t => {
+    const parts = {
+        service: "s",
+        method: "POST",
+        path: "/a",
+        query: "",
+        bodyLength: 70_000,
+        bodyStart: new Uint8Array(70_000),
+    };
+    const base = fingerprint.computeFingerprint(parts);
+    const tail = new Uint8Array(70_000);
+    tail[69_999] = 1;
+    t.is(fingerprint.computeFingerprint({ ...parts, bodyStart: tail }), base);
+    const head = new Uint8Array(70_000);
+    head[0] = 1;
+    const changes = [
+        { bodyStart: head },
+        { service: "t" },
+        { method: "PUT" },
+        { path: "/b" },
+        { path: "/", query: "a" },
+        { bodyLength: 1 },
+    ];
+    const others = changes.map(change => fingerprint.computeFingerprint({ ...parts, ...change }));
+    t.is(new Set([base, ...others]).size, changes.length + 1);
+});
--- /dev/null
+++ b/src/common/crashes/fingerprint.ts
@@ -0,0 +1,24 @@
+/**
+ * Fingerprint of a request.
+ */
+import * as crypto from "node:crypto";
+import * as types from "./Types.js";
+
+/** Bytes of the body that the fingerprint covers. */
+export const fingerprintBodyBytes = 64 * 1024;
+
+/**
+ * Computes the fingerprint of a request.
+ *
+ * @param parts - what identifies the request
+ * @returns SHA-256 in lower-case hexadecimal
+ */
+export const computeFingerprint = (parts: types.FingerprintParts): string => {
+    const fields = [parts.service, parts.method, parts.path, parts.query, String(parts.bodyLength)];
+    // JSON separates the fields, so that moving a character from one to the next gives another fingerprint.
+    return crypto
+        .createHash("sha256")
+        .update(JSON.stringify(fields))
+        .update(parts.bodyStart.subarray(0, fingerprintBodyBytes))
+        .digest("hex");
+};
--- /dev/null
+++ b/src/common/health/targetHealth.test.ts
@@ -0,0 +1,133 @@
+import test from "ava";
+import * as fastCheck from "fast-check";
+import * as adaptiveLimit from "../limits/adaptiveLimit.js";
+import * as ids from "../ids.js";
+import * as routing from "../routing/Types.js";
+import * as targetHealth from "./targetHealth.js";
+import * as types from "./Types.js";
+
+const counts = { slots: 4, coldSlots: 1 };
+
+const createReport = (state: routing.TargetReport["state"], boot = "b1"): routing.TargetReport => ({
+    state,
+    busy: undefined,
+    boot: ids.toBootId(boot),
+});
+
+const reported = (
+    state: routing.TargetReport["state"],
+    askedAtMs: number | undefined,
+    boot?: string,
+): types.HealthEvent => ({ kind: "reported", report: createReport(state, boot), askedAtMs });
+
+const failed: types.HealthEvent = { kind: "failed", mayEject: true };
+
+/** Applies events at their times, beginning with a target that has never been seen. */
+const run = (...steps: readonly (readonly [number, types.HealthEvent])[]): types.TargetHealth =>
+    steps.reduce(
+        (health, [nowMs, event]) => targetHealth.applyHealthEvent(health, event, nowMs),
+        targetHealth.initialHealth,
+    );
+
+test("a target that was never seen is cold, and an answer without a report does not make it warm", t => {
+    t.true(targetHealth.isCold(targetHealth.initialHealth, 0));
+    t.true(targetHealth.isCold(run([1, { kind: "answered" }]), 1));
+    t.is(run([1, reported("warm", 0)]).state.kind, "warm");
+});
+
+test("a warm report that was asked for before a cold one arrived does not raise the limit", t => {
+    const cold = [10, reported("cold", 5)] as const;
+    t.is(run(cold, [11, reported("warm", 9)]).state.kind, "cold");
+    t.is(run(cold, [11, reported("warm", undefined)]).state.kind, "cold");
+    t.is(run(cold, [20, reported("warm", 11)]).state.kind, "warming");
+});
+
+test("a late report of an earlier boot does not raise the limit of the new one", t => {
+    const restarted = [[1, reported("warm", 0)] as const, [10, reported("cold", 5, "b2")] as const] as const;
+    t.is(run(...restarted, [12, reported("warm", 6, "b1")]).state.kind, "cold");
+    t.is(run(...restarted, [12, reported("warm", 6, "b1")]).boot, ids.toBootId("b2"));
+    t.is(run(...restarted, [12, reported("draining", 6, "b1")]).state.kind, "cold");
+});
+
+test("a new boot id means cold, and a failure soon afterwards means cold again", t => {
+    const restarted = run([1, reported("warm", 0)], [10, reported("warm", 5, "b2")]);
+    t.deepEqual(restarted.state, { kind: "warming", sinceMs: 10 });
+    const warm = targetHealth.applyHealthEvent(restarted, { kind: "warmedUp" }, 1_100);
+    t.is(targetHealth.applyHealthEvent(warm, failed, 2_000).state.kind, "cold");
+    t.is(targetHealth.applyHealthEvent(warm, failed, 30_000).state.kind, "warm");
+});
+
+test("a target that was unreachable for more than 5 s counts as cold", t => {
+    const health = run([1, reported("warm", 0)], [100, failed]);
+    t.false(targetHealth.isCold(health, 5_000));
+    t.true(targetHealth.isCold(health, 5_101));
+    t.is(targetHealth.applyHealthEvent(health, { kind: "answered" }, 5_101).state.kind, "cold");
+    t.is(adaptiveLimit.computeLimit(health, counts, 0, false, 5_101), 1);
+});
+
+test("three failures eject a target, each failed trial doubles the time, and half of a cell stays", t => {
+    const warm = [1, reported("warm", 0)] as const;
+    const ejected = run(warm, [2, failed], [3, failed], [4, failed]);
+    t.deepEqual(ejected.state, { kind: "ejected", untilMs: 504, times: 1 });
+    t.is(adaptiveLimit.computeLimit(ejected, counts, 0, false, 503), 0);
+    t.is(adaptiveLimit.computeLimit(ejected, counts, 0, false, 504), 1);
+    const early = targetHealth.applyHealthEvent(ejected, failed, 100);
+    t.deepEqual(early.state, ejected.state, "a call from before the ejection is no trial");
+    t.deepEqual(targetHealth.applyHealthEvent(ejected, failed, 600).state, {
+        kind: "ejected",
+        untilMs: 1_600,
+        times: 2,
+    });
+    t.is(targetHealth.applyHealthEvent(ejected, { kind: "answered" }, 600).state.kind, "warm");
+    const kept: types.HealthEvent = { kind: "failed", mayEject: false };
+    t.is(run(warm, [2, kept], [3, kept], [4, kept], [5, kept]).state.kind, "warm");
+});
+
+test("after warm is reported the limit doubles every 500 ms; a slow target recovers by a slot per 200 ms", t => {
+    const limits = (health: types.TargetHealth, times: readonly number[]): readonly number[] =>
+        times.map(nowMs => adaptiveLimit.computeLimit(health, counts, 0, false, nowMs));
+    t.deepEqual(
+        limits(run([1, reported("cold", 0)], [10, reported("warm", 5)]), [10, 509, 510, 1_010, 9_999]),
+        [1, 1, 2, 4, 4],
+    );
+    const slow = run([1, reported("warm", 0)], [2, { kind: "compared", ratio: 3.1 }]);
+    t.deepEqual(limits(slow, [2, 10_000]), [1, 1]);
+    t.is(targetHealth.applyHealthEvent(slow, { kind: "compared", ratio: 1.6 }, 3).state.kind, "slow");
+    const recovered = targetHealth.applyHealthEvent(slow, { kind: "compared", ratio: 1.4 }, 1_000);
+    t.deepEqual(limits(recovered, [1_000, 1_200, 1_400, 1_600, 9_999]), [1, 2, 3, 4, 4]);
+});
+
+const anyEvent: fastCheck.Arbitrary<types.HealthEvent> = fastCheck.oneof(
+    fastCheck.record({
+        kind: fastCheck.constant("reported" as const),
+        report: fastCheck.record({
+            state: fastCheck.constantFrom("cold" as const, "warm" as const, "draining" as const),
+            busy: fastCheck.constant(undefined),
+            boot: fastCheck.constantFrom(undefined, ids.toBootId("b1"), ids.toBootId("b2")),
+        }),
+        askedAtMs: fastCheck.option(fastCheck.nat(20_000), { nil: undefined }),
+    }),
+    fastCheck.constant({ kind: "answered" as const }),
+    fastCheck.record({ kind: fastCheck.constant("failed" as const), mayEject: fastCheck.boolean() }),
+    fastCheck.record({ kind: fastCheck.constant("compared" as const), ratio: fastCheck.double({ min: 0, max: 9 }) }),
+    fastCheck.constant({ kind: "warmedUp" as const }),
+);
+
+test("no sequence of events gives a limit above the slots, or above the cold slots while cold", t => {
+    const step = fastCheck.tuple(fastCheck.nat(3_000), anyEvent);
+    fastCheck.assert(
+        fastCheck.property(fastCheck.array(step), fastCheck.nat(8), fastCheck.boolean(), (steps, busy, isHigh) => {
+            let health = targetHealth.initialHealth;
+            let nowMs = 0;
+            for (const [passedMs, event] of steps) {
+                nowMs += passedMs;
+                health = targetHealth.applyHealthEvent(health, event, nowMs);
+                const limit = adaptiveLimit.computeLimit(health, counts, busy, isHigh, nowMs);
+                const most = targetHealth.isCold(health, nowMs) ? counts.coldSlots : counts.slots;
+                t.true(limit >= 0 && limit <= most);
+                t.true(health.state.kind !== "draining" || limit === 0);
+            }
+        }),
+        { seed: 11, numRuns: 300 },
+    );
+});
--- /dev/null
+++ b/src/common/limits/retryBudget.ts
@@ -0,0 +1,109 @@
+/**
+ * One budget for the retries, hedged requests and resends of a service.
+ */
+import * as routing from "../routing/Types.js";
+import * as types from "../Types.js";
+import * as tokenBucket from "./tokenBucket.js";
+
+/** Retries as a share of the calls in the window. */
+export const retryShare = 0.1;
+export const windowSeconds = 10;
+/** Retries that are allowed however few calls there are. */
+export const retryFloor: tokenBucket.TokenRate = { perSecond: 3, burst: 3 };
+
+/** Counts of the last seconds, newest last. */
+export interface RetryWindow {
+    /** Number of the second that the last count belongs to. */
+    readonly second: number;
+    readonly calls: readonly number[];
+    readonly retries: readonly number[];
+    readonly floor: tokenBucket.TokenBucket;
+}
+
+const createZeros = (count: number): number[] => Array.from({ length: count }, () => 0);
+
+/**
+ * Creates a window without calls.
+ *
+ * @param nowMs - local monotonic time
+ * @returns the window
+ */
+export const createRetryWindow = (nowMs: number): RetryWindow => ({
+    second: Math.floor(nowMs / 1_000),
+    calls: createZeros(windowSeconds),
+    retries: createZeros(windowSeconds),
+    floor: tokenBucket.createTokenBucket(retryFloor, nowMs),
+});
+
+const moveWindow = (window: RetryWindow, nowMs: number): RetryWindow => {
+    const second = Math.floor(nowMs / 1_000);
+    const passed = Math.min(windowSeconds, second - window.second);
+    if (passed <= 0) {
+        return window;
+    }
+    const move = (counts: readonly number[]): number[] => [...counts.slice(passed), ...createZeros(passed)];
+    return { ...window, second, calls: move(window.calls), retries: move(window.retries) };
+};
+
+const addOne = (counts: readonly number[]): number[] => {
+    const next = [...counts];
+    next[next.length - 1] = (next[next.length - 1] ?? 0) + 1;
+    return next;
+};
+
+const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
+
+/**
+ * Counts a call.
+ *
+ * @param window - counts before it
+ * @param nowMs - local monotonic time
+ * @returns counts after it
+ */
+export const addCall = (window: RetryWindow, nowMs: number): RetryWindow => {
+    const moved = moveWindow(window, nowMs);
+    return { ...moved, calls: addOne(moved.calls) };
+};
+
+/**
+ * Takes a retry.
+ *
+ * @param window - counts before it
+ * @param nowMs - local monotonic time
+ * @returns counts after it, or undefined if neither the share nor the floor allows it
+ */
+export const takeRetry = (window: RetryWindow, nowMs: number): RetryWindow | undefined => {
+    const moved = moveWindow(window, nowMs);
+    // The floor is used first and counts towards the share, so the larger of the two is the bound, not their sum.
+    const floor = tokenBucket.takeTokens(moved.floor, retryFloor, 1, nowMs);
+    if (floor !== undefined) {
+        return { ...moved, floor, retries: addOne(moved.retries) };
+    }
+    const allowed = sum(moved.calls) * retryShare;
+    return sum(moved.retries) + 1 <= allowed ? { ...moved, retries: addOne(moved.retries) } : undefined;
+};
+
+/**
+ * Creates the budgets of all services.
+ *
+ * @param options - the clock
+ * @returns the budgets
+ */
+export const createRetryBudget = (options: { readonly scheduler: types.Clock }): routing.RetryBudget => {
+    const windows = new Map<types.ServiceName, RetryWindow>();
+
+    const getWindow = (service: types.ServiceName): RetryWindow =>
+        windows.get(service) ?? createRetryWindow(options.scheduler.now());
+
+    return {
+        recordCall: service => void windows.set(service, addCall(getWindow(service), options.scheduler.now())),
+        takeRetry: service => {
+            const next = takeRetry(getWindow(service), options.scheduler.now());
+            if (next === undefined) {
+                return false;
+            }
+            windows.set(service, next);
+            return true;
+        },
+    };
+};
