--- a/src/common/routing/coldGate.ts
+++ b/src/common/routing/coldGate.ts
@@ -1,6 +1,7 @@
 /**
  * Applies the cold lease to the limit of a target.
  */
+import * as coldLease from "../coldstart/coldLease.js";
 import * as targetHealth from "../health/targetHealth.js";
 import * as targetEntry from "./targetEntry.js";
 import * as types from "./Types.js";
@@ -14,18 +15,6 @@
 const coldLatencyFactor = 4;
 const askIntervalMs = 1_000;
 
-/**
- * Computes until when a call at a cold target may run.
- *
- * @param entry - the target
- * @param coldLeases - the leases that this entry VM holds
- * @returns local monotonic time, or undefined without a lease
- */
-export const computeColdEndMs = (entry: targetEntry.TargetEntry, coldLeases: types.ColdLeases): number | undefined => {
-    const leaseEndMs = coldLeases.leaseEndMs(entry.config.id);
-    return leaseEndMs === undefined ? undefined : leaseEndMs - cancelMarginMs;
-};
-
 /**
  * Sets the limit of a cold target to 0 unless its lease lasts long enough, and asks for the lease.
  *
@@ -52,9 +41,14 @@
     if (entry.limit === 0) {
         return;
     }
-    const endMs = computeColdEndMs(entry, coldLeases);
     const neededMs = Math.min(longestColdDemandMs, Math.max(shortestColdCallMs, coldLatencyFactor * meanMs));
-    if (endMs === undefined || endMs - nowMs < neededMs) {
+    entry.coldEndMs = coldLease.computeCallEndMs(
+        coldLeases.leaseEndMs(entry.config.id),
+        neededMs,
+        cancelMarginMs,
+        nowMs,
+    );
+    if (entry.coldEndMs === undefined) {
         entry.limit = 0;
     }
 };
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -76,7 +76,7 @@
     ): types.SlotGrant => {
         const nowMs = scheduler.now();
         const isCold = targetHealth.isCold(entry.health, nowMs);
-        const coldEndMs = isCold ? (coldGate.computeColdEndMs(entry, coldLeases) ?? nowMs) : Infinity;
+        const coldEndMs = isCold ? (entry.coldEndMs ?? nowMs) : Infinity;
         targetEntry.addCall(entry, nowMs, isCold);
         logger.info("route: local", {
             call: request.call,
--- /dev/null
+++ b/src/common/routing/routing.test.ts
@@ -0,0 +1,182 @@
+import test from "ava";
+import * as fastCheck from "fast-check";
+import * as random from "../random.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as ids from "../ids.js";
+import * as membership from "../membership/Types.js";
+import * as fixtures from "./fixture.js";
+import * as pickTarget from "./pickTarget.js";
+import * as types from "./Types.js";
+
+const self = fixtures.createMember("vm-a", "a");
+const peer = fixtures.createMember("vm-b", "b");
+const target = ids.toTargetId("t0");
+
+const createSetup = (shape: Partial<fixtures.ServiceShape> = {}, seed = 3) => {
+    const scheduler = virtualScheduler.createVirtualScheduler(10_000);
+    const configuration = fixtures.createConfiguration({ ...fixtures.smallShape, ...shape });
+    const members = [self, peer];
+    const logger = silentLogger.createSilentLogger();
+    const fixture = fixtures.createDispatcherFixture({ self, members, configuration, scheduler, logger, seed });
+    const acquire = (request: Partial<types.SlotRequest> = {}): Promise<types.SlotGrant> =>
+        fixture.dispatcher.acquire({
+            call: ids.toCallId("c"),
+            service: ids.toServiceName("bookings"),
+            deadlineAtMs: scheduler.now() + 30_000,
+            exclude: [],
+            mayForward: true,
+            signal: new AbortController().signal,
+            ...request,
+        });
+    const findView = (id = target): types.TargetView | undefined =>
+        fixture.dispatcher.listTargets().find(view => view.target.id === id);
+    return { ...fixture, scheduler, acquire, findView };
+};
+
+test("a free target with a low expected time is picked; one with a stalled call or failures is not", t => {
+    const base = { limit: 4, inFlight: 1, latencyMs: 10, oldestStartMs: 90, failures: 0 };
+    const pick = (...candidates: readonly pickTarget.Candidate[]): number =>
+        candidates.indexOf(pickTarget.pickTarget(candidates, 0, 100, () => true) ?? base);
+    t.is(pick({ ...base, inFlight: 2 }, base), 1);
+    t.is(pick({ ...base, oldestStartMs: 0 }, base), 1);
+    t.is(pick({ ...base, failures: 1, latencyMs: 6, oldestStartMs: 99 }, base), 1);
+    t.is(pick({ ...base, limit: 1 }, { ...base, limit: 0, inFlight: 0 }), -1);
+});
+
+const createLoad = (load: Partial<membership.CellLoad>): membership.CellLoad => ({
+    cell: ids.toCellId(ids.toServiceName("bookings"), ids.toZoneName("b")),
+    owner: peer.info.vm,
+    freeSlots: 2,
+    queued: 0,
+    expectedWaitMs: 0,
+    measuredAtMs: 10_000,
+    ...load,
+});
+
+test("a call spills over only if its wait exceeds the link and the remote wait, and never a second time", async t => {
+    const createBusy = async (linkDelayMs: number) => {
+        const setup = createSetup({ zones: ["a", "b"], targets: 2, slots: 1, queueLimit: 100, linkDelayMs });
+        setup.setWarm();
+        await setup.acquire();
+        return setup;
+    };
+    const isRemote = async (setup: Awaited<ReturnType<typeof createBusy>>, mayForward = true): Promise<boolean> =>
+        Promise.race([
+            setup.acquire({ mayForward }).then(grant => grant.kind === "remote"),
+            setup.scheduler.advance(1).then(() => false),
+        ]);
+    const near = await createBusy(4);
+    near.setCellLoads([createLoad({})]);
+    t.false(await isRemote(near, false));
+    t.true(await isRemote(near), "10 ms for each of two calls ahead are more than 8 ms for the link");
+    const loaded = await createBusy(4);
+    loaded.setCellLoads([createLoad({ freeSlots: 0, expectedWaitMs: 50 })]);
+    t.false(await isRemote(loaded));
+    const far = await createBusy(50);
+    far.setCellLoads([createLoad({})]);
+    t.false(await isRemote(far));
+});
+
+test("forwarded calls use up the free slots that an old load shows", async t => {
+    const setup = createSetup({ zones: ["a", "b"], targets: 2, slots: 1, queueLimit: 100, linkDelayMs: 2 });
+    setup.setWarm();
+    await setup.acquire();
+    setup.setCellLoads([createLoad({ freeSlots: 2 })]);
+    let remote = 0;
+    for (let call = 0; call < 20; call++) {
+        const grant = setup.acquire().then(result => (remote += result.kind === "remote" ? 1 : 0));
+        await Promise.race([grant, setup.scheduler.advance(0)]);
+    }
+    t.true(remote >= 2 && remote < 15, `${String(remote)} calls were forwarded on one measurement`);
+});
+
+test("a cold target gets calls only under its lease, one at a time, and they end before it does", async t => {
+    const setup = createSetup({ targets: 1, slots: 4 });
+    const first = setup.acquire();
+    const second = setup.acquire();
+    await setup.scheduler.advance(100);
+    t.deepEqual(setup.asked, [target]);
+    t.is(setup.findView()?.inFlight, 0);
+    setup.leases.set(target, setup.scheduler.now() + 8_000);
+    setup.fireTaken(target);
+    const grant = await first;
+    t.is(setup.findView()?.inFlight, 1);
+    t.like(grant, { kind: "local", endsAtMs: setup.scheduler.now() + 7_750 });
+    if (grant.kind === "local") {
+        setup.leases.set(target, setup.scheduler.now() + 300);
+        grant.release({ kind: "answered", latencyMs: 5, report: { state: "cold", busy: 0, boot: undefined } });
+        await setup.scheduler.advance(100);
+        t.is(setup.findView()?.inFlight, 0, "the lease ends too soon for another call");
+    }
+    await setup.scheduler.advance(1);
+    setup.setWarm();
+    await second;
+    t.deepEqual(setup.given, [target], "the lease is given up once the target is warm");
+});
+
+test("a lease is kept while a call that needed it is in flight", async t => {
+    const setup = createSetup({ targets: 1 });
+    setup.leases.set(target, setup.scheduler.now() + 8_000);
+    const grant = await setup.acquire();
+    setup.setOwnership(fixtures.createOwnership(fixtures.createConfiguration(fixtures.smallShape), [peer]));
+    t.deepEqual(setup.given, []);
+    if (grant.kind === "local") {
+        grant.release({ kind: "cancelled" });
+    }
+    t.deepEqual(setup.given, [target]);
+});
+
+test("a target that refuses or fails fast does not attract the calls", async t => {
+    const setup = createSetup({ targets: 2, slots: 4 });
+    setup.setWarm();
+    let bad = 0;
+    for (let call = 0; call < 200; call++) {
+        const grant = await setup.acquire();
+        if (grant.kind === "local") {
+            const isBad = grant.target.id === target;
+            bad += isBad ? 1 : 0;
+            await setup.scheduler.advance(isBad ? 0 : 5);
+            const refusal = { kind: call % 2 === 0 ? "refused" : "broken", report: undefined } as const;
+            grant.release(isBad ? refusal : { kind: "answered", latencyMs: 5, report: undefined });
+        }
+    }
+    t.true(bad < 20, `${String(bad)} of 200 calls went to the failing target`);
+});
+
+test("under random calls, reports and changes, no target exceeds its slots and no call is lost", async t => {
+    const property = fastCheck.asyncProperty(fastCheck.integer(), async seed => {
+        const setup = createSetup({ targets: 4, slots: 2, queueLimit: 6, zones: ["a"] }, seed);
+        const source = random.createRandom(seed);
+        const held: types.SlotGrant[] = [];
+        let open = 0;
+        setup.setWarm();
+        for (let step = 0; step < 150; step++) {
+            const choice = source.nextInt(10);
+            if (choice < 5) {
+                open++;
+                const deadlineAtMs = setup.scheduler.now() + 20 + source.nextInt(400);
+                void setup.acquire({ deadlineAtMs }).then(grant => (open--, held.push(grant)));
+            } else if (choice < 9) {
+                const grant = held.splice(source.nextInt(Math.max(1, held.length)), 1)[0];
+                if (grant?.kind === "local") {
+                    const kinds = ["broken", "silent", "unreachable", "cancelled"] as const;
+                    const kind = kinds[source.nextInt(8)];
+                    grant.release(kind ? { kind } : { kind: "answered", latencyMs: 9, report: undefined });
+                }
+            } else {
+                const report = { state: "draining", busy: undefined, boot: undefined } as const;
+                setup.dispatcher.applyReport(ids.toTargetId(`t${String(source.nextInt(4))}`), report);
+                await setup.scheduler.advance(1);
+                setup.setWarm();
+            }
+            await setup.scheduler.advance(source.nextInt(20));
+            if (setup.dispatcher.listTargets().some(view => view.inFlight > view.target.slots)) {
+                return false;
+            }
+        }
+        await setup.scheduler.advance(1_000);
+        return open === 0;
+    });
+    await t.notThrowsAsync(fastCheck.assert(property, { seed: 5, numRuns: 30 }));
+});
--- a/src/common/routing/targetEntry.ts
+++ b/src/common/routing/targetEntry.ts
@@ -51,6 +51,8 @@
     /** When the cold lease was last asked for. */
     leaseAskedAtMs: number;
     hasLease: boolean;
+    /** Until when a call under the cold lease may run; undefined if none may be sent. */
+    coldEndMs: number | undefined;
     /** Record that took over the calls in flight, after the target's address has changed. */
     successor: TargetEntry | undefined;
 }
@@ -85,6 +87,7 @@
     peakSinceMs: 0,
     leaseAskedAtMs: -Infinity,
     hasLease: false,
+    coldEndMs: undefined,
     successor: undefined,
 });
 
--- /dev/null
+++ b/src/node/coldstart/coldLeases.test.ts
@@ -0,0 +1,115 @@
+import test from "ava";
+import * as ids from "../../common/ids.js";
+import * as memoryPlatform from "../../testing/memoryPlatform.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as coldLeases from "./coldLeases.js";
+
+const target = ids.toTargetId("t1");
+
+const createSetup = () => {
+    const scheduler = virtualScheduler.createVirtualScheduler(1_000);
+    const platform = memoryPlatform.createMemoryPlatform();
+    let tokens = 0;
+    const createLeases = (name: string) =>
+        coldLeases.createColdLeases({
+            incarnation: ids.toIncarnationId(name),
+            table: platform.table,
+            scheduler,
+            createToken: () => `${name}${String(tokens++)}`,
+            leaseMs: 10_000,
+            logger: silentLogger.createSilentLogger(),
+        });
+    /** Asks again every second, as the dispatcher does while it wants the lease. */
+    const advance = async (
+        seconds: number,
+        wanting: readonly ReturnType<typeof createLeases>[],
+        targets = [target],
+    ) => {
+        for (let second = 0; second < seconds; second++) {
+            wanting.forEach(leases => targets.forEach(id => leases.request(id)));
+            await scheduler.advance(1_000);
+        }
+    };
+    return { scheduler, platform, createLeases, advance };
+};
+
+test("one incarnation holds the lease, and a contender gets it only after lease and margin", async t => {
+    const { createLeases, advance } = createSetup();
+    const holder = createLeases("a");
+    const contender = createLeases("b");
+    await advance(20, [holder, contender]);
+    t.true(holder.leaseEndMs(target) !== undefined);
+    t.is(contender.leaseEndMs(target), undefined);
+    holder.dispose();
+    for (let second = 0; second < 15; second++) {
+        await advance(1, [contender]);
+        t.false(holder.leaseEndMs(target) !== undefined && contender.leaseEndMs(target) !== undefined);
+    }
+    t.true(contender.leaseEndMs(target) !== undefined);
+});
+
+test("a released lease is free at once", async t => {
+    const { createLeases, advance } = createSetup();
+    const holder = createLeases("a");
+    const contender = createLeases("b");
+    await advance(2, [holder, contender]);
+    holder.release(target);
+    t.is(holder.leaseEndMs(target), undefined);
+    await advance(2, [contender]);
+    t.true(contender.leaseEndMs(target) !== undefined);
+});
+
+test("a lost answer is resolved by reading the token back, and the lease counts from before the write", async t => {
+    const { scheduler, platform, createLeases, advance } = createSetup();
+    const leases = createLeases("a");
+    const startMs = scheduler.now();
+    platform.addTransactFaults("loseAnswer");
+    await advance(1, [leases]);
+    t.is(leases.leaseEndMs(target), startMs + 10_000);
+    const other = createSetup();
+    const second = other.createLeases("b");
+    other.platform.addTransactFaults("loseRequest", "loseRequest");
+    await other.advance(1, [second]);
+    t.true(second.leaseEndMs(target) !== undefined);
+    t.is(other.platform.counts.transactions, 3);
+});
+
+test("during an outage a held lease runs out and none is taken", async t => {
+    const { platform, createLeases, advance } = createSetup();
+    const leases = createLeases("a");
+    await advance(1, [leases]);
+    platform.setTableDown(true);
+    await advance(12, [leases]);
+    t.is(leases.leaseEndMs(target), undefined);
+    platform.setTableDown(false);
+    await advance(2, [leases]);
+    t.true(leases.leaseEndMs(target) !== undefined);
+});
+
+test("leases are renewed together, and one that another incarnation took does not stop the others", async t => {
+    const { platform, createLeases, advance } = createSetup();
+    const leases = createLeases("a");
+    const targets = ["t1", "t2", "t3", "t4"].map(ids.toTargetId);
+    await advance(1, [leases], targets);
+    const before = platform.counts.transactions;
+    await advance(9, [leases], targets);
+    t.true(platform.counts.transactions - before <= 3, "one transaction for each renewal of all targets");
+    await platform.table.transact([], [{ key: "cold/t1", value: { holder: "x", token: "x" } }]);
+    await advance(12, [leases], targets);
+    t.deepEqual(
+        targets.map(id => leases.leaseEndMs(id) !== undefined),
+        [false, true, true, true],
+    );
+});
+
+test("a lease that is no longer asked for is not renewed", async t => {
+    const { platform, createLeases, advance } = createSetup();
+    const leases = createLeases("a");
+    await advance(1, [leases]);
+    await advance(20, []);
+    const { transactions } = platform.counts;
+    await advance(20, []);
+    t.is(platform.counts.transactions, transactions);
+    t.is(leases.leaseEndMs(target), undefined);
+});
