Add the prober with its budgets for targets and links

Only the owner of a target probes it, so that the cost does not grow with the number of entry VMs. A failed probe counts towards ejection and towards the time without contact.

--- a/src/common/health/Types.ts
+++ b/src/common/health/Types.ts
@@ -29,6 +29,8 @@
     /** `askedAtMs` is when the request was sent that this report answers; undefined if the order is not known. */
     | { readonly kind: "reported"; readonly report: routing.TargetReport; readonly askedAtMs: number | undefined }
     | { readonly kind: "answered" }
+    /** A probe was answered; that ends no ejection, because calls may still fail. */
+    | { readonly kind: "probed" }
     | { readonly kind: "failed"; readonly mayEject: boolean }
     /** Smoothed latency divided by the median of the cell. */
     | { readonly kind: "compared"; readonly ratio: number }
--- a/src/common/health/targetHealth.test.ts
+++ b/src/common/health/targetHealth.test.ts
@@ -108,6 +108,7 @@
         askedAtMs: fastCheck.option(fastCheck.nat(20_000), { nil: undefined }),
     }),
     fastCheck.constant({ kind: "answered" as const }),
+    fastCheck.constant({ kind: "probed" as const }),
     fastCheck.record({ kind: fastCheck.constant("failed" as const), mayEject: fastCheck.boolean() }),
     fastCheck.record({ kind: fastCheck.constant("compared" as const), ratio: fastCheck.double({ min: 0, max: 9 }) }),
     fastCheck.constant({ kind: "warmedUp" as const }),
--- a/src/common/health/targetHealth.ts
+++ b/src/common/health/targetHealth.ts
@@ -122,6 +122,13 @@
     return health.state.kind === "ejected" ? { ...next, state: { kind: "warm" }, recoveredAtMs: nowMs } : next;
 };
 
+const applyProbe = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
+    if (health.state.kind !== "ejected") {
+        return applyAnswer(health, nowMs);
+    }
+    return { ...health, failingSinceMs: undefined, returnsCold: isCold(health, nowMs) };
+};
+
 const toEjected = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
     const isRepeated = health.ejectedAtMs !== undefined && nowMs - health.ejectedAtMs < ejectionMemoryMs;
     const times = isRepeated ? health.ejections + 1 : 1;
@@ -181,6 +188,8 @@
             return applyReport(health, event.report, event.askedAtMs, nowMs);
         case "answered":
             return applyAnswer(health, nowMs);
+        case "probed":
+            return applyProbe(health, nowMs);
         case "failed":
             return applyFailure(health, event.mayEject, nowMs);
         case "compared":
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -67,6 +67,12 @@
     listCellLoads(): readonly membership.CellLoad[];
 }
 
+/** A dispatcher that also learns from probes that failed. */
+export interface ProbedDispatcher extends Dispatcher {
+    /** A probe got no answer; it counts towards ejection and the time without contact, like a failed call. */
+    applyProbeFailure(target: types.TargetId): void;
+}
+
 export type TargetState =
     | { readonly kind: "unknown" }
     | { readonly kind: "cold" }
--- a/src/common/routing/callEnd.ts
+++ b/src/common/routing/callEnd.ts
@@ -45,12 +45,39 @@
     entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "reported", report, askedAtMs }, nowMs);
 };
 
+/**
+ * Records that a call or a probe got no answer.
+ *
+ * @param cell - the cell of the target
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ */
+export const applyFailure = (cell: cellEntry.CellEntry, entry: targetEntry.TargetEntry, nowMs: number): void => {
+    entry.failures++;
+    const event = { kind: "failed", mayEject: mayEject(cell) } as const;
+    entry.health = targetHealth.applyHealthEvent(entry.health, event, nowMs);
+};
+
+/**
+ * Records that a probe was answered.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ */
+export const applyProbeAnswer = (entry: targetEntry.TargetEntry, nowMs: number): void => {
+    entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "probed" }, nowMs);
+    entry.failures = entry.health.failures;
+};
+
 const applyOutcome = (cell: cellEntry.CellEntry, entry: targetEntry.TargetEntry, end: CallEnd, nowMs: number): void => {
     const report = end.report;
     switch (report.kind) {
         case "answered":
             entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "answered" }, nowMs);
-            targetEntry.recordLatency(entry, report.latencyMs, cell.medianMs, nowMs);
+            targetEntry.recordLatency(entry, report.latencyMs, nowMs);
+            if (cell.limitDrop) {
+                targetEntry.updateSlowness(entry, cell.medianMs, nowMs);
+            }
             cellEntry.recordCellLatency(cell, report.latencyMs);
             break;
         case "refused":
@@ -60,12 +87,7 @@
         case "unreachable":
         case "broken":
         case "silent":
-            entry.failures++;
-            entry.health = targetHealth.applyHealthEvent(
-                entry.health,
-                { kind: "failed", mayEject: mayEject(cell) },
-                nowMs,
-            );
+            applyFailure(cell, entry, nowMs);
             return;
         case "cancelled":
             return;
--- a/src/common/routing/cellEntry.ts
+++ b/src/common/routing/cellEntry.ts
@@ -29,6 +29,8 @@
     meanMs: number;
     /** Looks at the queue again; set while it is not empty. */
     timer: shared.Disposable | undefined;
+    /** Whether the limit of a slow target drops. */
+    readonly limitDrop: boolean;
 }
 
 /**
@@ -37,9 +39,15 @@
  * @param id - the cell
  * @param service - its service
  * @param zone - its zone
+ * @param limitDrop - whether the limit of a slow target drops
  * @returns the cell
  */
-export const createCellEntry = (id: shared.CellId, service: shared.ServiceName, zone: shared.ZoneName): CellEntry => ({
+export const createCellEntry = (
+    id: shared.CellId,
+    service: shared.ServiceName,
+    zone: shared.ZoneName,
+    limitDrop: boolean,
+): CellEntry => ({
     id,
     service,
     zone,
@@ -52,6 +60,7 @@
     medianAtMs: -Infinity,
     meanMs: targetEntry.defaultLatencyMs,
     timer: undefined,
+    limitDrop,
 });
 
 /**
--- a/src/common/routing/cellTable.ts
+++ b/src/common/routing/cellTable.ts
@@ -42,9 +42,10 @@
  * Creates an empty table.
  *
  * @param self - this entry VM
+ * @param limitDrop - whether the limit of a slow target drops
  * @returns the table
  */
-export const createCellTable = (self: blackboard.Self): CellTable => {
+export const createCellTable = (self: blackboard.Self, limitDrop: boolean): CellTable => {
     const entries = new Map<shared.TargetId, targetEntry.TargetEntry>();
     const cells = new Map<shared.CellId, cellEntry.CellEntry>();
     const configured = new Set<targetEntry.TargetEntry>();
@@ -75,7 +76,7 @@
         ownership: membership.Ownership,
     ): cellEntry.CellEntry => {
         const zone = targets[0]?.config.zone ?? self.zone;
-        const cell = cells.get(id) ?? cellEntry.createCellEntry(id, section.service, zone);
+        const cell = cells.get(id) ?? cellEntry.createCellEntry(id, section.service, zone, limitDrop);
         cells.set(id, cell);
         cell.targets = targets;
         cell.owned = targets.filter(entry => entry.owned);
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -29,6 +29,8 @@
     readonly logger: shared.Logger;
     /** Whether a call may go to another zone while its own has an owner; false only in experiments. */
     readonly spillOver?: boolean;
+    /** Whether the limit of a slow target drops; false only in experiments. */
+    readonly limitDrop?: boolean;
 }
 
 /**
@@ -38,9 +40,9 @@
  * @param options - what the dispatcher depends on
  * @returns the dispatcher
  */
-export const createDispatcher = (options: DispatcherOptions): types.Dispatcher => {
+export const createDispatcher = (options: DispatcherOptions): types.ProbedDispatcher => {
     const { blackboard, scheduler, random, coldLeases, logger } = options;
-    const table = cellTables.createCellTable(blackboard.self);
+    const table = cellTables.createCellTable(blackboard.self, options.limitDrop ?? true);
     const remoteLoads = cellOptions.createOptionList(blackboard, table, options.spillOver ?? true);
     const lifetimes = events.createDisposableStore();
     let disposed = false;
@@ -247,6 +249,9 @@
         }
     };
 
+    const findCell = (entry: targetEntry.TargetEntry): cellEntry.CellEntry | undefined =>
+        table.findService(entry.service)?.cells.find(cell => cell.owned.includes(entry));
+
     const drainCellOf = (target: shared.TargetId): void => {
         for (const cell of table.listCells()) {
             if (cell.queue.count() > 0 && cell.owned.some(entry => entry.config.id === target)) {
@@ -268,10 +273,23 @@
                 return;
             }
             const before = entry.health.state.kind;
+            if (askedAtMs !== undefined) {
+                callEnd.applyProbeAnswer(entry, scheduler.now());
+            }
             callEnd.applyTargetReport(entry, report, askedAtMs, scheduler.now());
             logChange(entry, before);
             drainCellOf(target);
         },
+        applyProbeFailure: target => {
+            const entry = table.findTarget(target);
+            const cell = entry === undefined ? undefined : findCell(entry);
+            if (entry === undefined || cell === undefined) {
+                return;
+            }
+            const before = entry.health.state.kind;
+            callEnd.applyFailure(cell, entry, scheduler.now());
+            logChange(entry, before);
+        },
         listTargets: () => views.listTargetViews(table),
         listCellLoads: () => views.listCellLoads(table, blackboard.self.vm, scheduler.now(), updateCell),
         dispose: () => {
--- a/src/common/routing/fixture.ts
+++ b/src/common/routing/fixture.ts
@@ -153,7 +153,7 @@
 
 /** A dispatcher together with the means to change what it sees. */
 export interface DispatcherFixture {
-    readonly dispatcher: types.Dispatcher;
+    readonly dispatcher: types.ProbedDispatcher;
     readonly blackboard: blackboardTypes.Blackboard;
     setConfiguration(configuration: config.Configuration): void;
     setOwnership(ownership: membership.Ownership): void;
--- a/src/common/routing/targetEntry.ts
+++ b/src/common/routing/targetEntry.ts
@@ -198,15 +198,24 @@
  *
  * @param entry - the target
  * @param latencyMs - time from sending to the end of the answer
- * @param medianMs - median latency of its cell
  * @param nowMs - local monotonic time
  */
-export const recordLatency = (entry: TargetEntry, latencyMs: number, medianMs: number, nowMs: number): void => {
+export const recordLatency = (entry: TargetEntry, latencyMs: number, nowMs: number): void => {
     const isFirst = entry.answers === 0;
     entry.latencyMs = isFirst ? latencyMs : entry.latencyMs + latencyWeight * (latencyMs - entry.latencyMs);
     entry.answers++;
     entry.answeredAtMs = nowMs;
     entry.failures = 0;
+};
+
+/**
+ * Compares the smoothed latency of a target with that of its cell.
+ *
+ * @param entry - the target
+ * @param medianMs - median latency of its cell
+ * @param nowMs - local monotonic time
+ */
+export const updateSlowness = (entry: TargetEntry, medianMs: number, nowMs: number): void => {
     const ratio = entry.latencyMs < medianMs + slowFloorMs ? 1 : entry.latencyMs / medianMs;
     entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "compared", ratio }, nowMs);
 };
--- /dev/null
+++ b/src/node/probes/prober.test.ts
@@ -0,0 +1,85 @@
+import test from "ava";
+import * as fixtures from "../../common/routing/fixture.js";
+import * as ids from "../../common/ids.js";
+import * as random from "../../common/random.js";
+import * as routing from "../../common/routing/Types.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as prober from "./prober.js";
+
+const createSetup = (shape: Partial<fixtures.ServiceShape>, memberZone: string) => {
+    const scheduler = virtualScheduler.createVirtualScheduler(1_000);
+    const logger = silentLogger.createSilentLogger();
+    const self = fixtures.createMember("vm-a", memberZone);
+    const configuration = fixtures.createConfiguration({ ...fixtures.smallShape, ...shape });
+    const fixture = fixtures.createDispatcherFixture({
+        self,
+        members: [self],
+        configuration,
+        scheduler,
+        logger,
+        seed: 1,
+    });
+    // The member also owns cells of zones without a member.
+    const ownership = { ownersOfCell: () => [self], ownerOfTarget: () => self };
+    const probes: string[] = [];
+    const answer = { state: "warm" as routing.TargetReport["state"], isReached: true };
+    const lifetime = prober.createProber({
+        ...fixture,
+        scheduler,
+        random: random.createRandom(2),
+        logger,
+        sendProbe: target => {
+            probes.push(target.id);
+            const report = { state: answer.state, busy: 0, boot: ids.toBootId("b1") };
+            return Promise.resolve(answer.isReached ? { kind: "answered", report, latencyMs: 6 } : { kind: "failed" });
+        },
+    });
+    const listStates = (): readonly string[] => fixture.dispatcher.listTargets().map(view => view.state.kind);
+    return { ...fixture, scheduler, probes, answer, lifetime, ownership, listStates };
+};
+
+test("new targets are probed at once, then at most 0.5 times per second each, and never after dispose", async t => {
+    const setup = createSetup({ targets: 3 }, "a");
+    await setup.scheduler.advance(700);
+    t.deepEqual([...setup.probes].sort(), ["t0", "t1", "t2"]);
+    t.deepEqual(setup.listStates(), ["warm", "warm", "warm"]);
+    await setup.scheduler.advance(20_000);
+    t.true(setup.probes.length > 3 * 6 && setup.probes.length <= 3 * 11, `${String(setup.probes.length)} probes`);
+    setup.lifetime.dispose();
+    setup.probes.length = 0;
+    await setup.scheduler.advance(20_000);
+    t.deepEqual(setup.probes, []);
+});
+
+test("targets that report on calls, and targets of other owners, are not probed", async t => {
+    const setup = createSetup({ targets: 2, zones: ["a", "b"] }, "a");
+    await setup.scheduler.advance(1_000);
+    setup.probes.length = 0;
+    for (let second = 0; second < 10; second++) {
+        setup.setWarm();
+        await setup.scheduler.advance(1_000);
+    }
+    t.deepEqual(setup.probes, []);
+});
+
+test("probes between zones stay within 2 KB per second, however many targets there are", async t => {
+    const setup = createSetup({ targets: 60, zones: ["b"] }, "a");
+    setup.setOwnership(setup.ownership);
+    setup.answer.state = "cold";
+    await setup.scheduler.advance(30_000);
+    const bytes = setup.probes.length * prober.probeBytes;
+    t.true(bytes <= 2_048 * 31 && bytes > 2_048 * 20, `${String(bytes)} bytes in 30 s`);
+    t.true(new Set(setup.probes).size > 40, "no target is left out for long");
+});
+
+test("a target whose probes fail for more than 5 s is cold when it answers again", async t => {
+    const setup = createSetup({ targets: 1 }, "a");
+    await setup.scheduler.advance(1_000);
+    t.deepEqual(setup.listStates(), ["warm"]);
+    setup.answer.isReached = false;
+    await setup.scheduler.advance(10_000);
+    setup.answer.isReached = true;
+    await setup.scheduler.advance(3_000);
+    t.deepEqual(setup.listStates(), ["warming"]);
+});
