--- a/src/common/routing/routing.test.ts
+++ b/src/common/routing/routing.test.ts
@@ -25,6 +25,7 @@
             service: ids.toServiceName("bookings"),
             deadlineAtMs: scheduler.now() + 30_000,
             exclude: [],
+            excludeMembers: [],
             mayForward: true,
             signal: new AbortController().signal,
             ...request,
--- a/src/node/entry/probing.ts
+++ b/src/node/entry/probing.ts
@@ -2,16 +2,12 @@
  * Sends the probes that the prober asks for.
  */
 import * as config from "../../common/config/Types.js";
-import * as routing from "../../common/routing/Types.js";
 import * as shared from "../../common/Types.js";
 import * as attemptWatch from "../front/attemptWatch.js";
 import * as bodyReader from "../front/bodyReader.js";
 import * as forward from "../forward/Types.js";
 import * as targetReports from "../front/targetReports.js";
-
-export type ProbeResult =
-    | { readonly kind: "answered"; readonly report: routing.TargetReport | undefined; readonly latencyMs: number }
-    | { readonly kind: "failed" };
+import * as probers from "../probes/prober.js";
 
 /** Probes need one connection to a target. */
 const probeConnections = 1;
@@ -25,7 +21,7 @@
  */
 export const createProbeSender =
     (sender: forward.Sender, scheduler: shared.Scheduler) =>
-    async (target: config.TargetConfig, timeoutMs: number): Promise<ProbeResult> => {
+    async (target: config.TargetConfig, timeoutMs: number): Promise<probers.ProbeResult> => {
         const attemptId = attemptWatch.createAttemptId();
         const startedAtMs = scheduler.now();
         const attempt = sender.send({
@@ -47,10 +43,11 @@
             }
             const latencyMs = scheduler.now() - startedAtMs;
             await attempt.readBody({ write: () => true, onDrain: resume => resume() });
-            if (head.status >= 500) {
-                return { kind: "failed" };
-            }
-            return { kind: "answered", report: targetReports.parseTargetReport(head.headers), latencyMs };
+            const report = targetReports.parseTargetReport(head.headers);
+            // A probe that says nothing of the target's state cannot keep the target in service.
+            return head.status >= 500 || report === undefined
+                ? { kind: "failed" }
+                : { kind: "answered", report, latencyMs };
         } finally {
             timer.dispose();
         }
