--- a/src/node/claims/claimController.test.ts
+++ b/src/node/claims/claimController.test.ts
@@ -3,7 +3,6 @@
 import * as keys from "../../common/claims/keys.js";
 import * as ids from "../../common/ids.js";
 import * as memoryPlatform from "../../testing/memoryPlatform.js";
-import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as claimController from "./claimController.js";
 import * as types from "./Types.js";
@@ -18,6 +17,9 @@
     const scheduler = virtualScheduler.createVirtualScheduler(5_000);
     const platform = memoryPlatform.createMemoryPlatform();
     let tokens = 0;
+    const lines: string[] = [];
+    const logLine = (message: string): void => void lines.push(message);
+    let mayIssue = true;
     const createController = (incarnation: string) =>
         claimController.createClaimController({
             incarnation: ids.toIncarnationId(incarnation),
@@ -25,9 +27,11 @@
             table: platform.table,
             createToken: () => `token-${tokens++}`,
             limits: { maxKeys: 100, keptAnswerBytes: 100_000, keyRetentionMs: 2 * minuteMs, ...limits },
-            logger: silentLogger.createSilentLogger(),
+            logger: { debug: logLine, info: logLine, warn: logLine, error: logLine },
+            mayIssue: () => mayIssue,
         });
-    return { scheduler, platform, createController, controller: createController("vm1") };
+    const leave = (): void => void (mayIssue = false);
+    return { scheduler, platform, createController, controller: createController("vm1"), lines, leave };
 };
 
 const beginKey = (controller: claims.ClaimController, key: string, with_ = signature) =>
@@ -119,3 +123,24 @@
     (await beginRun(controller, `${prefix}5`)).finish({ kind: "done", answer: createAnswer(65_537) });
     t.deepEqual(await beginKey(controller, `${prefix}5`), { kind: "replay", answer: dropped });
 });
+
+test("a leaving entry VM issues no prefix and still decides; a stopped one decides nothing", async t => {
+    const { controller, leave } = createFixture();
+    const key = `${controller.issueKeyPrefix()}1`;
+    leave();
+    t.is(controller.issueKeyPrefix(), undefined);
+    await beginRun(controller, key);
+    controller.dispose();
+    t.is(toRefusal(await beginKey(controller, key)), "leaving");
+});
+
+test("each decision writes one line, and an incarnation that does not fit into keys is refused at the start", async t => {
+    const { controller, createController, lines } = createFixture();
+    const prefix = controller.issueKeyPrefix();
+    for (const key of [`${prefix}1`, `${prefix}1`, "vm2.0.x", "vm1.7.x", ""]) {
+        await beginKey(controller, key);
+    }
+    t.is(lines.length, 5);
+    t.true(lines.every(line => line.startsWith("claim: ")));
+    t.throws(() => createController("vm.1"));
+});
