Start the probe budget of a new owner empty

Cause: each new owner began with a full bucket, so the changes of owner while members join gave ten targets of the demo more probes than their budget of 0.5 a second. Ruled out: two probes of one owner within its bucket (the prober's test holds). A new owner now probes for the first time after 2 s; reports on answers arrive before that.

--- a/src/node/probes/prober.ts
+++ b/src/node/probes/prober.ts
@@ -73,7 +73,9 @@
         if (known !== undefined) {
             return known;
         }
-        const bucket = tokenBucket.createTokenBucket(targetRate, nowMs);
+        // The last owner may have probed the target just now, so a new owner begins with an empty bucket. With a full
+        // one, each change of owner would add a probe to the target's budget.
+        const bucket = { tokens: 0, atMs: nowMs };
         // A new owner meets all of its targets at once; they are spread over one interval.
         const notBeforeMs = nowMs + checkIntervalMs * random.nextFloat();
         const state = { bucket, notBeforeMs, isRunning: false, sentAtMs: 0 };
@@ -117,7 +119,7 @@
     };
 
     const removeOld = (views: readonly routing.TargetView[]): void => {
-        const known = new Set(views.map(view => view.target.id));
+        const known = new Set(views.filter(view => view.owned).map(view => view.target.id));
         for (const target of states.keys()) {
             if (!known.has(target)) {
                 states.delete(target);
