Publish an endless wait as a number, so that peers accept the gossip

Cause: the load of a cell without usable targets has the expected wait Infinity, which JSON turns into null. Peers rejected the whole answer as malformed, and members that were alive were lost after the member timeout. Ruled out: lost messages and a busy event loop, since each rejected answer was logged as malformed. Before: in the shutdown scenario with one draining target, entry VMs lost each other after 3 s.

--- a/src/common/membership/publishedLoads.ts
+++ b/src/common/membership/publishedLoads.ts
@@ -6,6 +6,9 @@
 /** The number of binary digits: a value has to double or halve to change its bucket for certain. */
 const computeBucket = (value: number): number => 32 - Math.clz32(value);
 
+/** The longest deadline of a call. A cell without capacity has an endless wait, which JSON cannot express. */
+const longestWaitMs = 600_000;
+
 /**
  * Prepares the loads of the cells that this entry VM owns for sending.
  *
@@ -18,7 +21,7 @@
             cell: load.cell,
             freeSlots: Math.max(0, Math.round(load.freeSlots)),
             queued: Math.max(0, Math.round(load.queued)),
-            expectedWaitMs: Math.max(0, Math.round(load.expectedWaitMs)),
+            expectedWaitMs: Math.min(longestWaitMs, Math.max(0, Math.round(load.expectedWaitMs))),
         }))
         .sort((a, b) => (a.cell < b.cell ? -1 : 1));
 
