Keep the broker from closing the callers' port at SIGTERM

Cause: moleculer registers its own handler of SIGTERM, which stops the services at once and then calls process.exit(0). The callers' port was closed before the time to live of the lookup responses had passed, and calls could be cut off. Ruled out: the daemon's own lifecycle, which logged the closing of the port 1 s later. Before: in the shutdown scenario, connections were refused 98 ms after SIGTERM and a call was cut off.

--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -183,7 +183,14 @@
 
     const front = createFrontGateway(settings, board, calls, isFresh, logs);
     const control = createControlGateway(settings, rpcRoutes.createRpcRoute(rpcServer), calls, logs);
-    const broker = new moleculer.ServiceBroker({ logger: false, transporter: null, metrics: false, tracing: false });
+    const broker = new moleculer.ServiceBroker({
+        logger: false,
+        transporter: null,
+        metrics: false,
+        tracing: false,
+        // The broker's own handler of SIGTERM closes the ports at once and exits with calls in flight.
+        skipProcessEventRegistration: true,
+    });
     broker.createService(front.schema);
     broker.createService(control.schema);
 
