Do not answer "not run" when an earlier attempt may have run the call

Cause: an error of a peer was relayed to the caller as it was. When the first attempt had been given up and the second was forwarded to the owner of another cell, which refused, the caller was told "not run". Ruled out: the target, whose history shows the start before the refusal. Now the runner decides on the answer, and the earlier attempt outweighs the peer.

--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -173,7 +173,9 @@
         }
         traces.record(call.head.id, `forwarded to ${member.info.vm}, arbiter of the key`);
         const step = await options.peerStep.send(call, port, signal, member, "arbiter");
-        if (step.kind !== "finished" && port.isOpen()) {
+        if (step.kind === "finished") {
+            answerResult(call, port, step.result);
+        } else if (port.isOpen()) {
             // Without the arbiter it cannot be told whether an earlier call with this key has run.
             const kind = step.kind === "notRun" && step.error === "target_unreachable" ? "arbiter_gone" : step.error;
             refuse(call.head, port, kind, "the arbiter of the key has not answered");
--- a/src/node/front/callRunner.ts
+++ b/src/node/front/callRunner.ts
@@ -121,7 +121,10 @@
                 }
                 const step = await runStep(call, port, signal, excluded);
                 if (step.kind === "finished") {
-                    return step.result;
+                    // A peer that did not run the call knows nothing of the earlier attempts.
+                    return step.result.kind === "notRun" && unknown !== undefined
+                        ? { kind: "mayHaveRun", error: unknown }
+                        : step.result;
                 }
                 if (step.kind === "unknown") {
                     unknown = step.error;
--- a/src/node/front/peerStep.ts
+++ b/src/node/front/peerStep.ts
@@ -15,7 +15,7 @@
 
 export interface PeerStep {
     /**
-     * Forwards a call and relays the answer, errors included.
+     * Forwards a call and relays the answer of a target.
      *
      * @returns how the attempt has ended
      */
@@ -40,7 +40,10 @@
     const toResult = (error: errors.ErrorKind, outcome: string | undefined): claims.ClaimResult =>
         outcome === "not-run" ? { kind: "notRun", error } : { kind: "mayHaveRun", error };
 
-    /** Relays what the owner of the cell answers, errors included. */
+    /**
+     * Relays the answer of a target. An error is not relayed: that the peer did not run the call does not say that no
+     * earlier attempt has run it.
+     */
     const finishForwarded = async (
         call: types.Call,
         port: types.AnswerPort,
@@ -48,13 +51,14 @@
         head: { readonly status: number; readonly headers: http.IncomingHttpHeaders },
     ): Promise<types.StepResult> => {
         const outcome = String(head.headers[headers.headerNames.outcome]);
-        const relayed = await answerRelay.relayAnswer(port, attempt, head, {}, true, !call.isIdempotent);
-        if (outcome === "ran") {
-            const answer = relayed.end.kind === "complete" ? relayed.kept : { ...relayed.kept, body: undefined };
-            return { kind: "finished", result: { kind: "done", answer } };
+        if (outcome !== "ran") {
+            const error = String(head.headers[headers.headerNames.error] ?? "outcome_unknown") as errors.ErrorKind;
+            await attempt.readBody({ write: () => true, onDrain: resume => resume() });
+            return { kind: "finished", result: toResult(error, outcome) };
         }
-        const error = String(head.headers[headers.headerNames.error] ?? "outcome_unknown") as errors.ErrorKind;
-        return { kind: "finished", result: toResult(error, outcome) };
+        const relayed = await answerRelay.relayAnswer(port, attempt, head, {}, true, !call.isIdempotent);
+        const answer = relayed.end.kind === "complete" ? relayed.kept : { ...relayed.kept, body: undefined };
+        return { kind: "finished", result: { kind: "done", answer } };
     };
 
     const send = async (
