Add proofs under failure with switches that turn mechanisms off

A scenario starts entry VMs, targets and the platform's stand-in as processes, brings about failures, and has the recorded history checked. TARRAGONPATH_UNSAFE turns one mechanism off, so that a test can show that the check finds the violation.

--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -18,6 +18,7 @@
 import * as latencyTrackers from "../front/latencyTracker.js";
 import * as peerSteps from "../front/peerStep.js";
 import * as targetSteps from "../front/targetStep.js";
+import * as unsafeSwitches from "./unsafeSwitches.js";
 
 export interface CallPathOptions {
     readonly board: blackboard.Blackboard;
@@ -31,6 +32,7 @@
     isFresh(): boolean;
     /** Tells the other entry VMs of a crash. */
     publishCrash(fingerprint: string, count: number): void;
+    readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
 
 const maxOtherAddresses = 5;
@@ -77,7 +79,7 @@
         scheduler,
         sender: options.sender,
         crashes: {
-            isEmpty: options.crashes.isEmpty,
+            isEmpty: () => options.unsafe.has("no-crash-count") || options.crashes.isEmpty(),
             isBlocked: options.crashes.isBlocked,
             recordCrash: fingerprint => options.publishCrash(fingerprint, options.crashes.recordCrash(fingerprint)),
         },
@@ -86,6 +88,7 @@
         computeFingerprint,
         getSilentAfterMs: latencies.getSilentAfterMs,
         recordLatency: latencies.record,
+        unsafe: options.unsafe,
     };
     const peerStep = peerSteps.createPeerStep(stepOptions);
     const runner = callRunners.createCallRunner({
@@ -96,6 +99,7 @@
         crashes: stepOptions.crashes,
         traces,
         computeFingerprint,
+        unsafe: options.unsafe,
     });
 
     const listOthers = (): membership.Member[] =>
@@ -110,6 +114,7 @@
         runner,
         peerStep,
         traces,
+        unsafe: options.unsafe,
         logger: options.logger,
         isFresh: options.isFresh,
         isLeaving: () => board.lifecycle.get() !== "serving",
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -35,6 +35,7 @@
 import * as callPaths from "./callPath.js";
 import * as lifecycles from "./lifecycle.js";
 import * as probing from "./probing.js";
+import * as unsafeSwitches from "./unsafeSwitches.js";
 
 export interface EntryDaemon {
     start(): Promise<void>;
@@ -67,9 +68,14 @@
  *
  * @param settings - checked settings
  * @param logs - where its log lines go
+ * @param unsafe - safety mechanisms that a test turns off
  * @returns the daemon, not yet started
  */
-export const createEntryDaemon = (settings: settingsTypes.EntrySettings, logs: logging.LogSink): EntryDaemon => {
+export const createEntryDaemon = (
+    settings: settingsTypes.EntrySettings,
+    logs: logging.LogSink,
+    unsafe: unsafeSwitches.UnsafeSwitches = unsafeSwitches.noSwitches,
+): EntryDaemon => {
     const board = blackboards.createBlackboard(createSelf(settings));
     const { incarnation } = board.self;
     const scheduler = systemSchedulers.createSystemScheduler({ keepAlive: false });
@@ -78,7 +84,10 @@
     const platform = platformClients.createPlatformClient(settings.platform);
     const rpcClient = rpcClients.createRpcClient();
     const rpcServer = rpcServers.createRpcServer(logs.createLogger("member"));
-    const sender = senders.createSender();
+    const sender = senders.createSender({
+        checksEcho: !unsafe.has("no-echo-check"),
+        reusesIdle: unsafe.has("reuse-idle"),
+    });
     const traces = traceStores.createTraceStore(scheduler, maxTracedCalls);
     const crashes = crashRegistries.createCrashRegistry({
         scheduler,
@@ -88,6 +97,7 @@
     });
 
     const isFresh = (): boolean =>
+        (unsafe.has("no-freshness") && board.configuration.get() !== undefined) ||
         freshness.computeVerdict(board.freshness.get(), scheduler.now(), settings.freshnessMs).kind === "fresh";
 
     const configurationController = lifetimes.add(
@@ -178,6 +188,7 @@
         logger: logs.createLogger("front"),
         isFresh,
         publishCrash,
+        unsafe,
     });
     rpcServer.addHandlers(adminHandlers.createAdminHandlers({ board, clock: scheduler, dispatcher, traces }));
 
@@ -199,7 +210,8 @@
         scheduler,
         logger: logs.createLogger("life"),
         lookupTtlMs: settings.lookupTtlMs,
-        drainTimeoutMs: settings.drainTimeoutMs,
+        drainTimeoutMs: unsafe.has("no-drain") ? 0 : settings.drainTimeoutMs,
+        announcesLeaving: !unsafe.has("no-leave-notice"),
         countCalls: calls.countCalls,
         closeFront: front.closeListener,
     });
--- a/src/node/entry/lifecycle.ts
+++ b/src/node/entry/lifecycle.ts
@@ -11,6 +11,8 @@
     /** Time that callers may keep a lookup answer that names this entry VM. */
     readonly lookupTtlMs: number;
     readonly drainTimeoutMs: number;
+    /** False only in tests that show what the announcement prevents. */
+    readonly announcesLeaving: boolean;
     countCalls(): number;
     /** Stops accepting callers' connections. */
     closeFront(): Promise<void>;
@@ -45,7 +47,9 @@
     };
 
     const runLeave = async (): Promise<void> => {
-        write("leaving");
+        if (options.announcesLeaving) {
+            write("leaving");
+        }
         logger.info(`leaving; callers may hold lookup answers for another ${options.lookupTtlMs} ms`);
         await wait(options.lookupTtlMs);
         void options.closeFront();
--- a/src/node/entry/runEntry.ts
+++ b/src/node/entry/runEntry.ts
@@ -5,6 +5,7 @@
 import * as logSinks from "../logging/logSink.js";
 import * as settingsTypes from "../settings/Types.js";
 import * as daemons from "./daemon.js";
+import * as unsafeSwitches from "./unsafeSwitches.js";
 
 const standardOutput = 1;
 
@@ -24,7 +25,8 @@
  */
 export const runEntry = async (settings: settingsTypes.EntrySettings): Promise<void> => {
     const logs = logSinks.createLogSink({ level: settings.logLevel, format: settings.logFormat, write: writeAll });
-    const daemon = daemons.createEntryDaemon(settings, logs);
+    const unsafe = unsafeSwitches.readUnsafeSwitches(process.env, logs.createLogger("life"));
+    const daemon = daemons.createEntryDaemon(settings, logs, unsafe);
     const stopped = new Promise<void>(resolve => {
         process.once("SIGTERM", () => resolve());
         process.once("SIGINT", () => resolve());
--- a/src/node/forward/attempt.ts
+++ b/src/node/forward/attempt.ts
@@ -19,9 +19,10 @@
  * Creates the state of one attempt.
  *
  * @param request - what is sent
+ * @param checksEcho - false only in tests that show what the check prevents
  * @returns the attempt and the handler to dispatch
  */
-export const createAttempt = (request: types.AttemptRequest): AttemptDriver => {
+export const createAttempt = (request: types.AttemptRequest, checksEcho = true): AttemptDriver => {
     let controller: undici.Dispatcher.DispatchController | undefined;
     let hasStarted = false;
     let isWithheld = false;
@@ -72,7 +73,7 @@
                 return;
             }
             const echoed = headers["tarragon-attempt-id"];
-            if (typeof echoed === "string" && echoed !== request.attempt) {
+            if (checksEcho && typeof echoed === "string" && echoed !== request.attempt) {
                 resolveHead({ kind: "mismatched", attempt: echoed });
                 value.abort(new Error("the answer belongs to another attempt"));
                 return;
--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -21,6 +21,17 @@
     probe: 1,
 };
 
+/** Deviations for tests that show what a rule prevents. */
+export interface SenderOptions {
+    /** False: an answer is taken whatever attempt it echoes. */
+    readonly checksEcho: boolean;
+    /** True: idle connections are reused after any time. */
+    readonly reusesIdle: boolean;
+}
+
+const safeOptions: SenderOptions = { checksEcho: true, reusesIdle: false };
+const anyIdleMs = 600_000;
+
 const createBody = (body: types.RequestBody): Buffer | stream.Readable | null => {
     if (body.rest === undefined) {
         return body.prefix.length === 0 ? null : body.prefix;
@@ -38,21 +49,23 @@
 /**
  * Creates the sender of a daemon.
  *
+ * @param options - rules that a test turns off
  * @returns the sender, with no connections open
  */
-export const createSender = (): types.Sender => {
+export const createSender = (options: SenderOptions = safeOptions): types.Sender => {
     const pools = new Map<string, undici.Pool>();
 
     const getPool = (request: types.AttemptRequest): undici.Pool => {
         const key = `${request.connectionClass} ${request.address}`;
         let pool = pools.get(key);
         if (pool === undefined) {
+            const reuseMs = options.reusesIdle ? anyIdleMs : idleReuseMs[request.connectionClass];
             pool = new undici.Pool(`http://${request.address}`, {
                 connections: request.connections,
                 pipelining: 1,
                 connect: { timeout: connectTimeoutMs },
-                keepAliveTimeout: idleReuseMs[request.connectionClass],
-                keepAliveMaxTimeout: idleReuseMs[request.connectionClass],
+                keepAliveTimeout: reuseMs,
+                keepAliveMaxTimeout: reuseMs,
                 // The deadline of the call limits the answer.
                 headersTimeout: 0,
                 bodyTimeout: 0,
@@ -64,7 +77,7 @@
 
     return {
         send: request => {
-            const driver = attempts.createAttempt(request);
+            const driver = attempts.createAttempt(request, options.checksEcho);
             getPool(request).dispatch(
                 {
                     method: request.method,
--- a/src/node/front/Types.ts
+++ b/src/node/front/Types.ts
@@ -6,6 +6,7 @@
 import * as config from "../../common/config/Types.js";
 import * as errors from "../../common/errors/Types.js";
 import * as types from "../../common/Types.js";
+import type * as unsafeSwitches from "../entry/unsafeSwitches.js";
 import * as forward from "../forward/Types.js";
 
 /** Where a call came from. */
@@ -93,4 +94,5 @@
     /** Time after which an attempt of an idempotent call is given up as silent. */
     getSilentAfterMs(service: types.ServiceName): number;
     recordLatency(service: types.ServiceName, latencyMs: number): void;
+    readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
--- a/src/node/front/answerRelay.ts
+++ b/src/node/front/answerRelay.ts
@@ -51,6 +51,7 @@
  * @param extra - headers that this entry VM adds
  * @param isFromPeer - whether another entry VM answers
  * @param isKeeping - whether the body is kept for resends
+ * @param endsTruncated - true only in tests that show what the reset prevents
  * @returns how the body ended and what was kept
  */
 export const relayAnswer = async (
@@ -60,13 +61,14 @@
     extra: Record<string, string>,
     isFromPeer: boolean,
     isKeeping: boolean,
+    endsTruncated = false,
 ): Promise<RelayResult> => {
     const picked = headers.pickAnswerHeaders(head.headers, isFromPeer);
     const isListening = port.isOpen();
     const sink = createKeepingSink(port.begin(head.status, { ...picked, ...extra }), isKeeping);
     const end = await attempt.readBody(sink);
     if (isListening) {
-        if (end.kind === "complete") {
+        if (end.kind === "complete" || endsTruncated) {
             port.end();
         } else {
             port.cutOff();
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -8,6 +8,7 @@
 import * as errorKinds from "../../common/errors/Types.js";
 import * as membership from "../../common/membership/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as unsafeSwitches from "../entry/unsafeSwitches.js";
 import * as answerPorts from "./answerPort.js";
 import * as bodyReader from "./bodyReader.js";
 import * as callRunner from "./callRunner.js";
@@ -30,6 +31,7 @@
     findIncarnation(incarnation: shared.IncarnationId): membership.Member | undefined;
     listOtherAddresses(): readonly shared.Address[];
     readonly peerStep: peerSteps.PeerStep;
+    readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
 
 export interface CallHandler {
@@ -183,7 +185,8 @@
     };
 
     const dispatchCall = async (call: types.Call, port: types.AnswerPort, signal: AbortSignal): Promise<void> => {
-        const isArbitrated = call.head.hop.kind === "route" && call.head.hop.arbitrated;
+        const isArbitrated =
+            options.unsafe.has("no-arbiter") || (call.head.hop.kind === "route" && call.head.hop.arbitrated);
         if (call.isIdempotent || isArbitrated || call.head.key === undefined) {
             answerResult(call, port, await options.runner.run(call, port, signal));
             return;
--- a/src/node/front/callRunner.test.ts
+++ b/src/node/front/callRunner.test.ts
@@ -29,6 +29,7 @@
         crashes: { isEmpty: () => true, isBlocked: () => false, recordCrash: () => undefined },
         traces: { record: () => undefined, find: () => undefined },
         computeFingerprint: () => "",
+        unsafe: new Set(),
     });
     const result = await runner.run(call, {} as types.AnswerPort, new AbortController().signal);
     t.is(attempts, 2);
--- a/src/node/front/callRunner.ts
+++ b/src/node/front/callRunner.ts
@@ -6,6 +6,7 @@
 import * as errors from "../../common/errors/Types.js";
 import * as routing from "../../common/routing/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as unsafeSwitches from "../entry/unsafeSwitches.js";
 import * as bodyReader from "./bodyReader.js";
 import * as peerSteps from "./peerStep.js";
 import * as targetSteps from "./targetStep.js";
@@ -19,6 +20,7 @@
     readonly crashes: types.CrashCounts;
     readonly traces: types.TraceStore;
     computeFingerprint(call: types.Call): string;
+    readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
 
 export interface CallRunner {
@@ -99,7 +101,7 @@
         if (step.kind === "finished" || attemptsMade >= maxAttempts || signal.aborted) {
             return false;
         }
-        if (step.kind === "unknown" && !call.isIdempotent) {
+        if (step.kind === "unknown" && !call.isIdempotent && !options.unsafe.has("retry-non-idempotent")) {
             return false;
         }
         if (step.kind === "notRun" && step.error !== "target_refused" && step.error !== "target_unreachable") {
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -76,6 +76,10 @@
                     grant.release({ kind: "broken" });
                     return { kind: "unknown", error: "answer_mismatched" };
                 case "broken":
+                    if (options.unsafe.has("assume-not-sent") && !head.aborted) {
+                        grant.release({ kind: "unreachable" });
+                        return { kind: "notRun", error: "target_unreachable" };
+                    }
                     return finishBroken(call, grant, head, signal);
             }
         } finally {
@@ -112,7 +116,9 @@
         head: Extract<forward.AttemptHead, { kind: "response" }>,
         latencyMs: number,
     ): Promise<types.StepResult> => {
-        const report = targetReports.parseTargetReport(head.headers);
+        const reported = targetReports.parseTargetReport(head.headers);
+        const isIgnored = reported?.state === "draining" && options.unsafe.has("ignore-draining");
+        const report = isIgnored ? { ...reported, state: "warm" as const } : reported;
         if (targetReports.isRefusal(head)) {
             attempt.abort("refused by the target");
             grant.release({ kind: "refused", report });
@@ -120,7 +126,15 @@
             return { kind: "notRun", error: "target_refused" };
         }
         const extra = { [headers.headerNames.outcome]: "ran", [headers.headerNames.target]: grant.target.id };
-        const relayed = await answerRelay.relayAnswer(port, attempt, head, extra, false, !call.isIdempotent);
+        const relayed = await answerRelay.relayAnswer(
+            port,
+            attempt,
+            head,
+            extra,
+            false,
+            !call.isIdempotent,
+            options.unsafe.has("end-truncated"),
+        );
         grant.release({ kind: "answered", latencyMs, report });
         options.recordLatency(call.head.service, latencyMs);
         traces.record(call.head.id, `${grant.target.id} answered ${head.status}, body ${relayed.end.kind}`);
--- a/src/testing/caller/caller.ts
+++ b/src/testing/caller/caller.ts
@@ -30,6 +30,7 @@
     readonly target?: string;
     readonly isReplayed?: boolean;
     readonly answer?: history.AnswerCheck;
+    readonly cause?: string;
 }
 
 const connectErrors = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
@@ -119,7 +120,8 @@
             const body = await httpServer.readBody(response.body);
             return parseAnswer(response, body, id => id.startsWith(`${call}.`), bodyDigest);
         } catch (error) {
-            return { result: { kind: connectErrors.has(getErrorCode(error)) ? "notSent" : "noAnswer" } };
+            const kind = connectErrors.has(getErrorCode(error)) ? "notSent" : "noAnswer";
+            return { result: { kind }, cause: `${getErrorCode(error)} ${String(error)}` };
         }
     };
 
@@ -151,7 +153,7 @@
             options.record?.({ ...base, kind: "sent" });
             return;
         }
-        const { result, status, answer } = answered;
+        const { result, status, answer, cause } = answered;
         options.record?.({
             ...base,
             kind: "answered",
@@ -159,6 +161,7 @@
             ...(result.kind === "answered" && result.error !== undefined ? { error: result.error } : {}),
             ...(status === undefined ? {} : { status }),
             ...(answer === undefined ? {} : { answer }),
+            ...(cause === undefined ? {} : { cause }),
         });
     };
 
--- /dev/null
+++ b/src/testing/failure/addProof.ts
@@ -0,0 +1,38 @@
+/**
+ * Makes the tests of a scenario: one with all mechanisms, and one without each mechanism that it proves.
+ */
+import * as ava from "ava";
+import * as runScenarios from "./runScenario.js";
+import * as types from "./Types.js";
+
+const printedViolations = 5;
+
+const formatViolations = (result: types.ScenarioResult): string =>
+    result.violations
+        .slice(0, printedViolations)
+        .map(violation => `${violation.rule}: ${violation.message}`)
+        .join("\n");
+
+/**
+ * Adds the tests of a scenario to a test file.
+ *
+ * @param test - ava's test function
+ * @param scenario - the scenario
+ */
+export const addProof = (test: ava.TestFn, scenario: types.Scenario): void => {
+    const { name, seed, proves } = scenario;
+    test.serial(`${name}: ${proves.join(", ")} hold`, async t => {
+        const result = await runScenarios.runScenario(scenario, seed);
+        t.log(`${result.history.callers.length} caller events, ${result.history.targets.length} target events`);
+        t.is(result.violations.length, 0, formatViolations(result));
+    });
+    for (const { unsafe, rules } of scenario.teeth) {
+        test.serial(`${name}: without the mechanism (${unsafe}), the check finds ${rules.join(" or ")}`, async t => {
+            const result = await runScenarios.runScenario(scenario, seed, [unsafe]);
+            t.true(
+                result.violations.some(violation => rules.includes(violation.rule)),
+                `no violation of ${rules.join(", ")} was found; found were:\n${formatViolations(result)}`,
+            );
+        });
+    }
+};
--- /dev/null
+++ b/src/testing/failure/requests.ts
@@ -0,0 +1,96 @@
+/**
+ * Requests and choices that several scenarios share.
+ */
+import * as undici from "undici";
+import * as callers from "../caller/Types.js";
+import * as systemTypes from "../system/Types.js";
+import * as types from "./Types.js";
+
+const deadlineMs = 8000;
+
+/**
+ * Makes a booking with a key that the entry VM issued.
+ *
+ * @param number - makes the body unique
+ * @returns the request
+ */
+export const createBooking = (number: number): callers.CallRequest => ({
+    service: "bookings",
+    method: "POST",
+    path: "/bookings?answerBytes=2000",
+    body: Buffer.from(JSON.stringify({ customer: number })),
+    deadlineMs,
+    key: { kind: "issued" },
+    isIdempotent: false,
+});
+
+/**
+ * Makes an idempotent request.
+ *
+ * @param number - makes the path unique
+ * @returns the request
+ */
+export const createNote = (number: number): callers.CallRequest => ({
+    service: "bookings",
+    method: "PUT",
+    path: `/notes/${number}?answerBytes=2000&chunked=1`,
+    body: Buffer.from(JSON.stringify({ note: number })),
+    deadlineMs,
+    key: { kind: "none" },
+    isIdempotent: true,
+});
+
+/**
+ * Reads the key prefix that an entry VM issues itself.
+ *
+ * @param entries - the entry VMs to ask
+ * @param entry - the entry VM that is to issue the key
+ * @param service - the service
+ * @returns the prefix; undefined if no lookup names the entry VM
+ */
+export const findKeyPrefix = async (
+    entries: readonly systemTypes.EntryVm[],
+    entry: systemTypes.EntryVm,
+    service: string,
+): Promise<string | undefined> => {
+    for (const asked of entries) {
+        const response = await undici.request(`http://${asked.listen}/lookup/${service}?zone=${entry.zone}`);
+        const answer = (await response.body.json()) as callers.LookupAnswer;
+        const found = response.statusCode === 200 ? answer.entries.find(item => item.vm === entry.vm) : undefined;
+        if (found?.keyPrefix !== undefined) {
+            return found.keyPrefix;
+        }
+    }
+    return undefined;
+};
+
+/**
+ * Takes an entry VM by its position at the start.
+ *
+ * @param context - the run
+ * @param index - position, from 0
+ * @returns the entry VM
+ */
+export const getEntry = (context: types.Context, index: number): systemTypes.EntryVm => {
+    const entry = context.system.entries[index];
+    if (entry === undefined) {
+        throw new Error(`there is no entry VM ${index}`);
+    }
+    return entry;
+};
+
+/**
+ * Waits until each entry VM names every entry VM in its lookups.
+ *
+ * @param context - the run
+ * @param service - the service to look up
+ */
+export const waitForLookups = async (context: types.Context, service: string): Promise<void> => {
+    const { entries } = context.system;
+    await context.waitFor("all entry VMs in all lookups", async () => {
+        const found = await Promise.all(
+            entries.flatMap(asked => entries.map(entry => findKeyPrefix([asked], entry, service))),
+        );
+        return found.every(prefix => prefix !== undefined);
+    });
+};
--- /dev/null
+++ b/src/testing/failure/runScenario.ts
@@ -0,0 +1,110 @@
+/**
+ * Runs one scenario in a system of its own and checks its history.
+ */
+import * as switches from "../../node/entry/unsafeSwitches.js";
+import * as checker from "../history/checker.js";
+import * as history from "../history/Types.js";
+import * as httpServer from "../http/httpServer.js";
+import * as deployments from "../system/deployments.js";
+import * as system from "../system/system.js";
+import * as directSender from "./directSender.js";
+import * as traffic from "./traffic.js";
+import * as types from "./Types.js";
+
+const conditionPollMs = 25;
+/** Long enough for a busy machine; a condition that holds ends the wait at once. */
+const conditionWaitMs = 45_000;
+const printedLogLines = 400;
+
+/** "A few seconds" of section 1.1 of the design. */
+export const fewSecondsMs = 5000;
+
+const allowances: history.Allowances = { ...checker.defaultAllowances, removalMs: fewSecondsMs };
+
+const publish = async (running: system.System): Promise<void> => {
+    const published = await running.publish();
+    if (published.exitCode !== 0) {
+        throw new Error(`publish ended with ${published.exitCode}:\n${published.lines.join("\n")}`);
+    }
+    await Promise.all(running.entries.map(entry => running.waitForHealth(entry)));
+};
+
+const waitFor = async (what: string, isTrue: () => boolean | Promise<boolean>): Promise<void> => {
+    const untilMs = httpServer.readMachineClockMs() + conditionWaitMs;
+    while (!(await isTrue())) {
+        if (httpServer.readMachineClockMs() > untilMs) {
+            throw new Error(`did not come about within ${conditionWaitMs} ms: ${what}`);
+        }
+        await httpServer.waitMs(conditionPollMs);
+    }
+};
+
+/**
+ * Runs a scenario.
+ *
+ * @param scenario - the scenario
+ * @param seed - seed of service times, callers and choices
+ * @param unsafe - safety mechanisms that the entry VMs leave out
+ * @returns the violations and the history
+ */
+export const runScenario = async (
+    scenario: types.Scenario,
+    seed: number,
+    unsafe: readonly switches.UnsafeSwitch[] = [],
+): Promise<types.ScenarioResult> => {
+    const running = await system.startSystem({
+        plan: scenario.plan,
+        seed,
+        ...(scenario.entryArgs === undefined ? {} : { entryArgs: scenario.entryArgs }),
+        ...(scenario.hasPlatformRelays === undefined ? {} : { hasPlatformRelays: scenario.hasPlatformRelays }),
+        entryEnv: { TARRAGONPATH_UNSAFE: unsafe.join(",") },
+    });
+    const callers: history.CallerEvent[] = [];
+    const removals: history.ZoneRemoval[] = [];
+    const violations: types.ScenarioViolation[] = [];
+    const notes: string[] = [];
+    const record = (event: history.CallerEvent): void => void callers.push(event);
+    const direct = directSender.createDirectSender(record);
+    const note = (text: string): void => void notes.push(`${Math.round(httpServer.readMachineClockMs())} ${text}`);
+    let startedTraffics = 0;
+    try {
+        await publish(running);
+        note("the configuration is published");
+        await scenario.run({
+            system: running,
+            seed,
+            send: direct.send,
+            startTraffic: options =>
+                traffic.startTraffic(
+                    {
+                        zones: scenario.plan.zones,
+                        listEntries: () => running.entries,
+                        record,
+                        seed: seed + ++startedTraffics,
+                    },
+                    options,
+                ),
+            addCallerEvent: record,
+            addRemoval: removal => void removals.push(removal),
+            addViolation: (rule, message) => void violations.push({ rule, message }),
+            listCallerEvents: () => callers,
+            waitFor,
+            note,
+        });
+        const limits = deployments
+            .createTargets(scenario.plan, seed)
+            .map(({ spec }) => ({ target: spec.id, coldSlots: spec.coldSlots }));
+        const recorded = { targets: await running.readTargetEvents(), callers, removals, limits };
+        const found = checker.checkHistory(recorded, allowances);
+        const logs = Object.fromEntries(
+            running.entries.map(entry => [
+                `${entry.vm} ${entry.process.pid}`,
+                entry.process.listLines().slice(-printedLogLines),
+            ]),
+        );
+        return { violations: [...found, ...violations], history: recorded, notes, logs };
+    } finally {
+        await direct.close();
+        await running.close();
+    }
+};
--- /dev/null
+++ b/src/testing/failure/scenarios/shutdown.ts
@@ -0,0 +1,142 @@
+/**
+ * SIGTERM to an entry VM under load, with long calls and uploads in flight; a target drains at the same time.
+ */
+import * as history from "../../history/Types.js";
+import * as httpServer from "../../http/httpServer.js";
+import * as systemTypes from "../../system/Types.js";
+import * as plans from "../plans.js";
+import * as requests from "../requests.js";
+import * as runScenarios from "../runScenario.js";
+import * as types from "../Types.js";
+
+const mebibyte = 1024 * 1024;
+const uploadBytes = 8 * mebibyte;
+const pieceBytes = 256 * 1024;
+const longCalls = 8;
+const drained = "bookings-1";
+
+const createUpload = (number: number) => ({
+    ...requests.createNote(number),
+    path: `/notes/upload-${number}`,
+    body: Buffer.alloc(uploadBytes, `upload ${number} `),
+    chunkBytes: pieceBytes,
+});
+
+/**
+ * G8: each request got its answer, or was refused before it ran. This holds for requests to the other entry VMs too,
+ * which forward to the leaving one. Nothing else fails in this scenario.
+ */
+const checkUninterrupted = (context: types.Context): void => {
+    for (const event of context.listCallerEvents()) {
+        if (event.kind === "answered" && event.outcome !== "ran" && event.outcome !== "not-run") {
+            const what = event.error ?? event.cause ?? "no answer";
+            context.addViolation("interrupted", `${event.requestId} to ${event.entry} ended with ${what}`);
+        }
+    }
+};
+
+/** G6: the leaving entry VM sends no call to a target more than a few seconds after SIGTERM. */
+const checkNoNewRoutes = (context: types.Context, leaving: systemTypes.EntryVm, leftAt: Date): void => {
+    const late = leaving.process.listLines().filter(line => {
+        const loggedAt = Date.parse(line.split(" ")[0] ?? "");
+        return line.includes("route: local") && loggedAt > leftAt.getTime() + runScenarios.fewSecondsMs;
+    });
+    if (late.length > 0) {
+        context.addViolation("leaving-entry", `${leaving.vm} sent ${late.length} calls to targets: ${late[0]}`);
+    }
+};
+
+/** G6: no lookup names the leaving entry VM a few seconds after SIGTERM. */
+const checkLookups = async (context: types.Context, leaving: systemTypes.EntryVm, leftAtMs: number): Promise<void> => {
+    await httpServer.waitMs(Math.max(0, leftAtMs + runScenarios.fewSecondsMs - httpServer.readMachineClockMs()));
+    const others = context.system.entries.filter(entry => entry !== leaving);
+    const found = await requests.findKeyPrefix(others, leaving, "payouts");
+    if (found !== undefined) {
+        context.addViolation("leaving-entry", `a lookup names ${leaving.vm}, which is leaving`);
+    }
+};
+
+/** G6: the leaving entry VM answers no request that was sent more than a few seconds after SIGTERM. */
+const checkNoNewCalls = (context: types.Context, leaving: systemTypes.EntryVm, leftAtMs: number): void => {
+    const sentAtMs = new Map<string, number>();
+    for (const event of context.listCallerEvents()) {
+        if (event.kind === "sent") {
+            sentAtMs.set(event.requestId, event.atMs);
+            continue;
+        }
+        const sent = sentAtMs.get(event.requestId) ?? 0;
+        if (event.entry === leaving.listen && event.outcome === "ran" && sent > leftAtMs + runScenarios.fewSecondsMs) {
+            context.addViolation("leaving-entry", `${leaving.vm} took ${event.requestId} after it had left`);
+        }
+    }
+};
+
+/** G6: the draining target is sent no call more than a few seconds after it began to drain. */
+const checkDrained = (context: types.Context, events: readonly history.TargetEvent[], drainedAtMs: number): void => {
+    const late = events.filter(
+        event =>
+            event.target === drained &&
+            (event.kind === "started" || event.kind === "refused") &&
+            event.atMs > drainedAtMs + runScenarios.fewSecondsMs,
+    );
+    if (late.length > 0) {
+        context.addViolation("draining-target", `${drained} was sent ${late.length} calls after it had begun to drain`);
+    }
+};
+
+export const shutdown: types.Scenario = {
+    name: "shutdown",
+    proves: ["G8", "G6"],
+    teeth: [
+        { unsafe: "no-drain", rules: ["interrupted"] },
+        { unsafe: "no-leave-notice", rules: ["leaving-entry"] },
+        { unsafe: "ignore-draining", rules: ["draining-target"] },
+    ],
+    seed: 404,
+    plan: plans.oneTargetPerZone,
+    entryArgs: plans.quickArgs,
+    run: async context => {
+        const { system } = context;
+        await requests.waitForLookups(context, "payouts");
+        const leaving = requests.getEntry(context, 0);
+        const payouts = Object.keys(system.targets).filter(name => name.startsWith("payouts"));
+        const bookings = context.startTraffic({ workers: 9, createRequest: requests.createBooking });
+        const uploads = context.startTraffic({ workers: 4, createRequest: createUpload });
+        await bookings.waitForRuns(30);
+        // The long calls (8 s) must outlast the few seconds after which the entry VM takes no more calls.
+        await Promise.all(payouts.map(name => system.setTargetFaults(name, { slowFactor: 10 })));
+        const prefix = await requests.findKeyPrefix(system.entries, leaving, "payouts");
+        const long = Array.from({ length: longCalls }, (_, index) =>
+            context.send({
+                entry: leaving,
+                call: `long-${index}`,
+                service: "payouts",
+                path: "/payouts",
+                key: `${prefix}long-${index}`,
+                deadlineMs: 20_000,
+            }),
+        );
+        await context.waitFor("the long calls run", async () => {
+            const events = await system.readTargetEvents();
+            const isLong = (event: history.TargetEvent): boolean => event.requestId?.startsWith("long-") === true;
+            return events.filter(event => event.kind === "started" && isLong(event)).length === longCalls;
+        });
+        leaving.process.sendSignal("SIGTERM");
+        await system.setTargetFaults(drained, { isDraining: true });
+        const leftAt = new Date();
+        const leftAtMs = httpServer.readMachineClockMs();
+        context.note("SIGTERM to entry-1, bookings-1 drains");
+        await Promise.all([...long, checkLookups(context, leaving, leftAtMs)]);
+        // With the long calls ended, more than a few seconds have passed; these calls must go elsewhere.
+        await bookings.waitForRuns(50);
+        await Promise.all([bookings.stop(), uploads.stop()]);
+        const exit = await leaving.process.waitForExit();
+        if (exit !== 0) {
+            context.addViolation("exit-code", `${leaving.vm} ended with ${exit}`);
+        }
+        checkUninterrupted(context);
+        checkNoNewRoutes(context, leaving, leftAt);
+        checkNoNewCalls(context, leaving, leftAtMs);
+        checkDrained(context, await system.readTargetEvents(), leftAtMs);
+    },
+};
--- a/src/testing/history/Types.ts
+++ b/src/testing/history/Types.ts
@@ -59,6 +59,8 @@
     readonly outcome: errors.Outcome | undefined;
     readonly error?: string;
     readonly status?: number;
+    /** Why there is no answer. */
+    readonly cause?: string;
     readonly answer?: AnswerCheck;
 }
 
--- a/src/testing/system/Types.ts
+++ b/src/testing/system/Types.ts
@@ -62,6 +62,8 @@
     readonly seed: number;
     /** More flags of the daemon, as in `["--freshness-ms", "2000"]`. */
     readonly entryArgs?: readonly string[];
+    /** More environment variables of the daemon. */
+    readonly entryEnv?: Readonly<Record<string, string>>;
     /** Overrides for all targets. */
     readonly targetSpec?: Partial<targets.TargetSpec>;
     /** True: each entry VM reaches the platform through its own relay. */
--- a/src/testing/system/processes.ts
+++ b/src/testing/system/processes.ts
@@ -32,11 +32,18 @@
  * @param name - name for messages
  * @param program - path of the program below `out`
  * @param args - its arguments
+ * @param env - environment variables in addition to those of this process
  * @returns the process
  */
-export const startProcess = (name: string, program: string, args: readonly string[]): types.ManagedProcess => {
+export const startProcess = (
+    name: string,
+    program: string,
+    args: readonly string[],
+    env: Readonly<Record<string, string>> = {},
+): types.ManagedProcess => {
     const child = childProcess.spawn(process.execPath, [path.join(outFolder, program), ...args], {
         stdio: ["ignore", "pipe", "pipe"],
+        env: { ...process.env, ...env },
     });
     running.add(child);
     let lines: string[] = [];
--- a/src/testing/system/system.ts
+++ b/src/testing/system/system.ts
@@ -71,8 +71,13 @@
     const entries: types.EntryVm[] = [];
     const relays = new Map<string, relay.Relay>();
 
-    const start = (name: string, program: string, args: readonly string[]): types.ManagedProcess => {
-        const started = processes.startProcess(name, program, args);
+    const start = (
+        name: string,
+        program: string,
+        args: readonly string[],
+        env?: Readonly<Record<string, string>>,
+    ): types.ManagedProcess => {
+        const started = processes.startProcess(name, program, args, env);
         all.push(started);
         return started;
     };
@@ -118,7 +123,7 @@
         const platformOfVm = await getPlatformUrlOf(vm);
         const flags = ["--vm", vm, "--zone", zone, "--listen", listen, "--control", control];
         const args = ["entry", ...flags, "--platform", platformOfVm, ...(options.entryArgs ?? [])];
-        const entry = { vm, zone, listen, control, process: start(vm, commandProgram, args) };
+        const entry = { vm, zone, listen, control, process: start(vm, commandProgram, args, options.entryEnv) };
         entries.push(entry);
         await setListedVm(entry, "live");
         return entry;
