--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -54,6 +54,7 @@
  */
 export const createSender = (options: SenderOptions = safeOptions): types.Sender => {
     const pools = new Map<string, undici.Pool>();
+    const waiting: attempts.WaitingAttempts = new Map();
 
     const getPool = (request: types.AttemptRequest): undici.Pool => {
         const key = `${request.connectionClass} ${request.address}`;
@@ -77,7 +78,7 @@
 
     return {
         send: request => {
-            const driver = attempts.createAttempt(request, options.checksEcho);
+            const driver = attempts.createAttempt(request, waiting, options.checksEcho);
             getPool(request).dispatch(
                 {
                     method: request.method,
