--- a/src/bench/control/virtualCluster.ts
+++ b/src/bench/control/virtualCluster.ts
@@ -69,19 +69,45 @@
 const delayRangeMs = 8;
 
 const zoneNames = ["a", "b", "c"];
+const targetZones = ["a", "b", "c", "d", "e", "f"];
 
 const toControl = (index: number): types.Address => ids.toAddress(`127.0.0.1:${20_000 + index}`);
 
-/** Accepts any texts but "invalid"; the sections themselves are of no interest here. */
+const createService = (name: string): config.ServiceSection => ({
+    kind: "service",
+    service: ids.toServiceName(name),
+    deadlineMs: 1000,
+    connections: 10,
+    queueLimit: 10,
+    maxBodyBytes: 1000,
+    ownersPerZone: 1,
+    idempotent: [],
+    nonIdempotent: [],
+    targets: targetZones.map(zone => ({
+        id: ids.toTargetId(`${name}-${zone}`),
+        address: ids.toAddress("127.0.0.1:1"),
+        zone: ids.toZoneName(zone),
+        vm: ids.toVmId(`target-${name}-${zone}`),
+        slots: 4,
+        coldSlots: 1,
+        out: false,
+    })),
+});
+
+/** Accepts any texts but "invalid". A section `service/<name>` stands for a service with a target in each of six zones. */
 const assembleConfiguration: config.AssembleConfiguration = (head, texts) => {
     if ([...texts.values()].includes("invalid")) {
         return { kind: "invalid", faults: [{ where: "section", message: "is invalid" }] };
     }
     const digests = Object.entries(head.sections).map(([name, digest]) => [ids.toSectionName(name), digest] as const);
+    const services = digests
+        .filter(([name]) => name.startsWith("service/"))
+        .map(([name]) => createService(name.slice("service/".length)))
+        .map(service => [service.service, service] as const);
     const topology: config.TopologySection = { kind: "topology", zones: [], links: [], vmsOut: [] };
     return {
         kind: "valid",
-        configuration: { revision: head.revision, digests: new Map(digests), topology, services: new Map() },
+        configuration: { revision: head.revision, digests: new Map(digests), topology, services: new Map(services) },
     };
 };
 
--- a/src/common/membership/Types.ts
+++ b/src/common/membership/Types.ts
@@ -46,12 +46,13 @@
     ownerOfTarget(target: types.TargetId): Member | undefined;
 }
 
-/** Load of a cell as its owner sends it, in whole numbers. */
+/** Load of a cell as read from a message, with an error of a few per cent. */
 export type PublishedLoad = Pick<CellLoad, "cell" | "freeSlots" | "queued" | "expectedWaitMs">;
 
 /** A member together with what gossip needs to tell old news from new. */
 export interface MemberRecord extends Member {
     /** Grows with each change of what the member says of itself, except its age. */
     readonly version: number;
-    readonly loads: readonly PublishedLoad[];
+    /** Loads of the member's cells as it formatted them; they refer to the revision that it has in use. */
+    readonly loads: string;
 }
--- a/src/common/membership/publishedLoads.ts
+++ b/src/common/membership/publishedLoads.ts
@@ -1,52 +1,112 @@
 /**
- * Selection of the load changes that are worth a message.
+ * Compact form of the loads of an owner's cells.
+ *
+ * A load takes five bytes: two for the index of the cell in the configuration, and one each for the free slots, the queue
+ * and the wait, on a logarithmic scale with steps of 9 %. Spill-over compares waits, for which that is precise enough.
  */
+import * as config from "../config/Types.js";
+import * as ids from "../ids.js";
+import * as shared from "../Types.js";
 import * as types from "./Types.js";
 
-/** The number of binary digits: a value has to double or halve to change its bucket for certain. */
-const computeBucket = (value: number): number => 32 - Math.clz32(value);
+const bytesPerLoad = 5;
+const stepsPerDoubling = 8;
+const maxStep = 255;
+
+const cellLists = new WeakMap<config.Configuration, readonly shared.CellId[]>();
 
 /**
- * Prepares the loads of the cells that this entry VM owns for sending.
+ * Lists the cells of a configuration in an order that is the same on every entry VM.
  *
+ * @param configuration - the configuration
+ * @returns all cells, also those that are out of service
+ */
+export const listCells = (configuration: config.Configuration): readonly shared.CellId[] => {
+    const known = cellLists.get(configuration);
+    if (known !== undefined) {
+        return known;
+    }
+    const cells = new Set<shared.CellId>();
+    for (const service of configuration.services.values()) {
+        service.targets.forEach(target => cells.add(ids.toCellId(service.service, target.zone)));
+    }
+    const sorted = [...cells].sort();
+    cellLists.set(configuration, sorted);
+    return sorted;
+};
+
+const toStep = (value: number): number =>
+    Math.min(maxStep, Math.round(stepsPerDoubling * Math.log2(1 + Math.max(0, value))));
+
+const fromStep = (step: number): number => Math.round(2 ** (step / stepsPerDoubling) - 1);
+
+/**
+ * Formats loads for a message.
+ *
+ * @param configuration - the configuration in use; the reader needs the same one
  * @param loads - the loads as measured
- * @returns the loads in whole numbers, ordered by cell
+ * @returns the loads in Base64, in the order of the cells
  */
-export const toPublishedLoads = (loads: readonly types.CellLoad[]): readonly types.PublishedLoad[] =>
-    loads
-        .map(load => ({
-            cell: load.cell,
-            freeSlots: Math.max(0, Math.round(load.freeSlots)),
-            queued: Math.max(0, Math.round(load.queued)),
-            expectedWaitMs: Math.max(0, Math.round(load.expectedWaitMs)),
-        }))
-        .sort((a, b) => (a.cell < b.cell ? -1 : 1));
+export const formatLoads = (configuration: config.Configuration, loads: readonly types.CellLoad[]): string => {
+    const indexes = new Map(listCells(configuration).map((cell, index) => [cell, index]));
+    const entries = loads
+        .map(load => ({ load, index: indexes.get(load.cell) }))
+        .filter((entry): entry is { load: types.CellLoad; index: number } => entry.index !== undefined)
+        .sort((a, b) => a.index - b.index);
+    const buffer = Buffer.alloc(entries.length * bytesPerLoad);
+    entries.forEach(({ load, index }, position) => {
+        const offset = buffer.writeUInt16LE(index, position * bytesPerLoad);
+        buffer[offset] = toStep(load.freeSlots);
+        buffer[offset + 1] = toStep(load.queued);
+        buffer[offset + 2] = toStep(load.expectedWaitMs);
+    });
+    return buffer.toString("base64");
+};
 
 /**
- * Tells whether loads differ enough from the ones sent last.
+ * Reads loads from a message.
  *
- * Free slots and waits change with every call. Spill-over compares waits between cells, for which the order of magnitude
- * is enough.
+ * @param configuration - the configuration with which they were formatted
+ * @param text - the result of {@link formatLoads}
+ * @returns the loads of the cells that the configuration has
+ */
+export const parseLoads = (configuration: config.Configuration, text: string): readonly types.PublishedLoad[] => {
+    const cells = listCells(configuration);
+    const buffer = Buffer.from(text, "base64");
+    const loads: types.PublishedLoad[] = [];
+    for (let offset = 0; offset + bytesPerLoad <= buffer.length; offset += bytesPerLoad) {
+        const cell = cells[buffer.readUInt16LE(offset)];
+        if (cell !== undefined) {
+            loads.push({
+                cell,
+                freeSlots: fromStep(buffer[offset + 2] ?? 0),
+                queued: fromStep(buffer[offset + 3] ?? 0),
+                expectedWaitMs: fromStep(buffer[offset + 4] ?? 0),
+            });
+        }
+    }
+    return loads;
+};
+
+/**
+ * Tells whether loads differ enough from the ones sent last. Free slots and waits change a little with every call.
  *
- * @param published - the loads sent last
- * @param current - the loads now
- * @returns true if a cell came or went, or a number moved to another power of two
+ * @param published - the text sent last
+ * @param current - the text now
+ * @returns true if a cell came or went, or a number reached or left zero or changed by a factor of about two
  */
-export const hasChangedMuch = (
-    published: readonly types.PublishedLoad[],
-    current: readonly types.PublishedLoad[],
-): boolean => {
-    if (published.length !== current.length) {
+export const hasChangedMuch = (published: string, current: string): boolean => {
+    if (published === current) {
+        return false;
+    }
+    const before = Buffer.from(published, "base64");
+    const after = Buffer.from(current, "base64");
+    if (before.length !== after.length) {
         return true;
     }
-    return current.some((load, index) => {
-        const before = published[index];
-        return (
-            before === undefined ||
-            before.cell !== load.cell ||
-            computeBucket(before.freeSlots) !== computeBucket(load.freeSlots) ||
-            computeBucket(before.queued) !== computeBucket(load.queued) ||
-            computeBucket(before.expectedWaitMs) !== computeBucket(load.expectedWaitMs)
-        );
+    return after.some((step, position) => {
+        const old = before[position] ?? 0;
+        const isIndex = position % bytesPerLoad < 2;
+        return old !== step && (isIndex || old === 0 || step === 0 || Math.abs(step - old) >= stepsPerDoubling);
     });
 };
--- a/src/node/peers/Types.ts
+++ b/src/node/peers/Types.ts
@@ -30,11 +30,8 @@
     readonly crashes: readonly { readonly fingerprint: string; readonly count: number }[];
 }
 
-/** Cell, free slots, queued calls, expected wait in milliseconds. */
-export type GossipLoad = readonly [types.CellId, number, number, number];
-
-/** Version, state, revision, synced, loads: what changes while an incarnation runs. */
-export type GossipNews = readonly [number, membership.MemberState, types.Revision, boolean, readonly GossipLoad[]];
+/** What changes while an incarnation runs. Flags: 0 starting, 1 serving, 2 leaving; plus 4 if synced. */
+export type GossipNews = readonly [version: number, flags: number, revision: types.Revision, loads: string];
 
 /** What an incarnation says of itself, with its age in units of {@link GossipChangesAnswer.unitMs}. */
 export type GossipRecord = readonly [
@@ -44,7 +41,7 @@
     address: types.Address,
     control: types.Address,
     age: number,
-    news: GossipNews,
+    ...news: GossipNews,
 ];
 
 /**
@@ -69,9 +66,9 @@
     /** Age of each member of the request in units, one byte each, in Base64; 255 for a member that is not known. */
     readonly ages: string;
     /** News of members of the request, with the index of the member. */
-    readonly news: readonly (readonly [number, GossipNews])[];
+    readonly news?: readonly (readonly [index: number, ...GossipNews])[] | undefined;
     /** Members that are not in the request. */
-    readonly added: readonly GossipRecord[];
+    readonly added?: readonly GossipRecord[] | undefined;
     /** Newest confirmation of the sender: a revision and its age in milliseconds. */
     readonly confirmation?: readonly [types.Revision, number] | undefined;
     /** Present if the sender has a greater revision in use than the request says. */
--- a/src/node/peers/candidates.ts
+++ b/src/node/peers/candidates.ts
@@ -27,6 +27,8 @@
      * @returns a peer that is not being asked now; undefined if there is none
      */
     pick(members: readonly shared.Address[]): shared.Address | undefined;
+    /** Takes a certain peer, unless it is being asked or has failed to answer just now. */
+    takeIfReady(control: shared.Address): boolean;
 }
 
 export interface CandidatesOptions {
@@ -96,6 +98,13 @@
             heard.delete(control);
             backoffUntilMs.set(control, scheduler.now() + failureBackoffMs);
         },
+        takeIfReady: control => {
+            const isReady = !asked.has(control) && (backoffUntilMs.get(control) ?? 0) <= scheduler.now();
+            if (isReady) {
+                asked.add(control);
+            }
+            return isReady;
+        },
         pick: members => {
             const nowMs = scheduler.now();
             const controls = listed.map(vm => vm.control).filter(control => control !== undefined);
--- a/src/node/peers/cluster.test.ts
+++ b/src/node/peers/cluster.test.ts
@@ -131,6 +131,7 @@
 
 test("leaving, a new incarnation, loads and crash counts reach all members", async t => {
     const { cluster, indexes } = openCluster(t, 15, 8);
+    await cluster.commit({ "service/s": "one" });
     await cluster.scheduler.advance(5000);
     const first = cluster.nodes.get(3);
     first?.writeLifecycle("leaving");
--- a/src/node/peers/gossip.ts
+++ b/src/node/peers/gossip.ts
@@ -152,11 +152,7 @@
         return "done";
     };
 
-    const pull = async (): Promise<void> => {
-        const control = candidates.pick(members.listControls());
-        if (control === undefined) {
-            return;
-        }
+    const pull = async (control: shared.Address): Promise<void> => {
         let outcome = await pullOnce(control, false);
         if (outcome === "mismatch") {
             outcome = await pullOnce(control, true);
@@ -164,13 +160,23 @@
         candidates.recordResult(control, outcome !== undefined);
     };
 
+    const startPull = (control: shared.Address | undefined): void => {
+        if (control !== undefined) {
+            pull(control).catch((error: unknown) => logger.error("member: pull failed", { cause: String(error) }));
+        }
+    };
+
     const runTick = (): void => {
         timer = scheduler.schedule(settings.gossipIntervalMs / pullsPerInterval, runTick);
         members.removeExpired();
         members.updateSelf();
         // A VM that is alone on the list is its own majority.
         applyMajority();
-        pull().catch((error: unknown) => logger.error("member: pull failed", { cause: String(error) }));
+        startPull(candidates.pick(members.listControls()));
+        const oldest = members.findOldest();
+        if (oldest !== undefined && candidates.takeIfReady(oldest)) {
+            startPull(oldest);
+        }
     };
 
     /** The plain form, for people and for the comparison of sizes. */
@@ -181,9 +187,10 @@
         const confirmation = toAnsweredConfirmation(nowMs);
         return {
             members: known.map(({ info, seenAtMs }) => ({ info, ageMs: Math.ceil(nowMs - seenAtMs) })),
-            cellLoads: known.flatMap(({ info, loads, seenAtMs }) =>
-                loads.map(load => ({ ...load, owner: info.vm, ageMs: Math.ceil(nowMs - seenAtMs) })),
-            ),
+            cellLoads: [...blackboard.cellLoads.get().values()].flat().map(({ measuredAtMs, ...load }) => ({
+                ...load,
+                ageMs: Math.ceil(nowMs - measuredAtMs),
+            })),
             confirmation: confirmation && { revision: confirmation[0], ageMs: confirmation[1] },
             head: options.configuration.getHead(),
             crashes: options.listCrashes(),
--- a/src/node/peers/gossipCodec.ts
+++ b/src/node/peers/gossipCodec.ts
@@ -16,6 +16,9 @@
 const maxVersionLead = 127;
 const idBytes = 4;
 
+const states: readonly membership.MemberState[] = ["starting", "serving", "leaving"];
+const syncedFlag = 4;
+
 /** Members in the order of the message. */
 export interface KnownMembers {
     readonly records: readonly membership.MemberRecord[];
@@ -61,10 +64,9 @@
 
 const formatNews = (record: membership.MemberRecord): types.GossipNews => [
     record.version,
-    record.info.state,
+    states.indexOf(record.info.state) + (record.info.synced ? syncedFlag : 0),
     record.info.revision,
-    record.info.synced,
-    record.loads.map(load => [load.cell, load.freeSlots, load.queued, load.expectedWaitMs]),
+    record.loads,
 ];
 
 /** Rounds up, so that no member looks younger than it is. */
@@ -111,7 +113,7 @@
     }
     const versions = Buffer.from(request.versions, "base64");
     const ages = Buffer.alloc(requested.length, unknownAge);
-    const news: [number, types.GossipNews][] = [];
+    const news: [number, ...types.GossipNews][] = [];
     requested.forEach((record, index) => {
         if (record === undefined) {
             return;
@@ -119,7 +121,7 @@
         ages[index] = toAge(record.seenAtMs, nowMs, unitMs);
         const lead = (record.version - (versions[index] ?? 0)) & versionMask;
         if (lead > 0 && lead <= maxVersionLead) {
-            news.push([index, formatNews(record)]);
+            news.push([index, ...formatNews(record)]);
         }
     });
     const present = new Set(requested);
@@ -128,14 +130,19 @@
         .map((record): types.GossipRecord => {
             const { vm, incarnation, zone, address, control } = record.info;
             const age = toAge(record.seenAtMs, nowMs, unitMs);
-            return [vm, incarnation, zone, address, control, age, formatNews(record)];
+            return [vm, incarnation, zone, address, control, age, ...formatNews(record)];
         });
-    return { unitMs, ages: ages.toString("base64"), news, added };
+    return {
+        unitMs,
+        ages: ages.toString("base64"),
+        news: news.length > 0 ? news : undefined,
+        added: added.length > 0 ? added : undefined,
+    };
 };
 
 const toRecord = (
     fixed: Pick<membership.MemberInfo, "vm" | "incarnation" | "zone" | "address" | "control">,
-    [version, state, revision, synced, loads]: types.GossipNews,
+    [version, flags, revision, loads]: types.GossipNews,
     seenAtMs: number,
 ): membership.MemberRecord => ({
     info: {
@@ -144,13 +151,13 @@
         zone: fixed.zone,
         address: fixed.address,
         control: fixed.control,
-        state,
+        state: states[flags % syncedFlag] ?? "starting",
         revision,
-        synced,
+        synced: flags >= syncedFlag,
     },
     seenAtMs,
     version,
-    loads: loads.map(([cell, freeSlots, queued, expectedWaitMs]) => ({ cell, freeSlots, queued, expectedWaitMs })),
+    loads,
 });
 
 /**
@@ -167,7 +174,7 @@
     requestedAtMs: number,
 ): readonly membership.MemberRecord[] => {
     const ages = Buffer.from(answer.ages, "base64");
-    const newsByIndex = new Map(answer.news);
+    const newsByIndex = new Map(answer.news?.map(([index, ...news]) => [index, news]));
     const toSeenAt = (age: number): number => requestedAtMs - age * answer.unitMs;
     const records: membership.MemberRecord[] = [];
     asked.records.forEach((record, index) => {
@@ -179,7 +186,7 @@
         const seenAtMs = toSeenAt(age);
         records.push(news === undefined ? { ...record, seenAtMs } : toRecord(record.info, news, seenAtMs));
     });
-    for (const [vm, incarnation, zone, address, control, age, news] of answer.added) {
+    for (const [vm, incarnation, zone, address, control, age, ...news] of answer.added ?? []) {
         records.push(toRecord({ vm, incarnation, zone, address, control }, news, toSeenAt(age)));
     }
     return records;
--- a/src/node/peers/members.ts
+++ b/src/node/peers/members.ts
@@ -29,12 +29,27 @@
     removeExpired(): void;
     getKnown(): gossipCodec.KnownMembers;
     listControls(): readonly shared.Address[];
+    /** The member that will be lost soon unless there is news of it, if there is one. */
+    findOldest(): shared.Address | undefined;
     /** What each live member has in use, this VM included. */
     getDigests(): ReadonlyMap<shared.VmId, freshness.VmDigest>;
 }
 
-/** Loads are sent at most once in this time for each member, so that their cost does not grow with its square. */
-const loadIntervalPerMemberMs = 50;
+/**
+ * A member sends its loads at most once in this time for each cell of the configuration. The loads of all cells together
+ * then cost a daemon at most about 1.4 KB/s, however many cells there are.
+ */
+const loadIntervalPerCellMs = 10;
+
+/** With few cells, loads are sent at most once in this time. */
+const minLoadIntervalMs = 1000;
+
+/**
+ * A member without news for this share of the timeout is asked itself. Random pulls alone lose a live member of 50 now
+ * and then, because the age of its news has a long tail. With a share of 0.6, most pulls of a VM with 50 members went to
+ * the same few peers.
+ */
+const oldShare = 0.85;
 
 /** A gap between two checks that is longer than this means that the process was paused. */
 const pauseMs = 1000;
@@ -83,11 +98,20 @@
     };
 
     /** Returns the loads to send: the current ones, or the last ones if the difference is small or comes too soon. */
-    const selectLoads = (known: membership.MemberRecord | undefined): readonly membership.PublishedLoad[] => {
-        const current = publishedLoads.toPublishedLoads(options.listCellLoads());
+    const selectLoads = (known: membership.MemberRecord | undefined): string => {
+        const configuration = blackboard.configuration.get();
+        if (configuration === undefined) {
+            return "";
+        }
         const nowMs = scheduler.now();
-        const isDue = nowMs - loadsSentAtMs >= loadIntervalPerMemberMs * records.size;
-        if (known !== undefined && (!isDue || !publishedLoads.hasChangedMuch(known.loads, current))) {
+        const cellCount = publishedLoads.listCells(configuration).length;
+        const isDue = nowMs - loadsSentAtMs >= Math.max(minLoadIntervalMs, cellCount * loadIntervalPerCellMs);
+        const isSameRevision = known?.info.revision === configuration.revision;
+        if (known !== undefined && isSameRevision && !isDue) {
+            return known.loads;
+        }
+        const current = publishedLoads.formatLoads(configuration, options.listCellLoads());
+        if (known !== undefined && isSameRevision && !publishedLoads.hasChangedMuch(known.loads, current)) {
             return known.loads;
         }
         loadsSentAtMs = nowMs;
@@ -110,11 +134,12 @@
 
     const writeLoads = (): void => {
         const byCell = new Map<shared.CellId, membership.CellLoad[]>();
+        const configuration = blackboard.configuration.get();
         for (const { info, loads, seenAtMs } of records.values()) {
-            if (info.vm === self.vm) {
+            if (info.vm === self.vm || configuration === undefined || info.revision !== configuration.revision) {
                 continue;
             }
-            for (const load of loads) {
+            for (const load of publishedLoads.parseLoads(configuration, loads)) {
                 const list = byCell.get(load.cell) ?? [];
                 list.push({ ...load, owner: info.vm, measuredAtMs: seenAtMs });
                 byCell.set(load.cell, list);
@@ -197,6 +222,11 @@
             }
         },
         getKnown: () => gossipCodec.toKnownMembers(records.values()),
+        findOldest: () => {
+            const oldest = [...records.values()].sort((a, b) => a.seenAtMs - b.seenAtMs)[0];
+            const ageMs = scheduler.now() - (oldest?.seenAtMs ?? Infinity);
+            return ageMs > options.memberTimeoutMs * oldShare ? oldest?.info.control : undefined;
+        },
         listControls: () => [...records.values()].map(record => record.info.control),
         getDigests: () => {
             refreshSelf();
--- a/src/node/peers/parameters.ts
+++ b/src/node/peers/parameters.ts
@@ -65,9 +65,9 @@
     "admin.explain": zod.object({ call: shortText }),
 };
 
-const load = zod.tuple([shortText, count, count, count]);
-const news = zod.tuple([count, zod.enum(["starting", "serving", "leaving"]), count, zod.boolean(), zod.array(load)]);
-const record = zod.tuple([name, shortText, name, address, address, count, news]);
+const flags = zod.union([0, 1, 2, 4, 5, 6].map(value => zod.literal(value)));
+const news = [count, flags, count, base64] as const;
+const record = zod.tuple([name, shortText, name, address, address, count, ...news]);
 
 /** Answer to `gossip.pullChanges`; a peer with a fault must not break this daemon either. */
 export const gossipChangesResult = zod.union([
@@ -75,8 +75,8 @@
     zod.object({
         unitMs: zod.number().positive(),
         ages: base64,
-        news: zod.array(zod.tuple([count, news])),
-        added: zod.array(record),
+        news: zod.array(zod.tuple([count, ...news])).optional(),
+        added: zod.array(record).optional(),
         confirmation: zod.tuple([count, zod.number().min(0)]).optional(),
         head: configHead.optional(),
         crashes: zod.array(zod.tuple([digest, count])).optional(),
--- a/src/node/peers/rpcClient.ts
+++ b/src/node/peers/rpcClient.ts
@@ -14,8 +14,8 @@
 /** Two connections let a slow `config.getSections` run beside gossip. */
 const connectionsPerPeer = 2;
 
-/** Longer than the interval at which a daemon meets the same peer by chance in a group of about 20. */
-const keepAliveMs = 15_000;
+/** About the longest interval at which a daemon meets the same peer by chance in a group of about 50. */
+const keepAliveMs = 30_000;
 
 /** Bounds the answer to `config.getSections`; a whole configuration is about 110 KB at the target size. */
 const maxAnswerBytes = 16 * 1024 * 1024;
