--- a/src/bench/control/outage.ts
+++ b/src/bench/control/outage.ts
@@ -17,6 +17,9 @@
     /** Share of samples in which a VM was not fresh. */
     readonly staleBefore: string;
     readonly staleAfter: string;
+    /** Pulls of each VM in a second. */
+    readonly pullsBefore: number;
+    readonly pullsAfter: number;
     /** Time from the failure until every survivor knew only survivors as members. */
     readonly noticedMs: number | undefined;
 }
@@ -26,10 +29,11 @@
     const random = randoms.createRandom(seed);
     const lostCount = Math.floor(size / 3);
 
-    const measurePhase = async (): Promise<{ stale: string; noticedMs: number | undefined }> => {
+    const measurePhase = async (): Promise<{ stale: string; pulls: number; noticedMs: number | undefined }> => {
         let stale = 0;
         let samples = 0;
         let noticedMs: number | undefined;
+        const requests = cluster.traffic.requests;
         for (let elapsedMs = sampleMs; elapsedMs <= phaseMs; elapsedMs += sampleMs) {
             await cluster.scheduler.advance(sampleMs);
             const indexes = [...cluster.nodes.keys()];
@@ -40,7 +44,9 @@
                 noticedMs ??= elapsedMs;
             }
         }
-        return { stale: `${((100 * stale) / samples).toFixed(2)} %`, noticedMs };
+        const nodeSeconds = (cluster.nodes.size * phaseMs) / 1000;
+        const pulls = Number(((cluster.traffic.requests - requests) / nodeSeconds).toFixed(1));
+        return { stale: `${((100 * stale) / samples).toFixed(2)} %`, pulls, noticedMs };
     };
 
     await cluster.commit({ topology: "one" });
@@ -51,7 +57,15 @@
     indexes.slice(0, lostCount).forEach(index => cluster.stop(index));
     const after = await measurePhase();
     cluster.dispose();
-    return { members: size, seed, staleBefore: before.stale, staleAfter: after.stale, noticedMs: after.noticedMs };
+    return {
+        members: size,
+        seed,
+        staleBefore: before.stale,
+        staleAfter: after.stale,
+        pullsBefore: before.pulls,
+        pullsAfter: after.pulls,
+        noticedMs: after.noticedMs,
+    };
 };
 
 const run = async (): Promise<void> => {
--- a/src/node/peers/gossip.ts
+++ b/src/node/peers/gossip.ts
@@ -23,7 +23,7 @@
     readonly vmList: platform.VmList;
     readonly scheduler: shared.Scheduler;
     readonly random: shared.Random;
-    readonly settings: Pick<settingsTypes.EntrySettings, "gossipIntervalMs" | "memberTimeoutMs">;
+    readonly settings: Pick<settingsTypes.EntrySettings, "freshnessMs" | "gossipIntervalMs" | "memberTimeoutMs">;
     readonly configuration: Pick<
         configuration.ConfigurationController,
         "observeHead" | "observeConfirmation" | "getHead" | "getConfirmation"
@@ -45,6 +45,12 @@
  */
 const pullsPerInterval = 3;
 
+/**
+ * While the newest confirmation is older than this share of the freshness deadline, pulls come twice as often. With 55
+ * members that happens only while the table is down, when freshness depends on gossip alone.
+ */
+const oldConfirmationShare = 0.6;
+
 /** Cursors of peers that are kept; more peers than that do not exist in one deployment. */
 const maxCursors = 500;
 
@@ -166,8 +172,15 @@
         }
     };
 
+    const computeDelayMs = (): number => {
+        const { confirmedAtMs } = blackboard.freshness.get();
+        const ageMs = confirmedAtMs === undefined ? 0 : scheduler.now() - confirmedAtMs;
+        const isOld = ageMs > settings.freshnessMs * oldConfirmationShare;
+        return settings.gossipIntervalMs / pullsPerInterval / (isOld ? 2 : 1);
+    };
+
     const runTick = (): void => {
-        timer = scheduler.schedule(settings.gossipIntervalMs / pullsPerInterval, runTick);
+        timer = scheduler.schedule(computeDelayMs(), runTick);
         members.removeExpired();
         members.updateSelf();
         // A VM that is alone on the list is its own majority.
