--- /dev/null
+++ b/src/bench/policy/main.ts
@@ -0,0 +1,112 @@
+/**
+ * Command that runs the experiments: `node out/bench/policy/main.js [--experiment policy] [--seeds 5] [--json]`.
+ */
+import * as commander from "commander";
+import * as runs from "./runScenario.js";
+import * as scenarios from "./scenarios.js";
+import * as policyTypes from "./Types.js";
+
+interface Row {
+    readonly labels: readonly string[];
+    readonly calls: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly p999Ms: number;
+    /** Least and greatest 99th percentile of a single seed. */
+    readonly p99RangeMs: readonly [number, number];
+    readonly refused: number;
+    readonly late: number;
+    readonly beyondSlots: number;
+    readonly beyondColdSlots: number;
+    /** Mean over the seeds; undefined if a seed did not get there. */
+    readonly allWarmAtMs: number | undefined;
+}
+
+const computePercentile = (sorted: readonly number[], share: number): number => {
+    const value = sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+    return Math.round(value * 10) / 10;
+};
+
+const sortNumbers = (values: readonly number[]): readonly number[] => Float64Array.from(values).sort() as never;
+
+const computeRow = (labels: readonly string[], results: readonly policyTypes.RunResult[]): Row => {
+    const all = sortNumbers(results.flatMap(result => result.latenciesMs));
+    const single = results.map(result => computePercentile(sortNumbers(result.latenciesMs), 0.99));
+    const sum = (read: (result: policyTypes.RunResult) => number): number =>
+        results.reduce((total, result) => total + read(result), 0);
+    const warm = results.map(result => result.allWarmAtMs).filter(atMs => atMs !== undefined);
+    return {
+        labels,
+        calls: sum(result => result.calls),
+        p50Ms: computePercentile(all, 0.5),
+        p99Ms: computePercentile(all, 0.99),
+        p999Ms: computePercentile(all, 0.999),
+        p99RangeMs: [Math.min(...single), Math.max(...single)],
+        refused: sum(result => result.refused),
+        late: sum(result => result.late),
+        beyondSlots: sum(result => result.beyondSlots),
+        beyondColdSlots: sum(result => result.beyondColdSlots),
+        allWarmAtMs:
+            warm.length === results.length && warm.length > 0
+                ? Math.round(warm.reduce((total, atMs) => total + atMs, 0) / warm.length)
+                : undefined,
+    };
+};
+
+const printTable = (experiment: scenarios.Experiment, rows: readonly Row[]): void => {
+    const isCold = experiment.name === "cold";
+    const cold = isCold ? ["beyond cold slots", "all warm at s"] : [];
+    const measures = ["calls", "p50 ms", "p99 ms", "p99 by seed", "p99.9 ms", "refused", "late", "beyond slots"];
+    const columns = [...experiment.columns, ...measures, ...cold];
+    const lines = rows.map(row => {
+        const warmAt = row.allWarmAtMs === undefined ? "never" : (row.allWarmAtMs / 1_000).toFixed(1);
+        const cells = [
+            ...row.labels,
+            row.calls,
+            row.p50Ms,
+            row.p99Ms,
+            row.p99RangeMs.join(" to "),
+            row.p999Ms,
+            row.refused,
+            row.late,
+            row.beyondSlots,
+            ...(isCold ? [row.beyondColdSlots, warmAt] : []),
+        ];
+        return `| ${cells.join(" | ")} |`;
+    });
+    const rule = `| ${columns.map(() => "---").join(" | ")} |`;
+    console.log([`\n${experiment.name}\n`, `| ${columns.join(" | ")} |`, rule, ...lines].join("\n"));
+};
+
+const runExperiment = async (experiment: scenarios.Experiment, seeds: readonly number[]): Promise<readonly Row[]> => {
+    const rows: Row[] = [];
+    for (const { labels, scenario } of experiment.rows) {
+        const results: policyTypes.RunResult[] = [];
+        for (const seed of seeds) {
+            results.push(await runs.runScenario(scenario, seed));
+        }
+        rows.push(computeRow(labels, results));
+    }
+    return rows;
+};
+
+const program = new commander.Command("policy")
+    .description("compares policies for the choice of a target on virtual time")
+    .option("--experiment <name>", "policy, spill, slow or cold; all of them without it")
+    .option("--seeds <count>", "number of seeds, beginning with 1", "5")
+    .option("--json", "print JSON after the tables")
+    .action(async (options: { experiment?: string; seeds: string; json?: boolean }) => {
+        const seeds = Array.from({ length: Number(options.seeds) }, (_, index) => index + 1);
+        const chosen = scenarios.experiments.filter(({ name }) => (options.experiment ?? name) === name);
+        const report: Record<string, readonly Row[]> = {};
+        for (const experiment of chosen) {
+            const rows = await runExperiment(experiment, seeds);
+            report[experiment.name] = rows;
+            printTable(experiment, rows);
+        }
+        if (options.json === true) {
+            console.log(JSON.stringify({ seeds, report }));
+        }
+    });
+
+await program.parseAsync();
--- /dev/null
+++ b/src/bench/policy/world.ts
@@ -0,0 +1,71 @@
+/**
+ * Targets, links and time that all policies share.
+ */
+import * as config from "../../common/config/Types.js";
+import * as fixtures from "../../common/routing/fixture.js";
+import * as spillOver from "../../common/routing/spillOver.js";
+import * as types from "../../common/Types.js";
+import * as simScheduler from "./simScheduler.js";
+import * as simTarget from "./simTarget.js";
+import * as policyTypes from "./Types.js";
+
+/** One-way delay between two processes in a zone. */
+const zoneDelayMs = 0.25;
+
+export interface SimCall {
+    readonly deadlineAtMs: number;
+    finish(outcome: "answered" | "refused"): void;
+}
+
+export type SendCall = (call: SimCall) => void;
+
+export interface World {
+    readonly scheduler: simScheduler.SimScheduler;
+    readonly random: types.Random;
+    readonly targets: readonly simTarget.SimTarget[];
+    readonly zones: readonly types.ZoneName[];
+    readonly configuration: config.Configuration;
+    /** One-way delay of a message. */
+    getDelayMs(from: types.ZoneName, to: types.ZoneName): number;
+    isInService(index: number): boolean;
+    isZoneOut(zone: types.ZoneName): boolean;
+    /** Puts the last zone out of service or back. */
+    setLastZoneOut(out: boolean): void;
+}
+
+/**
+ * Creates the targets of a scenario.
+ *
+ * @param scenario - sizes
+ * @param seed - seed of all random numbers
+ * @returns the world at time 0
+ */
+export const createWorld = (scenario: policyTypes.Scenario, seed: number): World => {
+    const scheduler = simScheduler.createSimScheduler();
+    const source = simTarget.createSource(seed);
+    const configuration = fixtures.createConfiguration(scenario.shape);
+    const section = [...configuration.services.values()][0];
+    // Each target has numbers of its own, so that all policies meet the same noise.
+    const targets = (section?.targets ?? []).map((target, index) =>
+        simTarget.createSimTarget(target, scheduler, simTarget.createSource(seed * 1_000 + index), scenario.noise),
+    );
+    const zones = configuration.topology.zones.map(zone => zone.name);
+    const getLinkMs = spillOver.createGetDelay(configuration.topology);
+    const lastZone = zones[zones.length - 1];
+    let isLastZoneOut = false;
+    const isZoneOut = (zone: types.ZoneName): boolean => isLastZoneOut && zone === lastZone;
+    return {
+        scheduler,
+        random: source,
+        targets,
+        zones,
+        configuration,
+        getDelayMs: (from, to) => zoneDelayMs + getLinkMs(from, to),
+        isInService: index => {
+            const zone = targets[index]?.config.zone;
+            return zone !== undefined && !isZoneOut(zone);
+        },
+        isZoneOut,
+        setLastZoneOut: out => (isLastZoneOut = out),
+    };
+};
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -54,8 +54,9 @@
 
     const updateCell = (cell: cellEntry.CellEntry, nowMs: number): void => {
         cellEntry.updateMedian(cell, nowMs);
+        const waitMs = cell.queue.count() > 0 ? cellEntry.computeCapacity(cell).expectedWaitMs : 0;
         for (const entry of cell.owned) {
-            targetEntry.updateLimit(entry, cell.medianMs, nowMs);
+            targetEntry.updateLimit(entry, cell.medianMs, waitMs, nowMs);
             coldGate.applyColdLease(entry, coldLeases, cell.meanMs, nowMs);
         }
     };
--- a/src/common/routing/routing.test.ts
+++ b/src/common/routing/routing.test.ts
@@ -144,6 +144,36 @@
     t.true(bad < 20, `${String(bad)} of 200 calls went to the failing target`);
 });
 
+test("a slow target gets one call at a time, unless calls wait longer than it takes", async t => {
+    const setup = createSetup({ targets: 2, slots: 2, queueLimit: 100 });
+    setup.setWarm();
+    const other = ids.toTargetId("t1");
+    const call = async (latencyMs: number, exclude: types.TargetView["target"]["id"]): Promise<void> => {
+        const grant = await setup.acquire({ exclude: [exclude] });
+        if (grant.kind === "local") {
+            grant.release({ kind: "answered", latencyMs, report: undefined });
+        }
+        await setup.scheduler.advance(60);
+    };
+    for (let count = 0; count < 20; count++) {
+        await call(10, target);
+        await call(100, other);
+    }
+    t.is(setup.findView()?.state.kind, "slow");
+    await Promise.all([setup.acquire(), setup.acquire(), setup.acquire()]);
+    t.is(setup.findView()?.inFlight, 1);
+    for (let count = 0; count < 2; count++) {
+        void setup.acquire({ mayForward: false });
+    }
+    await setup.scheduler.advance(30);
+    t.is(setup.findView()?.inFlight, 1, "two waiting calls do not take as long as the slow target");
+    for (let count = 0; count < 30; count++) {
+        void setup.acquire({ mayForward: false });
+    }
+    await setup.scheduler.advance(30);
+    t.is(setup.findView()?.inFlight, 2);
+});
+
 test("under random calls, reports and changes, no target exceeds its slots and no call is lost", async t => {
     const property = fastCheck.asyncProperty(fastCheck.integer(), async seed => {
         const setup = createSetup({ targets: 4, slots: 2, queueLimit: 6, zones: ["a"] }, seed);
--- a/src/common/routing/targetEntry.ts
+++ b/src/common/routing/targetEntry.ts
@@ -13,6 +13,8 @@
 export const defaultLatencyMs = 10;
 /** Weight of a new sample in the smoothed latency. */
 export const latencyWeight = 0.1;
+/** The same for a slow target, which gets fewer calls and would otherwise be found to have recovered too late. */
+export const slowLatencyWeight = 0.2;
 export const freshReportMs = 500;
 /** A slow target without calls for this long is tried again with the usual latency of its cell. */
 export const slowRetryMs = 1_000;
@@ -120,14 +122,21 @@
     return current;
 };
 
+/** Tells whether the limit was lowered for slowness only, or still grows after that. */
+const isLoweredForSlowness = (entry: TargetEntry, nowMs: number): boolean => {
+    const kind = entry.health.state.kind;
+    return (kind === "slow" || kind === "warm") && !targetHealth.isCold(entry.health, nowMs);
+};
+
 /**
  * Updates the limit of a target, without regard to its cold lease.
  *
  * @param entry - the target
  * @param medianMs - median latency of its cell
+ * @param waitMs - expected time in the queue of its cell
  * @param nowMs - local monotonic time
  */
-export const updateLimit = (entry: TargetEntry, medianMs: number, nowMs: number): void => {
+export const updateLimit = (entry: TargetEntry, medianMs: number, waitMs: number, nowMs: number): void => {
     if (!entry.owned || nowMs < entry.pausedUntilMs) {
         entry.limit = 0;
         return;
@@ -139,9 +148,16 @@
     if (entry.health.state.kind === "warming" && entry.limit >= entry.config.slots) {
         entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "warmedUp" }, nowMs);
     }
-    if (entry.health.state.kind === "slow" && entry.inFlight === 0 && nowMs - entry.answeredAtMs > slowRetryMs) {
+    const isIdle = entry.inFlight === 0 && nowMs - entry.answeredAtMs > slowRetryMs;
+    if (entry.health.state.kind === "slow" && isIdle) {
         entry.latencyMs = Math.min(entry.latencyMs, medianMs);
     }
+    // A low limit helps while other targets have room. Otherwise a slow slot is better than a long wait; if the further
+    // calls make the target slower still, this comparison ends it.
+    const isWorthWhile = waitMs > 0 && entry.latencyMs < waitMs + medianMs && foreignBusy === 0;
+    if (isWorthWhile && isLoweredForSlowness(entry, nowMs)) {
+        entry.limit = entry.config.slots;
+    }
 };
 
 /**
@@ -201,8 +217,8 @@
  * @param nowMs - local monotonic time
  */
 export const recordLatency = (entry: TargetEntry, latencyMs: number, nowMs: number): void => {
-    const isFirst = entry.answers === 0;
-    entry.latencyMs = isFirst ? latencyMs : entry.latencyMs + latencyWeight * (latencyMs - entry.latencyMs);
+    const weight = entry.health.state.kind === "slow" ? slowLatencyWeight : latencyWeight;
+    entry.latencyMs = entry.answers === 0 ? latencyMs : entry.latencyMs + weight * (latencyMs - entry.latencyMs);
     entry.answers++;
     entry.answeredAtMs = nowMs;
     entry.failures = 0;
