--- a/src/bench/policy/dispatchCost.ts
+++ b/src/bench/policy/dispatchCost.ts
@@ -40,6 +40,7 @@
                     service,
                     deadlineAtMs,
                     exclude: [],
+                    excludeMembers: [],
                     mayForward: true,
                     signal,
                 }),
--- a/src/bench/policy/ownerEntries.ts
+++ b/src/bench/policy/ownerEntries.ts
@@ -114,6 +114,7 @@
             service,
             deadlineAtMs: call.deadlineAtMs,
             exclude: [],
+            excludeMembers: [],
             mayForward,
             signal: new AbortController().signal,
         });
