--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -54,7 +54,7 @@
     nextInt(bound: number): number;
 }
 
-/** Writes one line for each decision; `prefix` names the part, as in `route:`. */
+/** Writes one line for each decision. A message begins with the fixed prefix of its part, as in `route: `. */
 export interface Logger {
     debug(message: string, fields?: LogFields): void;
     info(message: string, fields?: LogFields): void;
--- a/src/node/claims/claimController.ts
+++ b/src/node/claims/claimController.ts
@@ -31,13 +31,13 @@
             key: run.key,
             finish: result => {
                 if (isFinished) {
-                    logger.warn(`key ${run.key} was finished twice`, { attempt: run.attempt });
+                    logger.warn(`claim: key ${run.key} was finished twice`, { attempt: run.attempt });
                     return;
                 }
                 isFinished = true;
                 arbiter.finish(run, result);
                 settle?.(keyArbiter.toKeyEnd(result));
-                logger.info(`key ${run.key} ended`, { attempt: run.attempt, result: result.kind });
+                logger.info(`claim: key ${run.key} ended`, { attempt: run.attempt, result: result.kind });
             },
         };
     };
@@ -90,7 +90,7 @@
         try {
             return await claimForeign(decision.run, request);
         } catch (error) {
-            logger.error(`key ${key} could not be claimed`, { error: String(error) });
+            logger.error(`claim: key ${key} could not be claimed`, { error: String(error) });
             return finishFailed(decision.run, "The key could not be claimed.");
         }
     };
@@ -154,19 +154,19 @@
 ): void => {
     switch (decision.kind) {
         case "run":
-            logger.info(`key ${key} may run`, { service });
+            logger.info(`claim: key ${key} may run`, { service });
             return;
         case "wait":
-            logger.info(`key ${key} is running, the request waits`, { service });
+            logger.info(`claim: key ${key} is running, the request waits`, { service });
             return;
         case "replay":
-            logger.info(`key ${key} ran, its answer is repeated`, { service, status: decision.answer.status });
+            logger.info(`claim: key ${key} ran, its answer is repeated`, { service, status: decision.answer.status });
             return;
         case "forward":
-            logger.info(`key ${key} goes to its arbiter`, { service, incarnation: decision.incarnation });
+            logger.info(`claim: key ${key} goes to its arbiter`, { service, incarnation: decision.incarnation });
             return;
         case "refuse":
-            logger.info(`key ${key} is refused`, { service, error: decision.error });
+            logger.info(`claim: key ${key} is refused`, { service, error: decision.error });
             return;
     }
 };
--- a/src/node/claims/claimStore.ts
+++ b/src/node/claims/claimStore.ts
@@ -65,7 +65,7 @@
         while (step.kind === "write" || step.kind === "read") {
             const observation = await (step.kind === "write" ? writeRow(rowKey, claim) : readRow(rowKey));
             if (observation.kind === "unknown") {
-                logger.warn("the answer to a claim was lost, the row is read back", { row: rowKey });
+                logger.warn("claim: the answer to a claim was lost, the row is read back", { row: rowKey });
             }
             ({ claim, step } = rowClaim.applyRowObservation(claim, observation));
         }
--- a/src/node/claims/keyArbiter.ts
+++ b/src/node/claims/keyArbiter.ts
@@ -38,7 +38,7 @@
         }
         oldestEpoch = oldest;
         const removed = table.removeBefore(oldest);
-        logger.info(`epochs before ${oldest} are forgotten`, { keys: removed });
+        logger.info(`claim: epochs before ${oldest} are forgotten`, { keys: removed });
     };
 
     const waitForResult = (attempt: number): Promise<claims.ClaimResult> =>
--- a/src/node/claims/rowSettler.ts
+++ b/src/node/claims/rowSettler.ts
@@ -116,7 +116,7 @@
     };
 
     const scheduleRetry = (): void => {
-        logger.warn("ends of calls wait for the table service", { rows: jobs.size });
+        logger.warn("claim: ends of calls wait for the table service", { rows: jobs.size });
         for (const rowKey of [...firstTries.keys()]) {
             finishFirstTry(rowKey);
         }
@@ -147,7 +147,7 @@
     const dropOldestJob = (): void => {
         for (const job of jobs.values()) {
             removeJob(job);
-            logger.warn("the end of a call was not recorded, its row stays claimed", { row: job.rowKey });
+            logger.warn("claim: the end of a call was not recorded, its row stays claimed", { row: job.rowKey });
             return;
         }
     };
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -83,7 +83,7 @@
     const lifetimes = events.createDisposableStore();
     const platform = platformClients.createPlatformClient(settings.platform);
     const rpcClient = rpcClients.createRpcClient();
-    const rpcServer = rpcServers.createRpcServer(logs.createLogger("member"));
+    const rpcServer = rpcServers.createRpcServer(logs.logger);
     const sender = senders.createSender({
         checksEcho: !unsafe.has("no-echo-check"),
         reusesIdle: unsafe.has("reuse-idle"),
@@ -110,7 +110,7 @@
             scheduler,
             settings,
             assembleConfiguration: configuration.assembleConfiguration,
-            logger: logs.createLogger("config"),
+            logger: logs.logger,
         }),
     );
     const claims = lifetimes.add(
@@ -120,7 +120,7 @@
             table: platform.table,
             createToken,
             limits: settings,
-            logger: logs.createLogger("claim"),
+            logger: logs.logger,
         }),
     );
     const coldLeases = lifetimes.add(
@@ -130,7 +130,7 @@
             scheduler,
             createToken,
             leaseMs: settings.coldLeaseMs,
-            logger: logs.createLogger("cold"),
+            logger: logs.logger,
         }),
     );
     const dispatcher = lifetimes.add(
@@ -139,7 +139,7 @@
             scheduler,
             random,
             coldLeases,
-            logger: logs.createLogger("route"),
+            logger: logs.logger,
         }),
     );
     lifetimes.add(
@@ -156,7 +156,7 @@
             listCrashes: crashes.list,
             applyCrash: crashes.mergeCount,
             getKeyEpoch: claims.getEpoch,
-            logger: logs.createLogger("member"),
+            logger: logs.logger,
         }),
     );
     lifetimes.add(
@@ -166,7 +166,7 @@
             scheduler,
             random,
             sendProbe: probing.createProbeSender(sender, scheduler),
-            logger: logs.createLogger("target"),
+            logger: logs.logger,
         }),
     );
 
@@ -185,7 +185,7 @@
         claims,
         crashes,
         traces,
-        logger: logs.createLogger("front"),
+        logger: logs.logger,
         isFresh,
         publishCrash,
         unsafe,
@@ -208,7 +208,7 @@
     const lifecycle = lifecycles.createLifecycleController({
         board,
         scheduler,
-        logger: logs.createLogger("life"),
+        logger: logs.logger,
         lookupTtlMs: settings.lookupTtlMs,
         drainTimeoutMs: unsafe.has("no-drain") ? 0 : settings.drainTimeoutMs,
         announcesLeaving: !unsafe.has("no-leave-notice"),
@@ -249,7 +249,7 @@
     gateways.createGateway({
         name: "front",
         address: settings.listen,
-        logger: logs.createLogger("front"),
+        logger: logs.logger,
         routes: [
             { segment: "call", handle: (request, response) => calls.handle(request, response, false) },
             {
@@ -269,7 +269,7 @@
     gateways.createGateway({
         name: "control",
         address: settings.control,
-        logger: logs.createLogger("member"),
+        logger: logs.logger,
         routes: [
             { segment: "rpc", handle: rpcRoute },
             { segment: "forward", handle: (request, response) => calls.handle(request, response, true) },
--- a/src/node/entry/lifecycle.ts
+++ b/src/node/entry/lifecycle.ts
@@ -50,24 +50,24 @@
         if (options.announcesLeaving) {
             write("leaving");
         }
-        logger.info(`leaving; callers may hold lookup answers for another ${options.lookupTtlMs} ms`);
+        logger.info(`life: leaving; callers may hold lookup answers for another ${options.lookupTtlMs} ms`);
         await wait(options.lookupTtlMs);
         void options.closeFront();
-        logger.info("the callers' port is closed", { calls: options.countCalls() });
+        logger.info("life: the callers' port is closed", { calls: options.countCalls() });
         await waitForCalls();
         const calls = options.countCalls();
         if (calls > 0) {
-            logger.warn(`the drain timeout of ${options.drainTimeoutMs} ms has passed`, { calls });
+            logger.warn(`life: the drain timeout of ${options.drainTimeoutMs} ms has passed`, { calls });
         }
         write("stopped");
-        logger.info("stopped");
+        logger.info("life: stopped");
     };
 
     return {
         setServing: () => {
             if (board.lifecycle.get() === "starting") {
                 write("serving");
-                logger.info("serving");
+                logger.info("life: serving");
             }
         },
         leave: () => (leaving ??= runLeave()),
--- a/src/node/entry/runEntry.ts
+++ b/src/node/entry/runEntry.ts
@@ -25,7 +25,7 @@
  */
 export const runEntry = async (settings: settingsTypes.EntrySettings): Promise<void> => {
     const logs = logSinks.createLogSink({ level: settings.logLevel, format: settings.logFormat, write: writeAll });
-    const unsafe = unsafeSwitches.readUnsafeSwitches(process.env, logs.createLogger("life"));
+    const unsafe = unsafeSwitches.readUnsafeSwitches(process.env, logs.logger);
     const daemon = daemons.createEntryDaemon(settings, logs, unsafe);
     const stopped = new Promise<void>(resolve => {
         process.once("SIGTERM", () => resolve());
--- a/src/node/entry/unsafeSwitches.ts
+++ b/src/node/entry/unsafeSwitches.ts
@@ -58,7 +58,9 @@
         throw new Error(`${variable} names unknown switches: ${unknown.join(", ")}`);
     }
     if (switches.size > 0) {
-        logger.warn(`${variable} turns safety mechanisms off; this is for tests only`, { switches: names.join(",") });
+        logger.warn(`life: ${variable} turns safety mechanisms off; this is for tests only`, {
+            switches: names.join(","),
+        });
     }
     return switches;
 };
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -68,7 +68,7 @@
         message: string,
     ): void => {
         traces.record(head.id, `answered ${kind}: ${message}`);
-        logger.info(`call ${head.id} is refused, ${kind}`, { service: head.service, cause: message });
+        logger.info(`front: call ${head.id} is refused, ${kind}`, { service: head.service, cause: message });
         port.refuse(kind, message);
     };
 
@@ -266,7 +266,7 @@
             refuse(head, port, error.kind, error.message);
             return;
         }
-        logger.error(`call ${head.id} failed`, {
+        logger.error(`front: call ${head.id} failed`, {
             cause: error instanceof Error ? (error.stack ?? error.message) : "?",
         });
         refuse(head, port, "internal", "the entry VM failed to handle the call");
--- a/src/node/http/gateway.ts
+++ b/src/node/http/gateway.ts
@@ -109,7 +109,7 @@
             request.url =
                 (request as http.IncomingMessage & { originalUrl?: string }).originalUrl ?? request.url ?? "/";
             route.handle(request, response).catch((error: unknown) => {
-                options.logger.error("a request failed", { cause: String(error) });
+                options.logger.error("front: a request failed", { cause: String(error) });
                 response.destroy();
             });
         };
--- a/src/node/logging/Types.ts
+++ b/src/node/logging/Types.ts
@@ -13,7 +13,7 @@
 }
 
 export interface LogSink extends types.Disposable {
-    /** Creates the logger of one part; `prefix` is its fixed prefix without the colon. */
-    createLogger(prefix: string): types.Logger;
+    /** Shared by all parts; each message begins with the prefix of its part, as in `route: `. */
+    readonly logger: types.Logger;
     flush(): void;
 }
--- a/src/node/logging/logSink.test.ts
+++ b/src/node/logging/logSink.test.ts
@@ -4,10 +4,9 @@
 test("a disposed sink has written every line, in order", t => {
     let text = "";
     const sink = logSink.createLogSink({ level: "info", format: "json", write: chunk => (text += chunk) });
-    const logger = sink.createLogger("route");
-    logger.debug("hidden");
-    logger.info("first", { call: "c1" });
-    logger.warn("second");
+    sink.logger.debug("route: hidden");
+    sink.logger.info("route: first", { call: "c1" });
+    sink.logger.warn("route: second");
     t.is(text, "");
     sink.dispose();
     const lines = text
@@ -26,7 +25,7 @@
 test("a text line carries the prefix of its part", t => {
     let text = "";
     const sink = logSink.createLogSink({ level: "info", format: "text", write: chunk => (text += chunk) });
-    sink.createLogger("life").warn("leaving", { calls: 2 });
+    sink.logger.warn("life: leaving", { calls: 2 });
     sink.dispose();
-    t.regex(text, /^\S+ life: warn: leaving calls=2\n$/);
+    t.regex(text, /^\S+ warn: life: leaving calls=2\n$/);
 });
--- a/src/node/logging/logSink.ts
+++ b/src/node/logging/logSink.ts
@@ -15,14 +15,18 @@
         .map(([name, value]) => ` ${name}=${String(value)}`)
         .join("");
 
-const formatText = (prefix: string, level: string, message: string, fields: shared.LogFields | undefined): string => {
+const formatText = (level: string, message: string, fields: shared.LogFields | undefined): string => {
     const mark = level === "warn" || level === "error" ? `${level}: ` : "";
     const suffix = fields === undefined ? "" : formatFields(fields);
-    return `${new Date().toISOString()} ${prefix}: ${mark}${message}${suffix}\n`;
+    return `${new Date().toISOString()} ${mark}${message}${suffix}\n`;
 };
 
-const formatJson = (prefix: string, level: string, message: string, fields: shared.LogFields | undefined): string =>
-    `${JSON.stringify({ time: new Date().toISOString(), part: prefix, level, message, ...fields })}\n`;
+/** A message begins with the prefix of its part, which becomes a field of its own. */
+const formatJson = (level: string, message: string, fields: shared.LogFields | undefined): string => {
+    const [part = "", ...rest] = message.split(": ");
+    const line = { time: new Date().toISOString(), part, level, message: rest.join(": "), ...fields };
+    return `${JSON.stringify(line)}\n`;
+};
 
 /**
  * Creates the sink that all loggers of a process share.
@@ -60,16 +64,13 @@
         flush();
     });
 
-    const createLogger = (prefix: string): shared.Logger => {
-        const logger = loglevel.default.getLogger(Symbol(prefix));
-        logger.methodFactory =
-            level =>
-            (message: string, fields?: shared.LogFields): void =>
-                append(formatLine(prefix, level, message, fields));
-        // loglevel keeps the level in a browser's storage unless the second argument is false.
-        logger.setLevel(options.level, false);
-        return logger;
-    };
+    const logger = loglevel.default.getLogger(Symbol("tarragonpath"));
+    logger.methodFactory =
+        level =>
+        (message: string, fields?: shared.LogFields): void =>
+            append(formatLine(level, message, fields));
+    // loglevel keeps the level in a browser's storage unless the second argument is false.
+    logger.setLevel(options.level, false);
 
-    return { createLogger, flush, dispose: () => lifetime.dispose() };
+    return { logger, flush, dispose: () => lifetime.dispose() };
 };
