--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -67,10 +67,12 @@
     listCellLoads(): readonly membership.CellLoad[];
 }
 
-/** A dispatcher that also learns from probes that failed. */
+/** A dispatcher that also learns from probes that failed and from the platform's list. */
 export interface ProbedDispatcher extends Dispatcher {
     /** A probe got no answer; it counts towards ejection and the time without contact, like a failed call. */
     applyProbeFailure(target: types.TargetId): void;
+    /** VMs that are leaving by the platform's list; their targets get no new calls, whatever they report. */
+    setLeavingVms(vms: ReadonlySet<types.VmId>): void;
 }
 
 export type TargetState =
--- a/src/common/routing/cellOptions.ts
+++ b/src/common/routing/cellOptions.ts
@@ -19,6 +19,9 @@
     recordForward(cell: cellEntry.CellEntry, member: membership.Member): void;
 }
 
+/** Above every real cost, so that a full queue is chosen only if there is nothing else, and then refuses the call. */
+const fullQueueCostMs = Number.MAX_VALUE;
+
 interface ForwardCount {
     readonly measuredAtMs: number;
     count: number;
@@ -82,6 +85,9 @@
         if (cell.owned.every(entry => request.exclude.includes(entry.config.id))) {
             return Infinity;
         }
+        if (cell.queue.count() >= cell.queueLimit) {
+            return fullQueueCostMs;
+        }
         return 2 * table.getDelayMs(self.zone, cell.zone) + cellEntry.computeCapacity(cell).expectedWaitMs;
     };
 
--- a/src/common/routing/cellTable.ts
+++ b/src/common/routing/cellTable.ts
@@ -17,9 +17,17 @@
     readonly home: cellEntry.CellEntry | undefined;
 }
 
+/** What the table is derived from. */
+export interface TableSources {
+    readonly configuration: config.Configuration | undefined;
+    readonly ownership: membership.Ownership;
+    /** VMs of targets that are leaving by the platform's list. */
+    readonly leavingVms: ReadonlySet<shared.VmId>;
+}
+
 export interface CellTable {
-    /** Takes over a configuration and the owners; calls in flight and waiting calls are kept. */
-    update(configuration: config.Configuration | undefined, ownership: membership.Ownership): void;
+    /** Takes over new sources; calls in flight and waiting calls are kept. */
+    update(sources: TableSources): void;
     findService(service: shared.ServiceName): ServiceEntry | undefined;
     findTarget(target: shared.TargetId): targetEntry.TargetEntry | undefined;
     /** Configured targets, and removed ones that still have calls in flight. */
@@ -88,12 +96,13 @@
     const updateService = (
         section: config.ServiceSection,
         topology: config.TopologySection,
-        ownership: membership.Ownership,
+        sources: TableSources,
     ): ServiceEntry => {
+        const { ownership, leavingVms } = sources;
         const byCell = new Map<shared.CellId, targetEntry.TargetEntry[]>();
         for (const target of section.targets) {
             const entry = updateEntry(target, section.service);
-            const mayReceive = isInService(target, topology);
+            const mayReceive = isInService(target, topology) && !leavingVms.has(target.vm);
             entry.owned = mayReceive && isSelf(ownership.ownerOfTarget(target.id));
             if (mayReceive) {
                 const id = ids.toCellId(section.service, target.zone);
@@ -125,14 +134,15 @@
         services.get(cell.service)?.cells.includes(cell) === true;
 
     return {
-        update: (configuration, ownership) => {
+        update: sources => {
+            const configuration = sources.configuration;
             configured.clear();
             clearCells();
             const next = new Map<shared.ServiceName, ServiceEntry>();
             if (configuration !== undefined) {
                 getDelayMs = spillOver.createGetDelay(configuration.topology);
                 for (const section of configuration.services.values()) {
-                    next.set(section.service, updateService(section, configuration.topology, ownership));
+                    next.set(section.service, updateService(section, configuration.topology, sources));
                 }
             }
             services = next;
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -45,6 +45,7 @@
     const table = cellTables.createCellTable(blackboard.self, options.limitDrop ?? true);
     const remoteLoads = cellOptions.createOptionList(blackboard, table, options.spillOver ?? true);
     const lifetimes = events.createDisposableStore();
+    let leavingVms: ReadonlySet<shared.VmId> = new Set();
     let disposed = false;
 
     const refuse = (request: types.SlotRequest, error: errors.ErrorKind, message: string): types.SlotGrant => {
@@ -231,7 +232,11 @@
     };
 
     const update = (): void => {
-        table.update(blackboard.configuration.get(), blackboard.ownership.get());
+        table.update({
+            configuration: blackboard.configuration.get(),
+            ownership: blackboard.ownership.get(),
+            leavingVms,
+        });
         for (const entry of table.listTargets()) {
             if (!entry.owned) {
                 coldGate.releaseLease(entry, coldLeases);
@@ -291,6 +296,13 @@
             callEnd.applyFailure(cell, entry, scheduler.now());
             logChange(entry, before);
         },
+        setLeavingVms: vms => {
+            const isSame = vms.size === leavingVms.size && [...vms].every(vm => leavingVms.has(vm));
+            leavingVms = vms;
+            if (!isSame) {
+                update();
+            }
+        },
         listTargets: () => views.listTargetViews(table),
         listCellLoads: () => views.listCellLoads(table, blackboard.self.vm, scheduler.now(), updateCell),
         dispose: () => {
