--- a/src/node/probes/prober.test.ts
+++ b/src/node/probes/prober.test.ts
@@ -52,6 +52,18 @@
     t.deepEqual(setup.probes, []);
 });
 
+test("a new owner learns the state of its targets within 300 ms of virtual time", async t => {
+    const setup = createSetup({ targets: 6, zones: ["b"] }, "a");
+    await setup.scheduler.advance(5_000);
+    t.deepEqual(setup.probes, []);
+    setup.setOwnership(setup.ownership);
+    await setup.scheduler.advance(300);
+    t.true(setup.listStates().filter(state => state === "warm").length >= 2, "2 KB are enough for two of them");
+    const near = createSetup({ targets: 6, zones: ["a"] }, "a");
+    await near.scheduler.advance(300);
+    t.deepEqual(new Set(near.listStates()), new Set(["warm"]));
+});
+
 test("targets that report on calls, and targets of other owners, are not probed", async t => {
     const setup = createSetup({ targets: 2, zones: ["a", "b"] }, "a");
     await setup.scheduler.advance(1_000);
--- a/src/node/probes/prober.ts
+++ b/src/node/probes/prober.ts
@@ -17,6 +17,10 @@
 export const probeTimeoutMs = 1_000;
 export const idleMs = 2_000;
 const checkIntervalMs = 250;
+/** A new owner does not know its targets and sends them next to nothing, so it looks at them soon. */
+const ownershipDelayMs = 20;
+/** Time over which the first probes of new targets are spread. */
+const firstSpreadMs = 100;
 /** Share of an interval by which it varies, so that probes of several entry VMs do not fall together. */
 const jitterShare = 0.25;
 
@@ -74,8 +78,7 @@
             return known;
         }
         const bucket = tokenBucket.createTokenBucket(targetRate, nowMs);
-        // A new owner meets all of its targets at once; they are spread over one interval.
-        const notBeforeMs = nowMs + checkIntervalMs * random.nextFloat();
+        const notBeforeMs = nowMs + firstSpreadMs * random.nextFloat();
         const state = { bucket, notBeforeMs, isRunning: false, sentAtMs: 0 };
         states.set(target, state);
         return state;
@@ -140,12 +143,20 @@
             }
         }
         removeOld(views);
-        timer = scheduler.schedule(addJitter(checkIntervalMs), runChecks);
+        const isWaiting = views.some(view => view.owned && states.get(view.target.id)?.sentAtMs === 0);
+        scheduleChecks(isWaiting ? firstSpreadMs : checkIntervalMs);
     };
 
+    const scheduleChecks = (delayMs: number): void => {
+        timer?.dispose();
+        timer = scheduler.schedule(addJitter(delayMs), runChecks);
+    };
+
+    const changes = blackboard.ownership.onDidChange(() => scheduleChecks(ownershipDelayMs));
     runChecks();
     return events.toDisposable(() => {
         disposed = true;
+        changes.dispose();
         timer?.dispose();
     });
 };
