--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -248,6 +248,7 @@
 ): gateways.Gateway =>
     gateways.createGateway({
         name: "front",
+        sendDate: true,
         address: settings.listen,
         logger: logs.logger,
         routes: [
@@ -268,6 +269,8 @@
 ): gateways.Gateway =>
     gateways.createGateway({
         name: "control",
+        // The control budget counts each byte of the peers' messages.
+        sendDate: false,
         address: settings.control,
         logger: logs.logger,
         routes: [
