Drop the unread rest of a refused upload and keep its connection open

Cause: after a refusal before the end of an upload, the rest of the body stayed unread. On a connection that the caller kept, the next request was never read, and it got no answer. While leaving, the connection was closed instead, which resets it under the arriving body, so a peer lost the refusal and answered "may have run". Ruled out: a full queue and the routing, since the request without an answer had no line in the log.

--- a/src/node/front/bodyReader.ts
+++ b/src/node/front/bodyReader.ts
@@ -35,24 +35,25 @@
     let size = prefix.length;
     let fault: forward.BodyFault | undefined;
 
-    const readChunks = async function* (): AsyncGenerator<Buffer> {
-        // The request is not destroyed at the end, because its connection still carries the answer.
-        const chunks = request.iterator({ destroyOnReturn: false });
-        try {
-            for await (const chunk of chunks) {
-                size += (chunk as Buffer).length;
-                if (size > limits.maxBytes) {
-                    fault = "tooLarge";
-                    throw new Error(`the body has more than ${limits.maxBytes} bytes`);
-                }
-                yield chunk as Buffer;
+    // A pipe, unlike an iterator of the request, lets the request be read to its end after the sender has given up.
+    const rest = new stream.Transform({
+        transform: (chunk: Buffer, _encoding, done) => {
+            size += chunk.length;
+            if (size > limits.maxBytes) {
+                fault = "tooLarge";
+                done(new Error(`the body has more than ${limits.maxBytes} bytes`));
+                return;
             }
-        } catch (error) {
+            done(null, chunk);
+        },
+    });
+    request.once("close", () => {
+        if (!request.complete) {
             fault ??= "truncated";
-            throw error;
+            rest.destroy(new Error("the caller left in the middle of the body"));
         }
-    };
-    const rest = stream.Readable.from(readChunks(), { objectMode: false });
+    });
+    request.pipe(rest);
     // The sender reports a failed body; without a listener it would end the process if it fails before that.
     rest.on("error", () => undefined);
     return { prefix, rest, length: limits.contentLength, getFault: () => fault };
@@ -128,3 +129,13 @@
  * @returns true if the whole body is in memory
  */
 export const isReplayable = (body: forward.RequestBody): boolean => body.rest === undefined;
+
+/**
+ * Reads and drops what is left of a body. Unread, it would block the next request on the same connection.
+ *
+ * @param request - the request, to which nothing listens any more
+ */
+export const dropRest = (request: http.IncomingMessage): void => {
+    request.unpipe();
+    request.resume();
+};
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -58,7 +58,8 @@
             entry: options.self.vm,
             requestId: head.id,
             listOtherAddresses: options.listOtherAddresses,
-            mustClose: options.isLeaving,
+            // Closing while a body still arrives resets the connection, and the caller or peer would lose the answer.
+            mustClose: () => options.isLeaving() && response.req.complete,
         });
 
     const refuse = (
@@ -292,6 +293,7 @@
         } catch (error) {
             handleError(head, port, error);
         } finally {
+            bodyReader.dropRest(request);
             calls--;
         }
     };
