Take crash reports of peers, and report before the caller is answered

Cause: no handler was registered for crash.report, so counts reached peers only by gossip, and a caller that resent a crashing request through another entry VM at once crashed another target. The answer to the caller now also waits for the reports (at most 500 ms), since the caller can resend as soon as it has the answer. Ruled out: different fingerprints (the entry VMs refused the same request later) and slow reports alone (waiting for them without the handler changed nothing).

--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -31,7 +31,7 @@
     readonly logger: shared.Logger;
     isFresh(): boolean;
     /** Tells the other entry VMs of a crash. */
-    publishCrash(fingerprint: string, count: number): void;
+    publishCrash(fingerprint: string, count: number): Promise<void>;
     readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
 
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -48,7 +48,8 @@
 const crashLimit = 2;
 const maxCrashEntries = 1_000;
 const crashRetentionMs = 600_000;
-const crashReportTimeoutMs = 1_000;
+/** The answer to the call waits for the reports, so a peer that is silent must not delay it for long. */
+const crashReportTimeoutMs = 500;
 
 const createIncarnation = (): shared.IncarnationId =>
     ids.toIncarnationId(crypto.randomBytes(incarnationBytes).toString("base64url"));
@@ -170,12 +171,19 @@
         }),
     );
 
-    const publishCrash = (fingerprint: string, count: number): void => {
-        for (const member of board.members.get().values()) {
-            if (member.info.vm !== board.self.vm) {
-                void rpcClient.call(member.info.control, "crash.report", { fingerprint, count }, crashReportTimeoutMs);
-            }
-        }
+    rpcServer.addHandlers({
+        "crash.report": ({ fingerprint, count }) => {
+            crashes.mergeCount(fingerprint, count);
+            return Promise.resolve({ ok: true });
+        },
+    });
+    const publishCrash = async (fingerprint: string, count: number): Promise<void> => {
+        const others = [...board.members.get().values()].filter(member => member.info.vm !== board.self.vm);
+        await Promise.all(
+            others.map(member =>
+                rpcClient.call(member.info.control, "crash.report", { fingerprint, count }, crashReportTimeoutMs),
+            ),
+        );
     };
     const calls = callPaths.createCallPath({
         board,
--- a/src/node/front/Types.ts
+++ b/src/node/front/Types.ts
@@ -79,7 +79,8 @@
 export interface CrashCounts {
     isEmpty(): boolean;
     isBlocked(fingerprint: string): boolean;
-    recordCrash(fingerprint: string): void;
+    /** Resolves when the peers know of the crash, or after a short time limit. */
+    recordCrash(fingerprint: string): Promise<void>;
 }
 
 /** What the steps of a call need of the daemon. */
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -29,9 +29,10 @@
 export const createTargetStep = (options: types.StepOptions): TargetStep => {
     const { scheduler, sender, traces } = options;
 
-    const recordCrash = (call: types.Call): void => {
+    const recordCrash = async (call: types.Call): Promise<void> => {
         const fingerprint = options.computeFingerprint(call);
-        options.crashes.recordCrash(fingerprint);
+        // A caller may send the request again as soon as it has the answer, so the peers learn of the crash first.
+        await options.crashes.recordCrash(fingerprint);
         traces.record(call.head.id, "the connection broke before the answer began; counted as a crash");
     };
 
@@ -79,19 +80,19 @@
                         grant.release({ kind: "unreachable" });
                         return { kind: "notRun", error: "target_unreachable" };
                     }
-                    return finishBroken(call, grant, head, signal);
+                    return await finishBroken(call, grant, head, signal);
             }
         } finally {
             watch.dispose();
         }
     };
 
-    const finishBroken = (
+    const finishBroken = async (
         call: types.Call,
         grant: LocalGrant,
         head: Extract<forward.AttemptHead, { kind: "broken" }>,
         signal: AbortSignal,
-    ): types.StepResult => {
+    ): Promise<types.StepResult> => {
         traces.record(call.head.id, `no answer from ${grant.target.id}: ${head.cause}`);
         const fault = call.body.getFault();
         if (fault !== undefined) {
@@ -100,7 +101,7 @@
         }
         if (!head.aborted) {
             grant.release({ kind: "broken" });
-            recordCrash(call);
+            await recordCrash(call);
             return { kind: "unknown", error: "outcome_unknown" };
         }
         grant.release(signal.aborted ? { kind: "cancelled" } : { kind: "silent" });
--- a/src/testing/failure/scenarios/frozen.ts
+++ b/src/testing/failure/scenarios/frozen.ts
@@ -59,7 +59,6 @@
     entryArgs: plans.quickArgs,
     run: async context => {
         const { system } = context;
-        await requests.waitForLookups(context, "bookings").catch(() => undefined);
         const owner = await findOwner(context);
         const others = system.entries.filter(entry => entry !== owner);
         const traffic = context.startTraffic({
