--- a/src/bench/policy.ts
+++ b/src/bench/policy.ts
@@ -44,6 +44,7 @@
         throw new Error(`publish ended with ${published.exitCode}: ${published.lines.join("\n")}`);
     }
     await Promise.all(running.entries.map(entry => running.waitForHealth(entry)));
+    await running.waitForAgreement();
     return listByZone(
         plan,
         running.entries.map(entry => ({ zone: entry.zone, address: entry.listen })),
--- a/src/testing/caller/caller.ts
+++ b/src/testing/caller/caller.ts
@@ -69,7 +69,7 @@
 const parseAnswer = (
     response: undici.Dispatcher.ResponseData,
     body: Buffer,
-    isOwnRequest: (requestId: string) => boolean,
+    isOwnRequest: (head: answers.AnswerHead) => boolean,
     bodyDigest: string,
 ): Answered => {
     const outcome = getHeader(response.headers, "tarragon-outcome") as errors.Outcome | undefined;
@@ -117,7 +117,13 @@
                 signal: AbortSignal.timeout(Math.ceil(sending.deadlineMs) + answerGraceMs),
             });
             const body = await httpServer.readBody(response.body);
-            return parseAnswer(response, body, id => id.startsWith(`${call}.`), bodyDigest);
+            return parseAnswer(
+                response,
+                body,
+                head =>
+                    head.requestId.startsWith(`${call}.`) || (sending.key !== undefined && head.key === sending.key),
+                bodyDigest,
+            );
         } catch (error) {
             return { result: { kind: connectErrors.has(getErrorCode(error)) ? "notSent" : "noAnswer" } };
         }
--- a/src/testing/caller/retryRules.ts
+++ b/src/testing/caller/retryRules.ts
@@ -25,7 +25,7 @@
 ]);
 
 /** "May have run", and the arbiter cannot tell more. */
-const finalErrors = new Set(["arbiter_gone", "key_expired"]);
+const finalErrors = new Set(["arbiter_gone", "key_expired", "body_limit_exceeded"]);
 
 /**
  * Decides what to do after a sending.
--- a/src/testing/demo/main.ts
+++ b/src/testing/demo/main.ts
@@ -38,6 +38,7 @@
         throw new Error(`publish ended with ${published.exitCode}`);
     }
     await Promise.all(running.entries.map(entry => running.waitForHealth(entry)));
+    await running.waitForAgreement();
 };
 
 const printTraffic = (results: readonly traffic.TrafficResult[]): void => {
--- a/src/testing/system/system.ts
+++ b/src/testing/system/system.ts
@@ -28,6 +28,8 @@
     readonly runCommand: (args: readonly string[]) => Promise<types.PublishResult>;
     readonly startEntry: (vm: string, zone: string) => Promise<types.EntryVm>;
     readonly waitForHealth: (entry: types.EntryVm) => Promise<void>;
+    /** Waits until all running entry VMs name the same VMs in lookups, so that gossip has reached them all. */
+    readonly waitForAgreement: () => Promise<void>;
     readonly setPlatformFaults: (change: platform.PlatformFaultChange) => Promise<void>;
     readonly setTargetFaults: (target: string, change: targets.TargetFaultChange) => Promise<void>;
     readonly readTargetEvents: () => Promise<history.TargetEvent[]>;
@@ -58,6 +60,26 @@
     }
 };
 
+interface LookupText {
+    readonly entries?: readonly { readonly vm: string }[];
+}
+
+/** Names the VMs of all lookup answers of an entry VM, or is undefined if it refuses. */
+const readLookups = async (address: string, plan: types.DeploymentPlan): Promise<string | undefined> => {
+    const names: string[] = [];
+    for (const { service } of plan.services) {
+        for (const zone of plan.zones) {
+            const response = await undici.request(`http://${address}/lookup/${service}?zone=${zone}`);
+            const { entries } = (await response.body.json()) as LookupText;
+            if (response.statusCode !== 200 || entries === undefined) {
+                return undefined;
+            }
+            names.push(`${service} ${zone} ${entries.map(entry => entry.vm).join(",")}`);
+        }
+    }
+    return names.join("; ");
+};
+
 /**
  * Starts a system. Nothing is published yet, so the daemons are not healthy yet.
  *
@@ -134,6 +156,21 @@
         }
     };
 
+    const waitForAgreement = async (): Promise<void> => {
+        const endsAtMs = httpServer.readMachineClockMs() + timeoutMs;
+        const serving = entries.filter(entry => !processes.hasEnded(entry.process));
+        for (;;) {
+            const found = await Promise.all(serving.map(entry => readLookups(entry.listen, options.plan)));
+            if (new Set(found).size === 1 && found[0] !== undefined) {
+                return;
+            }
+            if (httpServer.readMachineClockMs() > endsAtMs) {
+                throw new Error(`the entry VMs do not agree: ${found.join(" | ")}`);
+            }
+            await httpServer.waitMs(healthPollMs);
+        }
+    };
+
     const runCommand = async (args: readonly string[]): Promise<types.PublishResult> => {
         const started = start(args[0] ?? "", commandProgram, [...args, "--platform", platformUrl]);
         const exitCode = await started.waitForExit();
@@ -181,6 +218,7 @@
         runCommand,
         startEntry,
         waitForHealth,
+        waitForAgreement,
         setPlatformFaults: change => sendJson(`${platformUrl}/faults`, "POST", change),
         setTargetFaults: (target, change) => sendJson(`http://${addresses[target]}/_faults`, "POST", change),
         readTargetEvents,
--- a/src/testing/targets/answers.ts
+++ b/src/testing/targets/answers.ts
@@ -8,6 +8,8 @@
 
 export interface AnswerHead {
     readonly requestId: string;
+    /** Idempotency key, empty if there is none. */
+    readonly key: string;
     readonly target: string;
     readonly bodyDigest: string;
     readonly fillerBytes: number;
@@ -26,15 +28,23 @@
 /**
  * Formats the body of an answer.
  *
- * @param requestId - `X-Request-Id` of the request
+ * @param request - the request that is answered
+ * @param request.requestId - its `X-Request-Id`
+ * @param request.key - its `Idempotency-Key`, if any
  * @param target - who answers
  * @param bodyDigest - digest of the request's body
  * @param fillerBytes - bytes after the first line
  * @returns the body
  */
-export const formatAnswer = (requestId: string, target: string, bodyDigest: string, fillerBytes: number): Buffer => {
+export const formatAnswer = (
+    request: { readonly requestId?: string; readonly key?: string },
+    target: string,
+    bodyDigest: string,
+    fillerBytes: number,
+): Buffer => {
+    const { requestId = "", key = "" } = request;
     const filler = Buffer.alloc(fillerBytes, `${requestId} `);
-    const head: AnswerHead = { requestId, target, bodyDigest, fillerBytes, fillerDigest: computeDigest(filler) };
+    const head: AnswerHead = { requestId, key, target, bodyDigest, fillerBytes, fillerDigest: computeDigest(filler) };
     return Buffer.concat([Buffer.from(`${JSON.stringify(head)}\n`), filler]);
 };
 
@@ -50,13 +60,13 @@
  * Checks the body of an answer.
  *
  * @param body - what arrived
- * @param isOwnRequest - tells whether a request id belongs to the call
+ * @param isOwnRequest - tells whether an answer is for the call; with a key, also an answer to another sending of it
  * @param bodyDigest - digest of the body that was sent
  * @returns whether it is whole and the call's own
  */
 export const checkAnswer = (
     body: Buffer,
-    isOwnRequest: (requestId: string) => boolean,
+    isOwnRequest: (head: AnswerHead) => boolean,
     bodyDigest: string,
 ): history.AnswerCheck => {
     const end = body.indexOf(10);
@@ -67,6 +77,6 @@
     const filler = body.subarray(end + 1);
     return {
         isWhole: filler.length === head.fillerBytes && computeDigest(filler) === head.fillerDigest,
-        isOwn: isOwnRequest(head.requestId) && head.bodyDigest === bodyDigest,
+        isOwn: isOwnRequest(head) && head.bodyDigest === bodyDigest,
     };
 };
--- a/src/testing/targets/targetServer.ts
+++ b/src/testing/targets/targetServer.ts
@@ -164,7 +164,7 @@
     const createAnswer = (run: targetState.Run, digest: string): Answer => {
         const query = new URL(run.fields.path ?? "/", "http://target").searchParams;
         const fillerBytes = Number(query.get("answerBytes") ?? 0);
-        const body = answers.formatAnswer(run.fields.requestId ?? "", spec.id, digest, fillerBytes);
+        const body = answers.formatAnswer(run.fields, spec.id, digest, fillerBytes);
         const { attempt } = run.fields;
         return {
             body,
