--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -8,6 +8,7 @@
 import * as errorKinds from "../../common/errors/Types.js";
 import * as membership from "../../common/membership/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as unsafeSwitches from "../entry/unsafeSwitches.js";
 import * as answerPorts from "./answerPort.js";
 import * as bodyReader from "./bodyReader.js";
 import * as callRunner from "./callRunner.js";
@@ -30,6 +31,7 @@
     findIncarnation(incarnation: shared.IncarnationId): membership.Member | undefined;
     listOtherAddresses(): readonly shared.Address[];
     readonly peerStep: peerSteps.PeerStep;
+    readonly unsafe: unsafeSwitches.UnsafeSwitches;
 }
 
 export interface CallHandler {
@@ -177,7 +179,9 @@
         }
         traces.record(call.head.id, `forwarded to ${member.info.vm}, arbiter of the key`);
         const step = await options.peerStep.send(call, port, signal, member, "arbiter");
-        if (step.kind !== "finished" && port.isOpen()) {
+        if (step.kind === "finished") {
+            answerResult(call, port, step.result);
+        } else if (port.isOpen()) {
             // Without the arbiter it cannot be told whether an earlier call with this key has run.
             const kind = step.kind === "notRun" && step.error === "target_unreachable" ? "arbiter_gone" : step.error;
             refuse(call.head, port, kind, "the arbiter of the key has not answered");
@@ -185,7 +189,8 @@
     };
 
     const dispatchCall = async (call: types.Call, port: types.AnswerPort, signal: AbortSignal): Promise<void> => {
-        const isArbitrated = call.head.hop.kind === "route" && call.head.hop.arbitrated;
+        const isArbitrated =
+            options.unsafe.has("no-arbiter") || (call.head.hop.kind === "route" && call.head.hop.arbitrated);
         if (call.isIdempotent || isArbitrated || call.head.key === undefined) {
             answerResult(call, port, await options.runner.run(call, port, signal));
             return;
--- a/src/node/peers/gossip.ts
+++ b/src/node/peers/gossip.ts
@@ -23,7 +23,7 @@
     readonly vmList: platform.VmList;
     readonly scheduler: shared.Scheduler;
     readonly random: shared.Random;
-    readonly settings: Pick<settingsTypes.EntrySettings, "gossipIntervalMs" | "memberTimeoutMs">;
+    readonly settings: Pick<settingsTypes.EntrySettings, "freshnessMs" | "gossipIntervalMs" | "memberTimeoutMs">;
     readonly configuration: Pick<
         configuration.ConfigurationController,
         "observeHead" | "observeConfirmation" | "getHead" | "getConfirmation"
@@ -47,6 +47,12 @@
  */
 const pullsPerInterval = 3;
 
+/**
+ * While the newest confirmation is older than this share of the freshness deadline, pulls come twice as often. With 55
+ * members that happens only while the table is down, when freshness depends on gossip alone.
+ */
+const oldConfirmationShare = 0.6;
+
 /** Cursors of peers that are kept; more peers than that do not exist in one deployment. */
 const maxCursors = 500;
 
@@ -154,11 +160,7 @@
         return "done";
     };
 
-    const pull = async (): Promise<void> => {
-        const control = candidates.pick(members.listControls());
-        if (control === undefined) {
-            return;
-        }
+    const pull = async (control: shared.Address): Promise<void> => {
         let outcome = await pullOnce(control, false);
         if (outcome === "mismatch") {
             outcome = await pullOnce(control, true);
@@ -166,13 +168,30 @@
         candidates.recordResult(control, outcome !== undefined);
     };
 
+    const startPull = (control: shared.Address | undefined): void => {
+        if (control !== undefined) {
+            pull(control).catch((error: unknown) => logger.error("member: pull failed", { cause: String(error) }));
+        }
+    };
+
+    const computeDelayMs = (): number => {
+        const { confirmedAtMs } = blackboard.freshness.get();
+        const ageMs = confirmedAtMs === undefined ? 0 : scheduler.now() - confirmedAtMs;
+        const isOld = ageMs > settings.freshnessMs * oldConfirmationShare;
+        return settings.gossipIntervalMs / pullsPerInterval / (isOld ? 2 : 1);
+    };
+
     const runTick = (): void => {
-        timer = scheduler.schedule(settings.gossipIntervalMs / pullsPerInterval, runTick);
+        timer = scheduler.schedule(computeDelayMs(), runTick);
         members.removeExpired();
         members.updateSelf();
         // A VM that is alone on the list is its own majority.
         applyMajority();
-        pull().catch((error: unknown) => logger.error("member: pull failed", { cause: String(error) }));
+        startPull(candidates.pick(members.listControls()));
+        const oldest = members.findOldest();
+        if (oldest !== undefined && candidates.takeIfReady(oldest)) {
+            startPull(oldest);
+        }
     };
 
     /** The plain form, for people and for the comparison of sizes. */
@@ -183,9 +202,10 @@
         const confirmation = toAnsweredConfirmation(nowMs);
         return {
             members: known.map(({ info, seenAtMs }) => ({ info, ageMs: Math.ceil(nowMs - seenAtMs) })),
-            cellLoads: known.flatMap(({ info, loads, seenAtMs }) =>
-                loads.map(load => ({ ...load, owner: info.vm, ageMs: Math.ceil(nowMs - seenAtMs) })),
-            ),
+            cellLoads: [...blackboard.cellLoads.get().values()].flat().map(({ measuredAtMs, ...load }) => ({
+                ...load,
+                ageMs: Math.ceil(nowMs - measuredAtMs),
+            })),
             confirmation: confirmation && { revision: confirmation[0], ageMs: confirmation[1] },
             head: options.configuration.getHead(),
             crashes: options.listCrashes(),
