--- a/src/node/peers/Types.ts
+++ b/src/node/peers/Types.ts
@@ -30,17 +30,14 @@
     readonly crashes: readonly { readonly fingerprint: string; readonly count: number }[];
 }
 
-/** Cell, free slots, queued calls, expected wait in milliseconds. */
-export type GossipLoad = readonly [types.CellId, number, number, number];
-
-/** Version, state, revision, synced, loads, key epoch: what changes while an incarnation runs. */
+/** What changes while an incarnation runs. Flags: 0 starting, 1 serving, 2 leaving; plus 4 if synced. */
 export type GossipNews = readonly [
-    number,
-    membership.MemberState,
-    types.Revision,
-    boolean,
-    readonly GossipLoad[],
-    number,
+    version: number,
+    flags: number,
+    revision: types.Revision,
+    loads: string,
+    /** Epoch of the idempotency keys that the member issues. */
+    keyEpoch: number,
 ];
 
 /** What an incarnation says of itself, with its age in units of {@link GossipChangesAnswer.unitMs}. */
@@ -51,7 +48,7 @@
     address: types.Address,
     control: types.Address,
     age: number,
-    news: GossipNews,
+    ...news: GossipNews,
 ];
 
 /**
@@ -76,9 +73,9 @@
     /** Age of each member of the request in units, one byte each, in Base64; 255 for a member that is not known. */
     readonly ages: string;
     /** News of members of the request, with the index of the member. */
-    readonly news: readonly (readonly [number, GossipNews])[];
+    readonly news?: readonly (readonly [index: number, ...GossipNews])[] | undefined;
     /** Members that are not in the request. */
-    readonly added: readonly GossipRecord[];
+    readonly added?: readonly GossipRecord[] | undefined;
     /** Newest confirmation of the sender: a revision and its age in milliseconds. */
     readonly confirmation?: readonly [types.Revision, number] | undefined;
     /** Present if the sender has a greater revision in use than the request says. */
