--- a/src/bench/policy/main.ts
+++ b/src/bench/policy/main.ts
@@ -27,25 +27,25 @@
     return Math.round(value * 10) / 10;
 };
 
-const sortNumbers = (values: readonly number[]): readonly number[] => Float64Array.from(values).sort() as never;
+const toSorted = (values: readonly number[]): readonly number[] => [...values].sort((a, b) => a - b);
 
 const computeRow = (labels: readonly string[], results: readonly policyTypes.RunResult[]): Row => {
-    const all = sortNumbers(results.flatMap(result => result.latenciesMs));
-    const single = results.map(result => computePercentile(sortNumbers(result.latenciesMs), 0.99));
-    const sum = (read: (result: policyTypes.RunResult) => number): number =>
+    const all = toSorted(results.flatMap(result => result.latenciesMs));
+    const single = results.map(result => computePercentile(toSorted(result.latenciesMs), 0.99));
+    const computeSum = (read: (result: policyTypes.RunResult) => number): number =>
         results.reduce((total, result) => total + read(result), 0);
     const warm = results.map(result => result.allWarmAtMs).filter(atMs => atMs !== undefined);
     return {
         labels,
-        calls: sum(result => result.calls),
+        calls: computeSum(result => result.calls),
         p50Ms: computePercentile(all, 0.5),
         p99Ms: computePercentile(all, 0.99),
         p999Ms: computePercentile(all, 0.999),
         p99RangeMs: [Math.min(...single), Math.max(...single)],
-        refused: sum(result => result.refused),
-        late: sum(result => result.late),
-        beyondSlots: sum(result => result.beyondSlots),
-        beyondColdSlots: sum(result => result.beyondColdSlots),
+        refused: computeSum(result => result.refused),
+        late: computeSum(result => result.late),
+        beyondSlots: computeSum(result => result.beyondSlots),
+        beyondColdSlots: computeSum(result => result.beyondColdSlots),
         allWarmAtMs:
             warm.length === results.length && warm.length > 0
                 ? Math.round(warm.reduce((total, atMs) => total + atMs, 0) / warm.length)
--- a/src/bench/policy/runScenario.ts
+++ b/src/bench/policy/runScenario.ts
@@ -22,10 +22,10 @@
 }
 
 const createSenders = (sim: world.World, scenario: policyTypes.Scenario): Senders => {
-    const zoneOf = (index: number): types.ZoneName | undefined => sim.zones[index % sim.zones.length];
+    const getZoneOf = (index: number): types.ZoneName | undefined => sim.zones[index % sim.zones.length];
     const pickAny = (zone: types.ZoneName): number => {
         const list = Array.from({ length: scenario.entryVms }, (_, index) => index).filter(
-            index => zoneOf(index) === zone,
+            index => getZoneOf(index) === zone,
         );
         return list[sim.random.nextInt(list.length)] ?? 0;
     };
@@ -40,7 +40,7 @@
         };
     }
     const sends = Array.from({ length: scenario.entryVms }, (_, index) =>
-        baselines.createBaselineEntry(sim, zoneOf(index) ?? ids.toZoneName("a"), scenario.policy),
+        baselines.createBaselineEntry(sim, getZoneOf(index) ?? ids.toZoneName("a"), scenario.policy),
     );
     return { send: (zone, call) => sends[pickAny(zone)]?.(call), handleZoneChange: () => undefined };
 };
@@ -100,7 +100,7 @@
     const counts = { calls: 0, refused: 0, late: 0 };
     let allWarmAtMs: number | undefined;
 
-    const arrive = (): void => {
+    const handleArrival = (): void => {
         const startMs = sim.scheduler.now();
         const isMeasured = startMs >= scenario.warmUpMs;
         counts.calls += isMeasured ? 1 : 0;
@@ -120,33 +120,33 @@
             },
         });
         if (startMs < scenario.durationMs) {
-            sim.scheduler.schedule(simTarget.pickExponentialMs(arrivals, meanMs), arrive);
+            sim.scheduler.schedule(simTarget.pickExponentialMs(arrivals, meanMs), handleArrival);
         }
     };
 
-    const watchWarmth = (): void => {
+    const checkWarmth = (): void => {
         const isWarm = sim.targets.every((target, index) => sim.isInService(index) && !target.isCold());
         if (isWarm) {
             allWarmAtMs = sim.scheduler.now();
             return;
         }
-        sim.scheduler.schedule(watchIntervalMs, watchWarmth);
+        sim.scheduler.schedule(watchIntervalMs, checkWarmth);
     };
 
     // The first probes tell the owners that the targets are warm.
-    sim.scheduler.schedule(1_000, arrive);
+    sim.scheduler.schedule(1_000, handleArrival);
     startDisturbance(sim, scenario, senders);
     if (scenario.disturbance.kind === "zoneReturns") {
-        sim.scheduler.schedule(scenario.disturbance.atMs + 1, watchWarmth);
+        sim.scheduler.schedule(scenario.disturbance.atMs + 1, checkWarmth);
     }
     await sim.scheduler.runUntil(scenario.durationMs + 2 * scenario.deadlineMs);
-    const sum = (read: (target: simTarget.SimTarget) => number): number =>
+    const computeSum = (read: (target: simTarget.SimTarget) => number): number =>
         sim.targets.reduce((total, target) => total + read(target), 0);
     return {
         latenciesMs,
         ...counts,
-        beyondSlots: sum(target => target.counts.beyondSlots),
-        beyondColdSlots: sum(target => target.counts.beyondColdSlots),
+        beyondSlots: computeSum(target => target.counts.beyondSlots),
+        beyondColdSlots: computeSum(target => target.counts.beyondColdSlots),
         allWarmAtMs,
     };
 };
--- a/src/bench/policy/simScheduler.ts
+++ b/src/bench/policy/simScheduler.ts
@@ -20,7 +20,7 @@
 
 const isBefore = (a: Entry, b: Entry): boolean => a.atMs < b.atMs || (a.atMs === b.atMs && a.order < b.order);
 
-const moveUp = (heap: Entry[], from: number): void => {
+const updateParents = (heap: Entry[], from: number): void => {
     let at = from;
     while (at > 0) {
         const parent = (at - 1) >> 1;
@@ -34,7 +34,7 @@
     }
 };
 
-const moveDown = (heap: Entry[]): void => {
+const updateChildren = (heap: Entry[]): void => {
     let at = 0;
     for (;;) {
         const [left, right] = [2 * at + 1, 2 * at + 2];
@@ -60,7 +60,7 @@
     const last = heap.pop();
     if (last !== undefined && heap.length > 0) {
         heap[0] = last;
-        moveDown(heap);
+        updateChildren(heap);
     }
     return first;
 };
@@ -79,7 +79,7 @@
         schedule: (delayMs, action) => {
             const entry: Entry = { atMs: nowMs + Math.max(0, delayMs), order: order++, action };
             heap.push(entry);
-            moveUp(heap, heap.length - 1);
+            updateParents(heap, heap.length - 1);
             return events.toDisposable(() => (entry.action = undefined));
         },
         runUntil: async endMs => {
--- a/src/bench/policy/simTarget.ts
+++ b/src/bench/policy/simTarget.ts
@@ -95,11 +95,11 @@
         boot: ids.toBootId(`b${String(boots)}`),
     });
 
-    const changeNoise = (): void => {
+    const updateNoise = (): void => {
         noise = noise === 1 ? noisyFactor : 1;
-        scheduler.schedule(pickExponentialMs(source, noise === 1 ? quietMeanMs : noisyMeanMs), changeNoise);
+        scheduler.schedule(pickExponentialMs(source, noise === 1 ? quietMeanMs : noisyMeanMs), updateNoise);
     };
-    scheduler.schedule(pickExponentialMs(source, quietMeanMs), changeNoise);
+    scheduler.schedule(pickExponentialMs(source, quietMeanMs), updateNoise);
 
     const computeFactor = (): number => {
         if (!isCold()) {
--- a/src/common/limits/retryBudget.ts
+++ b/src/common/limits/retryBudget.ts
@@ -35,14 +35,14 @@
     floor: tokenBucket.createTokenBucket(retryFloor, nowMs),
 });
 
-const moveWindow = (window: RetryWindow, nowMs: number): RetryWindow => {
+const updateWindow = (window: RetryWindow, nowMs: number): RetryWindow => {
     const second = Math.floor(nowMs / 1_000);
     const passed = Math.min(windowSeconds, second - window.second);
     if (passed <= 0) {
         return window;
     }
-    const move = (counts: readonly number[]): number[] => [...counts.slice(passed), ...createZeros(passed)];
-    return { ...window, second, calls: move(window.calls), retries: move(window.retries) };
+    const removeOldest = (counts: readonly number[]): number[] => [...counts.slice(passed), ...createZeros(passed)];
+    return { ...window, second, calls: removeOldest(window.calls), retries: removeOldest(window.retries) };
 };
 
 const addOne = (counts: readonly number[]): number[] => {
@@ -51,7 +51,7 @@
     return next;
 };
 
-const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
+const computeSum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
 
 /**
  * Counts a call.
@@ -61,7 +61,7 @@
  * @returns counts after it
  */
 export const addCall = (window: RetryWindow, nowMs: number): RetryWindow => {
-    const moved = moveWindow(window, nowMs);
+    const moved = updateWindow(window, nowMs);
     return { ...moved, calls: addOne(moved.calls) };
 };
 
@@ -73,14 +73,14 @@
  * @returns counts after it, or undefined if neither the share nor the floor allows it
  */
 export const takeRetry = (window: RetryWindow, nowMs: number): RetryWindow | undefined => {
-    const moved = moveWindow(window, nowMs);
+    const moved = updateWindow(window, nowMs);
     // The floor is used first and counts towards the share, so the larger of the two is the bound, not their sum.
     const floor = tokenBucket.takeTokens(moved.floor, retryFloor, 1, nowMs);
     if (floor !== undefined) {
         return { ...moved, floor, retries: addOne(moved.retries) };
     }
-    const allowed = sum(moved.calls) * retryShare;
-    return sum(moved.retries) + 1 <= allowed ? { ...moved, retries: addOne(moved.retries) } : undefined;
+    const allowed = computeSum(moved.calls) * retryShare;
+    return computeSum(moved.retries) + 1 <= allowed ? { ...moved, retries: addOne(moved.retries) } : undefined;
 };
 
 /**
--- a/src/common/routing/cellTable.ts
+++ b/src/common/routing/cellTable.ts
@@ -70,7 +70,7 @@
         entry.config = target;
         if (known !== undefined && !isSameServer) {
             // Calls in flight at the former address still hold slots of the same name.
-            targetEntry.moveCalls(known, entry);
+            targetEntry.mergeCalls(known, entry);
         }
         entries.set(target.id, entry);
         configured.add(entry);
@@ -119,7 +119,7 @@
         }
     };
 
-    const clearCells = (): void => {
+    const removeUnusedCells = (): void => {
         for (const [id, cell] of cells) {
             cell.targets = [];
             cell.owned = [];
@@ -137,7 +137,7 @@
         update: sources => {
             const configuration = sources.configuration;
             configured.clear();
-            clearCells();
+            removeUnusedCells();
             const next = new Map<shared.ServiceName, ServiceEntry>();
             if (configuration !== undefined) {
                 getDelayMs = spillOver.createGetDelay(configuration.topology);
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -48,7 +48,7 @@
     let leavingVms: ReadonlySet<shared.VmId> = new Set();
     let disposed = false;
 
-    const refuse = (request: types.SlotRequest, error: errors.ErrorKind, message: string): types.SlotGrant => {
+    const createRefusal = (request: types.SlotRequest, error: errors.ErrorKind, message: string): types.SlotGrant => {
         logger.info("route: refused", { call: request.call, service: request.service, error });
         return { kind: "refused", error, message };
     };
@@ -72,7 +72,7 @@
         return pickTarget.pickTarget(cell.owned, start, nowMs, entry => !exclude.includes(entry.config.id));
     };
 
-    const grantLocal = (
+    const acquireTarget = (
         cell: cellEntry.CellEntry,
         entry: targetEntry.TargetEntry,
         request: types.SlotRequest,
@@ -116,7 +116,7 @@
             table.removeRetired(current);
         }
         if (cell.queue.count() > 0) {
-            drainQueue(cell);
+            updateQueue(cell);
         }
     };
 
@@ -127,21 +127,21 @@
         }
     };
 
-    const drainQueue = (cell: cellEntry.CellEntry): void => {
+    const updateQueue = (cell: cellEntry.CellEntry): void => {
         const nowMs = scheduler.now();
         updateCell(cell, nowMs);
         for (const waiter of cell.queue.list()) {
             const entry = findFree(cell, waiter.request, nowMs);
             if (entry !== undefined) {
                 cell.queue.remove(waiter);
-                waiter.resolve(grantLocal(cell, entry, waiter.request, waiter.sinceMs));
+                waiter.resolve(acquireTarget(cell, entry, waiter.request, waiter.sinceMs));
             } else if (waiter.request.exclude.length === 0) {
                 // No slot is free for any target, so none is for the calls behind.
                 break;
             }
         }
         if (cell.queue.count() > 0 && cellEntry.computeCapacity(cell).expectedWaitMs === Infinity) {
-            rerouteQueue(cell);
+            acquireAgain(cell);
         }
         scheduleRecheck(cell);
     };
@@ -154,41 +154,43 @@
         }
         cell.timer ??= scheduler.schedule(recheckMs, () => {
             cell.timer = undefined;
-            drainQueue(cell);
+            updateQueue(cell);
         });
     };
 
-    const enqueue = (cell: cellEntry.CellEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
+    const addWaiter = (cell: cellEntry.CellEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
         const nowMs = scheduler.now();
         const expiresAtMs = request.deadlineAtMs - cell.medianMs;
-        const refuseLate = (): types.SlotGrant =>
-            refuse(request, "deadline_exceeded_not_run", "the deadline leaves no time for the call");
+        const createLateRefusal = (): types.SlotGrant =>
+            createRefusal(request, "deadline_exceeded_not_run", "the deadline leaves no time for the call");
         if (nowMs >= expiresAtMs) {
-            return Promise.resolve(refuseLate());
+            return Promise.resolve(createLateRefusal());
         }
         if (cell.queue.count() >= cell.queueLimit) {
-            return Promise.resolve(refuse(request, "queue_full", "too many calls wait for this service"));
+            return Promise.resolve(createRefusal(request, "queue_full", "too many calls wait for this service"));
         }
         return new Promise((resolve, reject) => {
             const waiter: waitQueue.Waiter = { request, sinceMs: nowMs, resolve, reject };
             const onExpire = (): void => {
-                resolve(refuseLate());
+                resolve(createLateRefusal());
                 scheduleRecheck(cell);
             };
             cell.queue.add(waiter, { scheduler, expiresAtMs, onExpire });
-            drainQueue(cell);
+            updateQueue(cell);
         });
     };
 
-    const routeByCost = (service: cellTables.ServiceEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
+    const acquireByCost = (service: cellTables.ServiceEntry, request: types.SlotRequest): Promise<types.SlotGrant> => {
         const nowMs = scheduler.now();
         service.cells.forEach(cell => updateCell(cell, nowMs));
         const option = spillOver.pickOption(remoteLoads.list(service, request, nowMs));
         if (option === undefined) {
-            return Promise.resolve(refuse(request, "no_target", "no target of the service may receive the call"));
+            return Promise.resolve(
+                createRefusal(request, "no_target", "no target of the service may receive the call"),
+            );
         }
         if (option.kind === "local") {
-            return enqueue(option.cell, request);
+            return addWaiter(option.cell, request);
         }
         remoteLoads.recordForward(option.cell, option.member);
         logger.info("route: remote", {
@@ -201,15 +203,15 @@
         return Promise.resolve({ kind: "remote", member: option.member, cell: option.cell.id });
     };
 
-    const route = (request: types.SlotRequest): Promise<types.SlotGrant> => {
+    const acquireSlot = (request: types.SlotRequest): Promise<types.SlotGrant> => {
         if (disposed) {
-            return Promise.resolve(refuse(request, "leaving", "the entry VM is stopping"));
+            return Promise.resolve(createRefusal(request, "leaving", "the entry VM is stopping"));
         }
         const service = table.findService(request.service);
         if (service === undefined) {
             const isKnown = blackboard.configuration.get() !== undefined;
             const error = isKnown ? "unknown_service" : "stale_configuration";
-            return Promise.resolve(refuse(request, error, "the configuration has no such service"));
+            return Promise.resolve(createRefusal(request, error, "the configuration has no such service"));
         }
         const home = service.home;
         if (home !== undefined && home.owned.length > 0 && home.queue.count() === 0) {
@@ -217,17 +219,17 @@
             updateCell(home, nowMs);
             const entry = request.deadlineAtMs > nowMs ? findFree(home, request, nowMs) : undefined;
             if (entry !== undefined) {
-                return Promise.resolve(grantLocal(home, entry, request, nowMs));
+                return Promise.resolve(acquireTarget(home, entry, request, nowMs));
             }
         }
-        return routeByCost(service, request);
+        return acquireByCost(service, request);
     };
 
     /** Routes the waiting calls again of a cell that has no usable target of its own any more. */
-    const rerouteQueue = (cell: cellEntry.CellEntry): void => {
+    const acquireAgain = (cell: cellEntry.CellEntry): void => {
         for (const waiter of cell.queue.list()) {
             cell.queue.remove(waiter);
-            void route(waiter.request).then(waiter.resolve, waiter.reject);
+            void acquireSlot(waiter.request).then(waiter.resolve, waiter.reject);
         }
     };
 
@@ -247,9 +249,9 @@
                 continue;
             }
             if (cell.owned.length === 0) {
-                rerouteQueue(cell);
+                acquireAgain(cell);
             } else {
-                drainQueue(cell);
+                updateQueue(cell);
             }
             scheduleRecheck(cell);
         }
@@ -258,21 +260,22 @@
     const findCell = (entry: targetEntry.TargetEntry): cellEntry.CellEntry | undefined =>
         table.findService(entry.service)?.cells.find(cell => cell.owned.includes(entry));
 
-    const drainCellOf = (target: shared.TargetId): void => {
+    const updateQueueOf = (target: shared.TargetId): void => {
         for (const cell of table.listCells()) {
             if (cell.queue.count() > 0 && cell.owned.some(entry => entry.config.id === target)) {
-                drainQueue(cell);
+                updateQueue(cell);
             }
         }
     };
 
     lifetimes.add(blackboard.configuration.onDidChange(update));
     lifetimes.add(blackboard.ownership.onDidChange(update));
-    lifetimes.add(coldLeases.onDidTake(drainCellOf));
+    lifetimes.add(coldLeases.onDidTake(updateQueueOf));
     update();
 
     return {
-        acquire: request => (request.signal.aborted ? Promise.reject(request.signal.reason as Error) : route(request)),
+        acquire: request =>
+            request.signal.aborted ? Promise.reject(request.signal.reason as Error) : acquireSlot(request),
         applyReport: (target, report, askedAtMs) => {
             const entry = table.findTarget(target);
             if (entry === undefined) {
@@ -284,7 +287,7 @@
             }
             callEnd.applyTargetReport(entry, report, askedAtMs, scheduler.now());
             logChange(entry, before);
-            drainCellOf(target);
+            updateQueueOf(target);
         },
         applyProbeFailure: target => {
             const entry = table.findTarget(target);
@@ -309,7 +312,7 @@
             disposed = true;
             lifetimes.dispose();
             for (const cell of [...table.listCells()]) {
-                rerouteQueue(cell);
+                acquireAgain(cell);
                 scheduleRecheck(cell);
             }
         },
--- a/src/common/routing/targetEntry.ts
+++ b/src/common/routing/targetEntry.ts
@@ -99,7 +99,7 @@
  * @param from - record of the former server; its calls still end there
  * @param to - record of the new server
  */
-export const moveCalls = (from: TargetEntry, to: TargetEntry): void => {
+export const mergeCalls = (from: TargetEntry, to: TargetEntry): void => {
     to.inFlight = from.inFlight;
     to.coldInFlight = from.coldInFlight;
     to.hasLease = from.hasLease;
