Treat a target as cold after its connections break; watch for leaving VMs

Cause: after a crash the owner went on with the full limit until the first cold report, so a restarted target collapsed under several concurrent calls. A broken or refused connection, and an idle connection closed by the target, now make its state unknown until a report that was asked for later.

--- a/src/cli/entryVms.ts
+++ b/src/cli/entryVms.ts
@@ -30,7 +30,7 @@
     method: M,
     params: peers.RpcMethods[M]["params"],
 ): Promise<AskResult<M>> => {
-    const list = await connections.platform.vms.list("entry");
+    const list = await connections.platform.vms.list({ role: "entry" });
     if (list.kind === "unavailable") {
         return { kind: "failed", cause: `the platform's list of VMs is unavailable: ${list.cause}` };
     }
--- a/src/common/health/Types.ts
+++ b/src/common/health/Types.ts
@@ -31,7 +31,10 @@
     | { readonly kind: "answered" }
     /** A probe was answered; that ends no ejection, because calls may still fail. */
     | { readonly kind: "probed" }
-    | { readonly kind: "failed"; readonly mayEject: boolean }
+    /** `mayHaveRestarted`: the connection broke or could not be opened, as it does when the target's process ends. */
+    | { readonly kind: "failed"; readonly mayEject: boolean; readonly mayHaveRestarted: boolean }
+    /** An idle connection was closed by the target. */
+    | { readonly kind: "disconnected" }
     /** Smoothed latency divided by the median of the cell. */
     | { readonly kind: "compared"; readonly ratio: number }
     /** The limit of a warming target has reached its slots. */
--- a/src/common/health/targetHealth.test.ts
+++ b/src/common/health/targetHealth.test.ts
@@ -20,7 +20,8 @@
     boot?: string,
 ): types.HealthEvent => ({ kind: "reported", report: createReport(state, boot), askedAtMs });
 
-const failed: types.HealthEvent = { kind: "failed", mayEject: true };
+const failed: types.HealthEvent = { kind: "failed", mayEject: true, mayHaveRestarted: false };
+const disconnected: types.HealthEvent = { kind: "failed", mayEject: true, mayHaveRestarted: true };
 
 /** Applies events at their times, beginning with a target that has never been seen. */
 const run = (...steps: readonly (readonly [number, types.HealthEvent])[]): types.TargetHealth =>
@@ -65,6 +66,18 @@
     t.is(adaptiveLimit.computeLimit(health, counts, 0, false, 5_101), 1);
 });
 
+// A target that crashed got a full share of calls while it was cold, because its cold report came too late.
+test("a target whose connection broke counts as cold until a later report says that it is warm", t => {
+    const broken = run([1, reported("warm", 0)], [100, disconnected]);
+    t.true(targetHealth.isCold(broken, 100));
+    const old = targetHealth.applyHealthEvent(broken, reported("warm", 99), 101);
+    t.true(targetHealth.isCold(old, 101), "a report from before the break says nothing of the new process");
+    const answered = targetHealth.applyHealthEvent(broken, { kind: "answered" }, 200);
+    t.is(targetHealth.applyHealthEvent(answered, reported("warm", 150), 200).state.kind, "warm");
+    const restarted = targetHealth.applyHealthEvent(answered, reported("warm", 150, "b2"), 200);
+    t.is(restarted.state.kind, "warming");
+});
+
 test("three failures eject a target, each failed trial doubles the time, and half of a cell stays", t => {
     const warm = [1, reported("warm", 0)] as const;
     const ejected = run(warm, [2, failed], [3, failed], [4, failed]);
@@ -79,7 +92,7 @@
         times: 2,
     });
     t.is(targetHealth.applyHealthEvent(ejected, { kind: "answered" }, 600).state.kind, "warm");
-    const kept: types.HealthEvent = { kind: "failed", mayEject: false };
+    const kept: types.HealthEvent = { kind: "failed", mayEject: false, mayHaveRestarted: false };
     t.is(run(warm, [2, kept], [3, kept], [4, kept], [5, kept]).state.kind, "warm");
 });
 
@@ -109,7 +122,11 @@
     }),
     fastCheck.constant({ kind: "answered" as const }),
     fastCheck.constant({ kind: "probed" as const }),
-    fastCheck.record({ kind: fastCheck.constant("failed" as const), mayEject: fastCheck.boolean() }),
+    fastCheck.record({
+        kind: fastCheck.constant("failed" as const),
+        mayEject: fastCheck.boolean(),
+        mayHaveRestarted: fastCheck.boolean(),
+    }),
     fastCheck.record({ kind: fastCheck.constant("compared" as const), ratio: fastCheck.double({ min: 0, max: 9 }) }),
     fastCheck.constant({ kind: "warmedUp" as const }),
 );
--- a/src/common/health/targetHealth.ts
+++ b/src/common/health/targetHealth.ts
@@ -117,7 +117,9 @@
         return next;
     }
     if (wasCold) {
-        return { ...next, state: { kind: "cold" } };
+        // A target of unknown state has not been down for long; its next report tells whether it restarted.
+        const isUnknown = health.state.kind === "unknown" && !isLongUnreachable(health, nowMs);
+        return isUnknown ? next : { ...next, state: { kind: "cold" } };
     }
     return health.state.kind === "ejected" ? { ...next, state: { kind: "warm" }, recoveredAtMs: nowMs } : next;
 };
@@ -142,14 +144,25 @@
     };
 };
 
-const applyFailure = (health: types.TargetHealth, mayEject: boolean, nowMs: number): types.TargetHealth => {
+/** A target that restarted is cold, and would collapse under a full share before its first report. */
+const applyRestart = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
+    const isTrusted = health.state.kind === "warm" || health.state.kind === "slow";
+    return isTrusted ? { ...health, state: { kind: "unknown" }, loweredAtMs: nowMs } : health;
+};
+
+type Failure = Extract<types.HealthEvent, { kind: "failed" }>;
+
+const applyFailure = (health: types.TargetHealth, failure: Failure, nowMs: number): types.TargetHealth => {
     const failures = health.failures + 1;
-    let next = { ...health, failures, failingSinceMs: health.failingSinceMs ?? nowMs };
+    let next: types.TargetHealth = { ...health, failures, failingSinceMs: health.failingSinceMs ?? nowMs };
     const isSettling = health.bootChangedAtMs !== undefined && nowMs - health.bootChangedAtMs < bootSettleMs;
     const state = health.state;
     if (state.kind === "warming" || (isSettling && (state.kind === "warm" || state.kind === "slow"))) {
         next = { ...next, state: { kind: "cold" }, loweredAtMs: nowMs };
     }
+    if (failure.mayHaveRestarted) {
+        next = applyRestart(next, nowMs);
+    }
     if (state.kind === "draining") {
         return next;
     }
@@ -157,7 +170,7 @@
         // Before the trial, a failure belongs to a call that was in flight when the target was ejected.
         return nowMs >= state.untilMs ? toEjected(next, nowMs) : next;
     }
-    return failures >= ejectAfterFailures && mayEject ? toEjected(next, nowMs) : next;
+    return failures >= ejectAfterFailures && failure.mayEject ? toEjected(next, nowMs) : next;
 };
 
 const applyRatio = (health: types.TargetHealth, ratio: number, nowMs: number): types.TargetHealth => {
@@ -191,7 +204,9 @@
         case "probed":
             return applyProbe(health, nowMs);
         case "failed":
-            return applyFailure(health, event.mayEject, nowMs);
+            return applyFailure(health, event, nowMs);
+        case "disconnected":
+            return applyRestart(health, nowMs);
         case "compared":
             return applyRatio(health, event.ratio, nowMs);
         case "warmedUp":
--- a/src/common/routing/Types.ts
+++ b/src/common/routing/Types.ts
@@ -73,6 +73,8 @@
 export interface ProbedDispatcher extends Dispatcher {
     /** A probe got no answer; it counts towards ejection and the time without contact, like a failed call. */
     applyProbeFailure(target: types.TargetId): void;
+    /** The target at this address closed an idle connection; it may have restarted cold. */
+    applyDisconnect(address: types.Address): void;
     /** VMs that are leaving by the platform's list; their targets get no new calls, whatever they report. */
     setLeavingVms(vms: ReadonlySet<types.VmId>): void;
 }
--- a/src/common/routing/callEnd.ts
+++ b/src/common/routing/callEnd.ts
@@ -50,11 +50,17 @@
  *
  * @param cell - the cell of the target
  * @param entry - the target
+ * @param mayHaveRestarted - whether the connection broke or could not be opened
  * @param nowMs - local monotonic time
  */
-export const applyFailure = (cell: cellEntry.CellEntry, entry: targetEntry.TargetEntry, nowMs: number): void => {
+export const applyFailure = (
+    cell: cellEntry.CellEntry,
+    entry: targetEntry.TargetEntry,
+    mayHaveRestarted: boolean,
+    nowMs: number,
+): void => {
     entry.failures++;
-    const event = { kind: "failed", mayEject: mayEject(cell) } as const;
+    const event = { kind: "failed", mayEject: mayEject(cell), mayHaveRestarted } as const;
     entry.health = targetHealth.applyHealthEvent(entry.health, event, nowMs);
 };
 
@@ -87,7 +93,7 @@
         case "unreachable":
         case "broken":
         case "silent":
-            applyFailure(cell, entry, nowMs);
+            applyFailure(cell, entry, report.kind !== "silent", nowMs);
             return;
         case "cancelled":
             return;
--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -296,9 +296,19 @@
                 return;
             }
             const before = entry.health.state.kind;
-            callEnd.applyFailure(cell, entry, scheduler.now());
+            callEnd.applyFailure(cell, entry, true, scheduler.now());
             logChange(entry, before);
         },
+        applyDisconnect: address => {
+            for (const entry of table.listTargets()) {
+                if (entry.config.address === address) {
+                    const before = entry.health.state.kind;
+                    const nowMs = scheduler.now();
+                    entry.health = targetHealth.applyHealthEvent(entry.health, { kind: "disconnected" }, nowMs);
+                    logChange(entry, before);
+                }
+            }
+        },
         setLeavingVms: vms => {
             const isSame = vms.size === leavingVms.size && [...vms].every(vm => leavingVms.has(vm));
             leavingVms = vms;
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -29,6 +29,7 @@
 import * as rpcClients from "../peers/rpcClient.js";
 import * as rpcServers from "../peers/rpcServer.js";
 import * as platformClients from "../platform/platformClient.js";
+import * as leavingVms from "../probes/leavingVms.js";
 import * as probers from "../probes/prober.js";
 import * as settingsTypes from "../settings/Types.js";
 import * as systemSchedulers from "../systemScheduler.js";
@@ -177,6 +178,16 @@
             return Promise.resolve({ ok: true });
         },
     });
+    lifetimes.add(
+        leavingVms.createLeavingVms({
+            vmList: platform.vms,
+            scheduler,
+            logger: logs.logger,
+            setLeavingVms: dispatcher.setLeavingVms,
+        }),
+    );
+    lifetimes.add(sender.onDidDisconnect(dispatcher.applyDisconnect));
+
     const publishCrash = async (fingerprint: string, count: number): Promise<void> => {
         const others = [...board.members.get().values()].filter(member => member.info.vm !== board.self.vm);
         await Promise.all(
--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -3,6 +3,7 @@
  */
 import * as stream from "node:stream";
 import * as undici from "undici";
+import * as events from "../../common/events.js";
 import * as shared from "../../common/Types.js";
 import * as attempts from "./attempt.js";
 import * as types from "./Types.js";
@@ -46,6 +47,10 @@
     return stream.Readable.from(readParts(), { objectMode: false });
 };
 
+/** Distinguishes a close by the other side from an idle timeout or an abort on this side. */
+const isClosedByOther = (error: Error): boolean =>
+    "code" in error && (error.code === "UND_ERR_SOCKET" || error.code === "ECONNRESET" || error.code === "EPIPE");
+
 /**
  * Creates the sender of a daemon.
  *
@@ -56,6 +61,8 @@
     const pools = new Map<string, undici.Pool>();
     const waiting: attempts.WaitingAttempts = new Map();
 
+    const didDisconnect = events.createEmitter<shared.Address>();
+
     const getPool = (request: types.AttemptRequest): undici.Pool => {
         const key = `${request.connectionClass} ${request.address}`;
         let pool = pools.get(key);
@@ -71,6 +78,11 @@
                 headersTimeout: 0,
                 bodyTimeout: 0,
             });
+            pool.on("disconnect", (_origin, _targets, error) => {
+                if (isClosedByOther(error)) {
+                    didDisconnect.fire(request.address);
+                }
+            });
             pools.set(key, pool);
         }
         return pool;
@@ -92,6 +104,7 @@
             );
             return driver.attempt;
         },
+        onDidDisconnect: didDisconnect.event,
         forget: (address: shared.Address) => {
             for (const [key, pool] of pools) {
                 if (key.endsWith(` ${address}`)) {
@@ -103,6 +116,7 @@
         close: async () => {
             const closing = [...pools.values()].map(pool => pool.destroy());
             pools.clear();
+            didDisconnect.dispose();
             await Promise.all(closing);
         },
     };
--- a/src/node/front/attemptWatch.ts
+++ b/src/node/front/attemptWatch.ts
@@ -30,18 +30,20 @@
  *
  * @param call - the call
  * @param attempt - id of the attempt
+ * @param endsAtMs - local monotonic time at which the attempt must have ended
  * @param nowMs - local monotonic time
  * @returns the caller's headers, the ids and the time that is left
  */
 export const createAttemptHeaders = (
     call: types.Call,
     attempt: shared.AttemptId,
+    endsAtMs: number,
     nowMs: number,
 ): Record<string, string | string[]> => ({
     ...call.head.headers,
     [headers.headerNames.requestId]: call.head.id,
     [headers.headerNames.attempt]: attempt,
-    [headers.headerNames.deadline]: String(Math.max(1, Math.floor(call.deadlineAtMs - nowMs))),
+    [headers.headerNames.deadline]: String(Math.max(1, Math.floor(endsAtMs - nowMs))),
 });
 
 /**
--- a/src/node/front/peerStep.ts
+++ b/src/node/front/peerStep.ts
@@ -76,7 +76,7 @@
             method: call.head.method,
             path: `/forward/${call.head.service}${call.head.path}`,
             headers: {
-                ...attemptWatch.createAttemptHeaders(call, attemptId, scheduler.now()),
+                ...attemptWatch.createAttemptHeaders(call, attemptId, call.deadlineAtMs, scheduler.now()),
                 [headers.headerNames.hop]: hop,
                 [headers.headerNames.arbitrated]: String(hop === "route" && !call.isIdempotent),
             },
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -50,7 +50,7 @@
             connections: call.service.connections,
             method: call.head.method,
             path: call.head.path,
-            headers: attemptWatch.createAttemptHeaders(call, attemptId, startedAtMs),
+            headers: attemptWatch.createAttemptHeaders(call, attemptId, grant.endsAtMs, startedAtMs),
             body: call.body,
             attempt: attemptId,
             mayWrite: () => options.isFresh() && scheduler.now() < grant.endsAtMs,
--- a/src/node/peers/candidates.ts
+++ b/src/node/peers/candidates.ts
@@ -70,7 +70,7 @@
         }
         isReading = true;
         const result = await vmList
-            .list("entry")
+            .list({ role: "entry" })
             .catch((error: unknown) => ({ kind: "unavailable", cause: String(error) }) as const);
         isReading = false;
         if (result.kind === "found") {
--- a/src/node/platform/Types.ts
+++ b/src/node/platform/Types.ts
@@ -71,6 +71,11 @@
     readonly zone: types.ZoneName;
 }
 
+export interface VmFilter {
+    readonly role?: ListedVm["role"];
+    readonly state?: ListedVm["state"];
+}
+
 export type ListResult =
     | { readonly kind: "found"; readonly vms: readonly ListedVm[] }
     | { readonly kind: "unavailable"; readonly cause: string };
@@ -78,9 +83,9 @@
 /** The platform's list of VMs, which lags behind what happens. */
 export interface VmList {
     /**
-     * @param role - names only VMs of this role; the list of all VMs is long
+     * @param filter - only VMs of this role and state; the list of all VMs is long
      */
-    list(role?: ListedVm["role"]): Promise<ListResult>;
+    list(filter?: VmFilter): Promise<ListResult>;
 }
 
 export interface Platform {
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -24,6 +24,11 @@
 
 const formatCause = (error: unknown): string => (error instanceof Error ? error.message : String(error));
 
+const formatListPath = (filter: types.VmFilter = {}): string => {
+    const query = new URLSearchParams(Object.entries(filter) as [string, string][]).toString();
+    return query === "" ? "/vms" : `/vms?${query}`;
+};
+
 /** A client together with its connections. */
 export interface PlatformClient extends types.Platform {
     close(): Promise<void>;
@@ -112,8 +117,8 @@
     };
 
     const vms: types.VmList = {
-        list: async role => {
-            const result = await send("GET", role === undefined ? "/vms" : `/vms?role=${role}`);
+        list: async filter => {
+            const result = await send("GET", formatListPath(filter));
             if (result.kind === "reply" && result.reply.status === 200) {
                 return { kind: "found", vms: (JSON.parse(result.reply.text) as { vms: types.ListedVm[] }).vms };
             }
--- a/src/node/publish/acceptance.ts
+++ b/src/node/publish/acceptance.ts
@@ -58,7 +58,7 @@
 };
 
 const updateList = async (context: AcceptanceContext, progress: Progress): Promise<void> => {
-    const result = await context.vms.list("entry");
+    const result = await context.vms.list({ role: "entry" });
     if (result.kind === "found") {
         progress.listed = result.vms.filter(vm => vm.role === "entry");
     }
--- a/src/testing/memoryPlatform.ts
+++ b/src/testing/memoryPlatform.ts
@@ -116,8 +116,12 @@
             },
         },
         vms: {
-            list: role =>
-                Promise.resolve({ kind: "found", vms: vms.filter(vm => role === undefined || vm.role === role) }),
+            list: (filter = {}) => {
+                const isWanted = (vm: platform.ListedVm): boolean =>
+                    (filter.role === undefined || vm.role === filter.role) &&
+                    (filter.state === undefined || vm.state === filter.state);
+                return Promise.resolve({ kind: "found", vms: vms.filter(isWanted) });
+            },
         },
         setTableDown: down => (isTableDown = down),
         setObjectsDown: down => (areObjectsDown = down),
--- a/src/testing/platform/platformServer.ts
+++ b/src/testing/platform/platformServer.ts
@@ -195,7 +195,10 @@
             return;
         }
         const role = url.searchParams.get("role");
-        const listed = lists.list(faults.listLagMs).filter(vm => role === null || vm.role === role);
+        const state = url.searchParams.get("state");
+        const listed = lists
+            .list(faults.listLagMs)
+            .filter(vm => (role === null || vm.role === role) && (state === null || vm.state === state));
         httpServer.sendJson(response, 200, { vms: listed });
     };
 
