--- /dev/null
+++ b/src/testing/failure/outage.test.ts
@@ -0,0 +1,6 @@
+import test from "ava";
+import * as addProof from "./addProof.js";
+import * as outage from "./scenarios/outage.js";
+
+// Guards against an older configuration in use during and after an outage of the platform.
+addProof.addProof(test, outage.outage);
--- a/src/testing/failure/requests.ts
+++ b/src/testing/failure/requests.ts
@@ -7,6 +7,9 @@
 import * as types from "./Types.js";
 
 const deadlineMs = 8000;
+const bufferedCalls = 12;
+/** Outlasts the freeze, so that only freshness keeps the calls from being dispatched. */
+const bufferedDeadlineMs = 30_000;
 
 /**
  * Makes a booking with a key that the entry VM issued.
@@ -94,3 +97,25 @@
         return found.every(prefix => prefix !== undefined);
     });
 };
+
+/**
+ * Sends calls to an entry VM that is frozen. They wait in its sockets until it continues.
+ *
+ * @param context - the run
+ * @param entry - the frozen entry VM
+ * @returns when all have been answered
+ */
+export const sendBuffered = async (context: types.Context, entry: systemTypes.EntryVm): Promise<void> => {
+    const calls = Array.from({ length: bufferedCalls }, (_, index) =>
+        context.send({
+            entry,
+            call: `buffered-${index}`,
+            service: "bookings",
+            method: "PUT",
+            path: `/notes/buffered-${index}`,
+            isIdempotent: true,
+            deadlineMs: bufferedDeadlineMs,
+        }),
+    );
+    await Promise.all(calls);
+};
--- a/src/testing/failure/scenarioList.ts
+++ b/src/testing/failure/scenarioList.ts
@@ -3,7 +3,10 @@
  */
 import * as answers from "./scenarios/answers.js";
 import * as crashes from "./scenarios/crashes.js";
+import * as foreign from "./scenarios/foreign.js";
 import * as frozen from "./scenarios/frozen.js";
+import * as operators from "./scenarios/operators.js";
+import * as outage from "./scenarios/outage.js";
 import * as poison from "./scenarios/poison.js";
 import * as resend from "./scenarios/resend.js";
 import * as shutdown from "./scenarios/shutdown.js";
@@ -16,7 +19,10 @@
     crashes.crashes,
     answers.answers,
     shutdown.shutdown,
+    foreign.foreign,
     frozen.frozen,
+    outage.outage,
+    operators.operators,
     uploads.uploads,
     poison.poisonous,
     silent.silent,
--- a/src/testing/failure/scenarios/frozen.ts
+++ b/src/testing/failure/scenarios/frozen.ts
@@ -4,32 +4,17 @@
 import * as undici from "undici";
 import * as httpServer from "../../http/httpServer.js";
 import * as systemTypes from "../../system/Types.js";
+import * as configStatus from "../configStatus.js";
 import * as plans from "../plans.js";
 import * as requests from "../requests.js";
 import * as runScenarios from "../runScenario.js";
 import * as types from "../Types.js";
 
-const bufferedCalls = 12;
 const frozenZone = "zone-a";
-const bufferedDeadlineMs = 30_000;
-
-interface ConfigStatus {
-    readonly revision: number;
-    readonly fresh: boolean;
-}
-
-const readStatus = async (entry: systemTypes.EntryVm): Promise<ConfigStatus | undefined> => {
-    const response = await undici.request(`http://${entry.control}/rpc`, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({ jsonrpc: "2.0", id: 1, method: "config.status", params: {} }),
-    });
-    return ((await response.body.json()) as { result?: ConfigStatus }).result;
-};
 
 /** G4: an entry VM that answers "fresh" has the accepted revision. */
 const checkRevision = async (context: types.Context, entry: systemTypes.EntryVm, revision: number): Promise<void> => {
-    const status = await readStatus(entry);
+    const status = await configStatus.readStatus(entry);
     if (status?.fresh === true && status.revision < revision) {
         context.addViolation("reverted", `${entry.vm} uses revision ${status.revision} instead of ${revision}`);
     }
@@ -39,7 +24,7 @@
 const takeZoneOut = async (context: types.Context, others: readonly systemTypes.EntryVm[]): Promise<number> => {
     const command = context.system.runCommand(["zone", "out", frozenZone, "--wait-ms", "2000"]);
     await context.waitFor("the others have the new revision", async () => {
-        const statuses = await Promise.all(others.map(readStatus));
+        const statuses = await Promise.all(others.map(configStatus.readStatus));
         return statuses.every(status => status !== undefined && status.revision >= 2);
     });
     const acceptedAtMs = httpServer.readMachineClockMs();
@@ -69,17 +54,7 @@
         await traffic.waitForRuns(30);
         owner.process.sendSignal("SIGSTOP");
         context.note(`froze ${owner.vm}, owner of bookings in ${frozenZone}`);
-        const buffered = Array.from({ length: bufferedCalls }, (_, index) =>
-            context.send({
-                entry: owner,
-                call: `buffered-${index}`,
-                service: "bookings",
-                method: "PUT",
-                path: `/notes/buffered-${index}`,
-                isIdempotent: true,
-                deadlineMs: bufferedDeadlineMs,
-            }),
-        );
+        const buffered = requests.sendBuffered(context, owner);
         const acceptedAtMs = await takeZoneOut(context, others);
         context.addRemoval({ zone: frozenZone, acceptedAtMs });
         context.note(`${frozenZone} is out of service`);
@@ -88,7 +63,7 @@
         owner.process.sendSignal("SIGCONT");
         context.note(`${owner.vm} continues`);
         await checkRevision(context, owner, 2);
-        await Promise.all(buffered);
+        await buffered;
         await Promise.all(system.entries.map(entry => checkRevision(context, entry, 2)));
         await traffic.waitForRuns(30);
         await traffic.stop();
