--- a/src/node/http/gateway.ts
+++ b/src/node/http/gateway.ts
@@ -21,6 +21,8 @@
     readonly name: string;
     readonly address: shared.Address;
     readonly routes: readonly GatewayRoute[];
+    /** Whether answers carry a `Date` header. */
+    readonly sendDate: boolean;
     readonly logger: shared.Logger;
 }
 
@@ -62,10 +64,13 @@
     }
 };
 
-const createServer = (listener: http.RequestListener): http.Server => {
+const createServer = (sendDate: boolean, listener: http.RequestListener): http.Server => {
     const server = http.createServer(
         { maxHeaderSize: maxHeaderBytes, requireHostHeader: true, keepAliveTimeout: keepAliveTimeoutMs },
-        listener,
+        (request, response) => {
+            response.sendDate = sendDate;
+            listener(request, response);
+        },
     );
     server.headersTimeout = headersTimeoutMs;
     // The deadline of a call limits its body.
@@ -109,7 +114,7 @@
             request.url =
                 (request as http.IncomingMessage & { originalUrl?: string }).originalUrl ?? request.url ?? "/";
             route.handle(request, response).catch((error: unknown) => {
-                options.logger.error("a request failed", { cause: String(error) });
+                options.logger.error("front: a request failed", { cause: String(error) });
                 response.destroy();
             });
         };
@@ -134,7 +139,7 @@
         },
         methods: {
             createServer(this: GatewayService): void {
-                server = createServer((request, response) => this.httpHandler(request, response));
+                server = createServer(options.sendDate, (request, response) => this.httpHandler(request, response));
                 this.server = server;
             },
         },
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -112,8 +112,8 @@
     };
 
     const vms: types.VmList = {
-        list: async () => {
-            const result = await send("GET", "/vms");
+        list: async role => {
+            const result = await send("GET", role === undefined ? "/vms" : `/vms?role=${role}`);
             if (result.kind === "reply" && result.reply.status === 200) {
                 return { kind: "found", vms: (JSON.parse(result.reply.text) as { vms: types.ListedVm[] }).vms };
             }
--- a/src/node/probes/prober.test.ts
+++ b/src/node/probes/prober.test.ts
@@ -54,6 +54,17 @@
     t.deepEqual(setup.probes, []);
 });
 
+test("the owner that follows a lost one learns the state of its targets within 300 ms of virtual time", async t => {
+    const setup = createSetup({ targets: 6, zones: ["b"] }, "a");
+    const lost = fixtures.createMember("vm-b", "b");
+    setup.setOwnership({ ownersOfCell: () => [lost], ownerOfTarget: () => lost });
+    await setup.scheduler.advance(5_000);
+    t.deepEqual(setup.probes, []);
+    setup.setOwnership(setup.ownership);
+    await setup.scheduler.advance(300);
+    t.true(setup.listStates().filter(state => state === "warm").length >= 2, "2 KB are enough for two of them");
+});
+
 test("targets that report on calls, and targets of other owners, are not probed", async t => {
     const setup = createSetup({ targets: 2, zones: ["a", "b"] }, "a");
     await setup.scheduler.advance(1_000);
--- a/src/node/probes/prober.ts
+++ b/src/node/probes/prober.ts
@@ -17,6 +17,10 @@
 export const probeTimeoutMs = 1_000;
 export const idleMs = 2_000;
 const checkIntervalMs = 250;
+/** A new owner does not know its targets and sends them next to nothing, so it looks at them soon. */
+const ownershipDelayMs = 20;
+/** Time over which the first probes of new targets are spread. */
+const firstSpreadMs = 100;
 /** Share of an interval by which it varies, so that probes of several entry VMs do not fall together. */
 const jitterShare = 0.25;
 
@@ -62,22 +66,42 @@
 export const createProber = (options: ProberOptions): types.Disposable => {
     const { blackboard, dispatcher, scheduler, random, sendProbe, logger } = options;
     const states = new Map<types.TargetId, ProbeState>();
+    const lastOwners = new Map<types.TargetId, types.VmId>();
     const links = new Map<types.ZoneName, tokenBucket.TokenBucket>();
     let timer: types.Disposable | undefined;
     let disposed = false;
 
     const addJitter = (durationMs: number): number => durationMs * (1 + jitterShare * random.nextFloat());
 
+    /**
+     * Tells whether the last owner has not probed the target for so long that its bucket would be full. A lost member
+     * has been silent for the member timeout. Any other last owner, or one that is not known, may have probed just now;
+     * with a full bucket, each change of owner would add a probe to the target's budget.
+     */
+    const mayStartFull = (target: types.TargetId): boolean => {
+        const last = lastOwners.get(target);
+        return last !== undefined && !blackboard.members.get().has(last);
+    };
+
+    const recordOwners = (views: readonly routing.TargetView[]): void => {
+        const ownership = blackboard.ownership.get();
+        for (const view of views) {
+            const owner = ownership.ownerOfTarget(view.target.id);
+            if (owner !== undefined) {
+                lastOwners.set(view.target.id, owner.info.vm);
+            }
+        }
+    };
+
     const getState = (target: types.TargetId, nowMs: number): ProbeState => {
         const known = states.get(target);
         if (known !== undefined) {
             return known;
         }
-        // The last owner may have probed the target just now, so a new owner begins with an empty bucket. With a full
-        // one, each change of owner would add a probe to the target's budget.
-        const bucket = { tokens: 0, atMs: nowMs };
-        // A new owner meets all of its targets at once; they are spread over one interval.
-        const notBeforeMs = nowMs + checkIntervalMs * random.nextFloat();
+        const notBeforeMs = nowMs + firstSpreadMs * random.nextFloat();
+        const bucket = mayStartFull(target)
+            ? tokenBucket.createTokenBucket(targetRate, nowMs)
+            : { tokens: 0, atMs: nowMs };
         const state = { bucket, notBeforeMs, isRunning: false, sentAtMs: 0 };
         states.set(target, state);
         return state;
@@ -125,6 +149,12 @@
                 states.delete(target);
             }
         }
+        const configured = new Set(views.map(view => view.target.id));
+        for (const target of lastOwners.keys()) {
+            if (!configured.has(target)) {
+                lastOwners.delete(target);
+            }
+        }
     };
 
     const runChecks = (): void => {
@@ -142,12 +172,21 @@
             }
         }
         removeOld(views);
-        timer = scheduler.schedule(addJitter(checkIntervalMs), runChecks);
+        recordOwners(views);
+        const isWaiting = views.some(view => view.owned && states.get(view.target.id)?.sentAtMs === 0);
+        scheduleChecks(isWaiting ? firstSpreadMs : checkIntervalMs);
+    };
+
+    const scheduleChecks = (delayMs: number): void => {
+        timer?.dispose();
+        timer = scheduler.schedule(addJitter(delayMs), runChecks);
     };
 
+    const changes = blackboard.ownership.onDidChange(() => scheduleChecks(ownershipDelayMs));
     runChecks();
     return events.toDisposable(() => {
         disposed = true;
+        changes.dispose();
         timer?.dispose();
     });
 };
--- a/src/node/publish/acceptance.ts
+++ b/src/node/publish/acceptance.ts
@@ -22,7 +22,8 @@
 
 interface Progress {
     listed: readonly platform.ListedVm[];
-    readonly adopted: Set<types.VmId>;
+    /** The incarnation that has reported the revision. */
+    readonly adopted: Map<types.VmId, types.IncarnationId>;
     /** VMs that have received the announcement and need only be asked. */
     readonly announced: Set<types.VmId>;
     isAccepted: boolean;
@@ -52,12 +53,12 @@
     }
     progress.announced.add(vm.vm);
     if (result.result.vm === vm.vm && result.result.revision >= head.revision) {
-        progress.adopted.add(vm.vm);
+        progress.adopted.set(vm.vm, result.result.incarnation);
     }
 };
 
 const updateList = async (context: AcceptanceContext, progress: Progress): Promise<void> => {
-    const result = await context.vms.list();
+    const result = await context.vms.list("entry");
     if (result.kind === "found") {
         progress.listed = result.vms.filter(vm => vm.role === "entry");
     }
@@ -65,9 +66,47 @@
 
 const countAdopted = (progress: Progress): number => progress.listed.filter(vm => progress.adopted.has(vm.vm)).length;
 
-const recordAcceptance = (context: AcceptanceContext, head: config.ConfigHead, progress: Progress): void => {
-    const adopted = countAdopted(progress);
-    if (progress.isAccepted || adopted * 2 <= progress.listed.length) {
+const isMajority = (count: number, progress: Progress): boolean => count * 2 > progress.listed.length;
+
+/** Asks a VM that has reported the revision whether the same incarnation still has it. */
+const mayStillHave = async (
+    context: AcceptanceContext,
+    head: config.ConfigHead,
+    progress: Progress,
+    vm: platform.ListedVm,
+): Promise<boolean> => {
+    if (vm.control === undefined) {
+        return false;
+    }
+    const result = await context.rpc.call(vm.control, "config.status", {}, context.times.rpcTimeoutMs);
+    if (result.kind === "failed") {
+        return false;
+    }
+    const { vm: name, incarnation, revision } = result.result;
+    const isSame = name === vm.vm && incarnation === progress.adopted.get(vm.vm) && revision >= head.revision;
+    if (!isSame) {
+        progress.adopted.delete(vm.vm);
+        progress.announced.delete(vm.vm);
+    }
+    return isSame;
+};
+
+/**
+ * Accepts the revision when a majority has it at one moment. A VM can restart after its report and forget the revision
+ * before the majority is complete, so once a majority has reported, each of them is asked again.
+ */
+const updateAcceptance = async (
+    context: AcceptanceContext,
+    head: config.ConfigHead,
+    progress: Progress,
+): Promise<void> => {
+    if (progress.isAccepted || !isMajority(countAdopted(progress), progress)) {
+        return;
+    }
+    const reported = progress.listed.filter(vm => progress.adopted.has(vm.vm));
+    const answers = await Promise.all(reported.map(vm => mayStillHave(context, head, progress, vm)));
+    const adopted = answers.filter(isSame => isSame).length;
+    if (!isMajority(adopted, progress)) {
         return;
     }
     progress.isAccepted = true;
@@ -91,13 +130,13 @@
 ): Promise<Acceptance> => {
     const untilMs = context.scheduler.now() + context.times.acceptTimeoutMs;
     const sections = Object.fromEntries(texts);
-    const progress: Progress = { listed: [], adopted: new Set(), announced: new Set(), isAccepted: false };
+    const progress: Progress = { listed: [], adopted: new Map(), announced: new Set(), isAccepted: false };
     for (;;) {
         await updateList(context, progress);
         const waited = progress.listed.filter(vm => !progress.adopted.has(vm.vm));
         await Promise.all(waited.map(vm => askVm(context, head, sections, progress, vm)));
-        recordAcceptance(context, head, progress);
-        const isComplete = progress.listed.length > 0 && countAdopted(progress) === progress.listed.length;
+        await updateAcceptance(context, head, progress);
+        const isComplete = progress.isAccepted && countAdopted(progress) === progress.listed.length;
         if (isComplete || context.scheduler.now() >= untilMs) {
             break;
         }
--- a/src/node/publish/publisher.test.ts
+++ b/src/node/publish/publisher.test.ts
@@ -231,7 +231,13 @@
 });
 
 test("acceptance needs a majority of the list, of answers under the listed names", async t => {
-    for (const modes of [["adopting", "deaf", "silent"], ["adopting", "wrongName"], ["deaf"], []] as const) {
+    for (const modes of [
+        ["adopting", "deaf", "silent"],
+        ["adopting", "wrongName"],
+        ["deaf"],
+        ["forgetful"],
+        [],
+    ] as const) {
         const { result, readHead } = await createPublishedWorld(...modes);
         t.is(result.kind, "notAccepted", modes.join());
         t.is(exitCode.toExitCode(result), 4);
@@ -239,6 +245,9 @@
     }
     const { result, scheduler } = await createPublishedWorld("adopting", "adopting", "silent");
     t.like(result, { kind: "accepted", missing: [ids.toVmId("entry-2")] });
+    // A VM that restarts after its report has forgotten the revision, so its report must not complete a majority.
+    const forgetful = await createPublishedWorld("adopting", "adopting", "forgetful", "silent", "silent");
+    t.is(forgetful.result.kind, "notAccepted");
     t.true(scheduler.now() >= publisher.defaultTimes.acceptTimeoutMs);
 });
 
--- a/src/testing/platform/platformServer.ts
+++ b/src/testing/platform/platformServer.ts
@@ -194,7 +194,9 @@
             sendUnavailable(response);
             return;
         }
-        httpServer.sendJson(response, 200, { vms: lists.list(faults.listLagMs) });
+        const role = url.searchParams.get("role");
+        const listed = lists.list(faults.listLagMs).filter(vm => role === null || vm.role === role);
+        httpServer.sendJson(response, 200, { vms: listed });
     };
 
     const handle = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
