--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -48,7 +48,8 @@
 const crashLimit = 2;
 const maxCrashEntries = 1_000;
 const crashRetentionMs = 600_000;
-const crashReportTimeoutMs = 1_000;
+/** The answer to the call waits for the reports, so a peer that is silent must not delay it for long. */
+const crashReportTimeoutMs = 500;
 
 const createIncarnation = (): shared.IncarnationId =>
     ids.toIncarnationId(crypto.randomBytes(incarnationBytes).toString("base64url"));
@@ -83,7 +84,7 @@
     const lifetimes = events.createDisposableStore();
     const platform = platformClients.createPlatformClient(settings.platform);
     const rpcClient = rpcClients.createRpcClient();
-    const rpcServer = rpcServers.createRpcServer(logs.createLogger("member"));
+    const rpcServer = rpcServers.createRpcServer(logs.logger);
     const sender = senders.createSender({
         checksEcho: !unsafe.has("no-echo-check"),
         reusesIdle: unsafe.has("reuse-idle"),
@@ -110,7 +111,7 @@
             scheduler,
             settings,
             assembleConfiguration: configuration.assembleConfiguration,
-            logger: logs.createLogger("config"),
+            logger: logs.logger,
         }),
     );
     const claims = lifetimes.add(
@@ -120,7 +121,7 @@
             table: platform.table,
             createToken,
             limits: settings,
-            logger: logs.createLogger("claim"),
+            logger: logs.logger,
         }),
     );
     const coldLeases = lifetimes.add(
@@ -130,7 +131,7 @@
             scheduler,
             createToken,
             leaseMs: settings.coldLeaseMs,
-            logger: logs.createLogger("cold"),
+            logger: logs.logger,
         }),
     );
     const dispatcher = lifetimes.add(
@@ -139,7 +140,7 @@
             scheduler,
             random,
             coldLeases,
-            logger: logs.createLogger("route"),
+            logger: logs.logger,
         }),
     );
     lifetimes.add(
@@ -156,7 +157,7 @@
             listCrashes: crashes.list,
             applyCrash: crashes.mergeCount,
             getKeyEpoch: claims.getEpoch,
-            logger: logs.createLogger("member"),
+            logger: logs.logger,
         }),
     );
     lifetimes.add(
@@ -166,16 +167,23 @@
             scheduler,
             random,
             sendProbe: probing.createProbeSender(sender, scheduler),
-            logger: logs.createLogger("target"),
+            logger: logs.logger,
         }),
     );
 
-    const publishCrash = (fingerprint: string, count: number): void => {
-        for (const member of board.members.get().values()) {
-            if (member.info.vm !== board.self.vm) {
-                void rpcClient.call(member.info.control, "crash.report", { fingerprint, count }, crashReportTimeoutMs);
-            }
-        }
+    rpcServer.addHandlers({
+        "crash.report": ({ fingerprint, count }) => {
+            crashes.mergeCount(fingerprint, count);
+            return Promise.resolve({ ok: true });
+        },
+    });
+    const publishCrash = async (fingerprint: string, count: number): Promise<void> => {
+        const others = [...board.members.get().values()].filter(member => member.info.vm !== board.self.vm);
+        await Promise.all(
+            others.map(member =>
+                rpcClient.call(member.info.control, "crash.report", { fingerprint, count }, crashReportTimeoutMs),
+            ),
+        );
     };
     const calls = callPaths.createCallPath({
         board,
@@ -185,7 +193,7 @@
         claims,
         crashes,
         traces,
-        logger: logs.createLogger("front"),
+        logger: logs.logger,
         isFresh,
         publishCrash,
         unsafe,
@@ -208,7 +216,7 @@
     const lifecycle = lifecycles.createLifecycleController({
         board,
         scheduler,
-        logger: logs.createLogger("life"),
+        logger: logs.logger,
         lookupTtlMs: settings.lookupTtlMs,
         drainTimeoutMs: unsafe.has("no-drain") ? 0 : settings.drainTimeoutMs,
         announcesLeaving: !unsafe.has("no-leave-notice"),
@@ -248,8 +256,9 @@
 ): gateways.Gateway =>
     gateways.createGateway({
         name: "front",
+        sendDate: true,
         address: settings.listen,
-        logger: logs.createLogger("front"),
+        logger: logs.logger,
         routes: [
             { segment: "call", handle: (request, response) => calls.handle(request, response, false) },
             {
@@ -268,8 +277,10 @@
 ): gateways.Gateway =>
     gateways.createGateway({
         name: "control",
+        // The control budget counts each byte of the peers' messages.
+        sendDate: false,
         address: settings.control,
-        logger: logs.createLogger("member"),
+        logger: logs.logger,
         routes: [
             { segment: "rpc", handle: rpcRoute },
             { segment: "forward", handle: (request, response) => calls.handle(request, response, true) },
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -58,7 +58,8 @@
             entry: options.self.vm,
             requestId: head.id,
             listOtherAddresses: options.listOtherAddresses,
-            mustClose: options.isLeaving,
+            // Closing while a body still arrives resets the connection, and the caller or peer would lose the answer.
+            mustClose: () => options.isLeaving() && response.req.complete,
         });
 
     const refuse = (
@@ -68,7 +69,7 @@
         message: string,
     ): void => {
         traces.record(head.id, `answered ${kind}: ${message}`);
-        logger.info(`call ${head.id} is refused, ${kind}`, { service: head.service, cause: message });
+        logger.info(`front: call ${head.id} is refused, ${kind}`, { service: head.service, cause: message });
         port.refuse(kind, message);
     };
 
@@ -266,7 +267,7 @@
             refuse(head, port, error.kind, error.message);
             return;
         }
-        logger.error(`call ${head.id} failed`, {
+        logger.error(`front: call ${head.id} failed`, {
             cause: error instanceof Error ? (error.stack ?? error.message) : "?",
         });
         refuse(head, port, "internal", "the entry VM failed to handle the call");
@@ -292,6 +293,7 @@
         } catch (error) {
             handleError(head, port, error);
         } finally {
+            bodyReader.dropRest(request);
             calls--;
         }
     };
--- a/src/node/platform/Types.ts
+++ b/src/node/platform/Types.ts
@@ -77,7 +77,10 @@
 
 /** The platform's list of VMs, which lags behind what happens. */
 export interface VmList {
-    list(): Promise<ListResult>;
+    /**
+     * @param role - names only VMs of this role; the list of all VMs is long
+     */
+    list(role?: ListedVm["role"]): Promise<ListResult>;
 }
 
 export interface Platform {
--- a/src/node/publish/fakeEntryVms.ts
+++ b/src/node/publish/fakeEntryVms.ts
@@ -6,13 +6,17 @@
 import * as peers from "../peers/Types.js";
 import * as platform from "../platform/Types.js";
 
-/** `deaf` answers but adopts nothing; `silent` does not answer; `wrongName` answers under another VM's name. */
-export type FakeMode = "adopting" | "deaf" | "silent" | "wrongName";
+/**
+ * `deaf` answers but adopts nothing; `silent` does not answer; `wrongName` answers under another VM's name; `forgetful`
+ * adopts and restarts after each announcement.
+ */
+export type FakeMode = "adopting" | "deaf" | "silent" | "wrongName" | "forgetful";
 
 export interface FakeEntryVm {
     readonly listed: platform.ListedVm;
     mode: FakeMode;
     revision: types.Revision;
+    restarts: number;
     /** Digests of the sections that announcements carried. */
     readonly announced: string[];
     targets: readonly peers.TargetStatus[];
@@ -39,6 +43,7 @@
     },
     mode,
     revision: ids.toRevision(0),
+    restarts: 0,
     announced: [],
     targets: [],
     traces: [],
@@ -46,7 +51,7 @@
 
 const toStatus = (vm: FakeEntryVm): peers.ConfigStatus => ({
     vm: vm.mode === "wrongName" ? ids.toVmId("other") : vm.listed.vm,
-    incarnation: ids.toIncarnationId(`${vm.listed.vm}-1`),
+    incarnation: ids.toIncarnationId(`${vm.listed.vm}-${vm.restarts}`),
     revision: vm.revision,
     fresh: vm.mode !== "deaf",
     confirmedAgeMs: 100,
@@ -59,11 +64,23 @@
     }
 };
 
+const answerAnnouncement = (
+    vm: FakeEntryVm,
+    params: peers.RpcMethods["config.announce"]["params"],
+): peers.ConfigStatus => {
+    receiveAnnouncement(vm, params);
+    const status = toStatus(vm);
+    if (vm.mode === "forgetful") {
+        vm.restarts++;
+        vm.revision = ids.toRevision(0);
+    }
+    return status;
+};
+
 const handleCall = (vm: FakeEntryVm, method: peers.RpcMethod, params: unknown): unknown => {
     switch (method) {
         case "config.announce":
-            receiveAnnouncement(vm, params as peers.RpcMethods["config.announce"]["params"]);
-            return toStatus(vm);
+            return answerAnnouncement(vm, params as peers.RpcMethods["config.announce"]["params"]);
         case "config.status":
             return toStatus(vm);
         case "admin.targets":
--- a/src/testing/memoryPlatform.ts
+++ b/src/testing/memoryPlatform.ts
@@ -115,7 +115,10 @@
                 return Promise.resolve({ kind: "stored" });
             },
         },
-        vms: { list: () => Promise.resolve({ kind: "found", vms }) },
+        vms: {
+            list: role =>
+                Promise.resolve({ kind: "found", vms: vms.filter(vm => role === undefined || vm.role === role) }),
+        },
         setTableDown: down => (isTableDown = down),
         setObjectsDown: down => (areObjectsDown = down),
         addTransactFaults: (...added) => void faults.push(...added),
