--- a/src/testing/caller/caller.ts
+++ b/src/testing/caller/caller.ts
@@ -70,7 +70,7 @@
 const parseAnswer = (
     response: undici.Dispatcher.ResponseData,
     body: Buffer,
-    isOwnRequest: (requestId: string, key: string) => boolean,
+    isOwnRequest: (head: answers.AnswerHead) => boolean,
     bodyDigest: string,
 ): Answered => {
     const outcome = getHeader(response.headers, "tarragon-outcome") as errors.Outcome | undefined;
@@ -121,7 +121,8 @@
             return parseAnswer(
                 response,
                 body,
-                (id, key) => id.startsWith(`${call}.`) || (sending.key !== undefined && key === sending.key),
+                head =>
+                    head.requestId.startsWith(`${call}.`) || (sending.key !== undefined && head.key === sending.key),
                 bodyDigest,
             );
         } catch (error) {
--- a/src/testing/targets/answers.ts
+++ b/src/testing/targets/answers.ts
@@ -66,7 +66,7 @@
  */
 export const checkAnswer = (
     body: Buffer,
-    isOwnRequest: (requestId: string, key: string) => boolean,
+    isOwnRequest: (head: AnswerHead) => boolean,
     bodyDigest: string,
 ): history.AnswerCheck => {
     const end = body.indexOf(10);
@@ -77,6 +77,6 @@
     const filler = body.subarray(end + 1);
     return {
         isWhole: filler.length === head.fillerBytes && computeDigest(filler) === head.fillerDigest,
-        isOwn: isOwnRequest(head.requestId, head.key) && head.bodyDigest === bodyDigest,
+        isOwn: isOwnRequest(head) && head.bodyDigest === bodyDigest,
     };
 };
--- a/src/testing/targets/targetServer.test.ts
+++ b/src/testing/targets/targetServer.test.ts
@@ -55,7 +55,7 @@
     const answer = await send("/a?answerBytes=1000", { id: "r7", body: "hello" });
     t.is(answer.headers["tarragon-attempt-id"], "a-r7");
     t.is(answer.headers["tarragon-target-state"], "warm");
-    const check = answers.checkAnswer(answer.body, id => id === "r7", answers.computeDigest("hello"));
+    const check = answers.checkAnswer(answer.body, head => head.requestId === "r7", answers.computeDigest("hello"));
     t.deepEqual(check, { isWhole: true, isOwn: true });
     t.deepEqual(
         answers.checkAnswer(answer.body.subarray(0, 900), () => true, ""),
