--- a/src/bench/capacity/main.ts
+++ b/src/bench/capacity/main.ts
@@ -12,6 +12,7 @@
 import * as idleCost from "./idleCost.js";
 import * as placement from "./placement.js";
 import * as slopes from "./slopes.js";
+import * as smallCosts from "./smallCosts.js";
 import * as storeCost from "./storeCost.js";
 import * as types from "./Types.js";
 
@@ -24,6 +25,7 @@
     gossip: gossipCost.measureGossipCost,
     configuration: configurationCost.measureConfigurationCost,
     store: storeCost.measureStoreCost,
+    small: smallCosts.measureSmallCosts,
     placement: placement.measurePlacement,
 };
 
