--- a/src/bench/capacity/sectionFixture.ts
+++ b/src/bench/capacity/sectionFixture.ts
@@ -6,7 +6,7 @@
 import * as ids from "../../common/ids.js";
 import * as types from "./Types.js";
 
-/** The two deployments of today, their sum with a margin, and the target size with half of it. */
+/** Fraserbank of today, and larger sizes up to the target size. */
 export const sizes: readonly types.ConfigurationSize[] = [
     { targets: 26, services: 3, zones: 6 },
     { targets: 115, services: 5, zones: 6 },
