Count one crash of a target once for each request

Breaks at one target within a second now count once, and an answered request loses a count below the limit.

--- a/src/bench/capacity/smallCosts.ts
+++ b/src/bench/capacity/smallCosts.ts
@@ -16,7 +16,7 @@
     let bytes = 0;
     let lines = 0;
     const sink = logSinks.createLogSink({ level: "info", format: "text", write: text => void (bytes += text.length) });
-    const logger = sink.createLogger("route");
+    const logger = sink.logger;
     const fields = {
         call: "0b0f3c8e-5f3a-4f1c-9c55-5a53c1f2b7aa",
         service: "service-1",
--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -1,6 +1,7 @@
 /**
  * Requests that crash the targets that run them.
  */
+import * as types from "../Types.js";
 
 /** What identifies a request; two requests with equal parts count as the same. */
 export interface FingerprintParts {
@@ -21,8 +22,16 @@
 
 /** Counts of broken connections by fingerprint. */
 export interface CrashRegistry {
-    /** Counts a crash that this entry VM saw; returns the new count. */
-    recordCrash(fingerprint: string): number;
+    /**
+     * Counts a crash that this entry VM saw.
+     *
+     * @param fingerprint - a request that was in flight
+     * @param target - the target that crashed; breaks at the same target within a second are one crash
+     * @returns the new count
+     */
+    recordCrash(fingerprint: string, target: types.TargetId): number;
+    /** A request with this fingerprint was answered; counts below the limit are forgotten. */
+    recordAnswer(fingerprint: string): void;
     /** Takes over the count of a peer if it is greater. */
     mergeCount(fingerprint: string, count: number): void;
     /** Whether requests with this fingerprint are refused. */
--- a/src/common/crashes/crashRegistry.ts
+++ b/src/common/crashes/crashRegistry.ts
@@ -18,6 +18,12 @@
     readonly changedAtMs: number;
 }
 
+/**
+ * A crash breaks all connections of a target at about the same time. Requests that are equal and in flight together
+ * would each count it, and a harmless request would reach the limit by one crash.
+ */
+const incidentMs = 1_000;
+
 /**
  * Creates an empty registry.
  *
@@ -29,6 +35,17 @@
     // In the order of the last change, oldest first.
     const entries = new Map<string, Entry>();
 
+    /** Time of the last crash by target and fingerprint. */
+    const incidents = new Map<string, number>();
+
+    const removeOldIncidents = (nowMs: number): void => {
+        for (const [incident, atMs] of incidents) {
+            if (nowMs - atMs >= incidentMs) {
+                incidents.delete(incident);
+            }
+        }
+    };
+
     const removeExpired = (): void => {
         const nowMs = scheduler.now();
         for (const [fingerprint, entry] of entries) {
@@ -54,10 +71,23 @@
     };
 
     return {
-        recordCrash: fingerprint => {
-            const count = getCount(fingerprint) + 1;
-            setCount(fingerprint, count);
-            return count;
+        recordCrash: (fingerprint, target) => {
+            const known = getCount(fingerprint);
+            const incident = `${target} ${fingerprint}`;
+            const lastMs = incidents.get(incident);
+            const nowMs = scheduler.now();
+            removeOldIncidents(nowMs);
+            if (lastMs !== undefined && nowMs - lastMs < incidentMs) {
+                return known;
+            }
+            incidents.set(incident, nowMs);
+            setCount(fingerprint, known + 1);
+            return known + 1;
+        },
+        recordAnswer: fingerprint => {
+            if (getCount(fingerprint) < limit) {
+                entries.delete(fingerprint);
+            }
         },
         mergeCount: (fingerprint, count) => {
             // Only growth renews an entry, so that peers cannot keep it alive for each other. Two counts of one crash
--- a/src/common/crashes/crashes.test.ts
+++ b/src/common/crashes/crashes.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import * as ids from "../ids.js";
 import * as crashRegistry from "./crashRegistry.js";
 import * as fingerprint from "./fingerprint.js";
 
@@ -8,14 +9,34 @@
     return { time, ...crashRegistry.createCrashRegistry({ scheduler, limit: 2, maxEntries, retentionMs: 600_000 }) };
 };
 
+const first = ids.toTargetId("t1");
+const second = ids.toTargetId("t2");
+
+// Two equal harmless requests in flight at one crash were refused everywhere for ten minutes.
+test("breaks at one target within a second are one crash, and an answer clears a count below the limit", t => {
+    const setup = createSetup();
+    t.is(setup.recordCrash("f", first), 1);
+    t.is(setup.recordCrash("f", first), 1);
+    setup.time.nowMs = 999;
+    t.is(setup.recordCrash("f", first), 1);
+    setup.recordAnswer("f");
+    t.true(setup.isEmpty());
+    setup.time.nowMs = 2_000;
+    setup.recordCrash("f", first);
+    setup.time.nowMs = 3_000;
+    t.is(setup.recordCrash("f", first), 2, "a second crash of the same target");
+    setup.recordAnswer("f");
+    t.true(setup.isBlocked("f"), "a blocked request stays blocked until its entry expires");
+});
+
 test("a request is blocked after two crashes, wherever they were seen", t => {
     const setup = createSetup();
     t.true(setup.isEmpty());
-    t.is(setup.recordCrash("f"), 1);
+    t.is(setup.recordCrash("f", first), 1);
     t.false(setup.isBlocked("f"));
     setup.mergeCount("f", 1);
     t.false(setup.isBlocked("f"), "a peer's copy of the same count is no second crash");
-    t.is(setup.recordCrash("f"), 2);
+    t.is(setup.recordCrash("f", second), 2);
     t.true(setup.isBlocked("f"));
     setup.mergeCount("g", 2);
     t.true(setup.isBlocked("g"));
@@ -27,13 +48,13 @@
 
 test("entries expire although peers repeat them, and the oldest is dropped when the registry is full", t => {
     const setup = createSetup(2);
-    setup.recordCrash("f");
+    setup.recordCrash("f", first);
     setup.time.nowMs = 599_999;
     setup.mergeCount("f", 1);
     t.false(setup.isEmpty());
     setup.time.nowMs = 600_000;
     t.true(setup.isEmpty());
-    ["a", "b", "c"].forEach(text => setup.recordCrash(text));
+    ["a", "b", "c"].forEach(text => setup.recordCrash(text, first));
     t.deepEqual(
         setup.list().map(entry => entry.fingerprint),
         ["b", "c"],
--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -81,7 +81,9 @@
         crashes: {
             isEmpty: () => options.unsafe.has("no-crash-count") || options.crashes.isEmpty(),
             isBlocked: options.crashes.isBlocked,
-            recordCrash: fingerprint => options.publishCrash(fingerprint, options.crashes.recordCrash(fingerprint)),
+            recordCrash: (fingerprint, target) =>
+                options.publishCrash(fingerprint, options.crashes.recordCrash(fingerprint, target)),
+            recordAnswer: options.crashes.recordAnswer,
         },
         traces,
         isFresh: options.isFresh,
--- a/src/node/front/Types.ts
+++ b/src/node/front/Types.ts
@@ -80,7 +80,9 @@
     isEmpty(): boolean;
     isBlocked(fingerprint: string): boolean;
     /** Resolves when the peers know of the crash, or after a short time limit. */
-    recordCrash(fingerprint: string): Promise<void>;
+    recordCrash(fingerprint: string, target: types.TargetId): Promise<void>;
+    /** A request with this fingerprint was answered, so an earlier break was not its doing. */
+    recordAnswer(fingerprint: string): void;
 }
 
 /** What the steps of a call need of the daemon. */
--- a/src/node/front/callRunner.test.ts
+++ b/src/node/front/callRunner.test.ts
@@ -26,7 +26,12 @@
             send: () => Promise.resolve({ kind: "finished", result: { kind: "notRun", error: "target_refused" } }),
         },
         retryBudget: { recordCall: () => undefined, takeRetry: () => true },
-        crashes: { isEmpty: () => true, isBlocked: () => false, recordCrash: () => Promise.resolve() },
+        crashes: {
+            isEmpty: () => true,
+            isBlocked: () => false,
+            recordCrash: () => Promise.resolve(),
+            recordAnswer: () => undefined,
+        },
         traces: { record: () => undefined, find: () => undefined },
         computeFingerprint: () => "",
         unsafe: new Set(),
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -2,6 +2,7 @@
  * Sends a call to one target.
  */
 import * as routing from "../../common/routing/Types.js";
+import * as shared from "../../common/Types.js";
 import * as forward from "../forward/Types.js";
 import * as answerRelay from "./answerRelay.js";
 import * as attemptWatch from "./attemptWatch.js";
@@ -29,10 +30,10 @@
 export const createTargetStep = (options: types.StepOptions): TargetStep => {
     const { scheduler, sender, traces } = options;
 
-    const recordCrash = async (call: types.Call): Promise<void> => {
+    const recordCrash = async (call: types.Call, target: shared.TargetId): Promise<void> => {
         const fingerprint = options.computeFingerprint(call);
         // A caller may send the request again as soon as it has the answer, so the peers learn of the crash first.
-        await options.crashes.recordCrash(fingerprint);
+        await options.crashes.recordCrash(fingerprint, target);
         traces.record(call.head.id, "the connection broke before the answer began; counted as a crash");
     };
 
@@ -101,7 +102,7 @@
         }
         if (!head.aborted) {
             grant.release({ kind: "broken" });
-            await recordCrash(call);
+            await recordCrash(call, grant.target.id);
             return { kind: "unknown", error: "outcome_unknown" };
         }
         grant.release(signal.aborted ? { kind: "cancelled" } : { kind: "silent" });
@@ -138,6 +139,9 @@
         );
         grant.release({ kind: "answered", latencyMs, report });
         options.recordLatency(call.head.service, latencyMs);
+        if (!options.crashes.isEmpty()) {
+            options.crashes.recordAnswer(options.computeFingerprint(call));
+        }
         traces.record(call.head.id, `${grant.target.id} answered ${head.status}, body ${relayed.end.kind}`);
         const answer = relayed.end.kind === "complete" ? relayed.kept : { ...relayed.kept, body: undefined };
         return { kind: "finished", result: { kind: "done", answer } };
