--- a/src/bench/policy/runScenario.ts
+++ b/src/bench/policy/runScenario.ts
@@ -1,6 +1,7 @@
 /**
  * Runs a scenario with one seed.
  */
+import * as random from "../../common/random.js";
 import * as ids from "../../common/ids.js";
 import * as types from "../../common/Types.js";
 import * as baselines from "./baselines.js";
@@ -94,7 +95,7 @@
     sim.setLastZoneOut(scenario.disturbance.kind === "zoneReturns");
     const senders = createSenders(sim, scenario);
     // Arrivals have numbers of their own, so that all policies meet the same calls.
-    const arrivals = simTarget.createSource(seed + 500_000);
+    const arrivals = random.createRandom(seed + 500_000);
     const meanMs = computeIntervalMs(sim) / scenario.load;
     const latenciesMs: number[] = [];
     const counts = { calls: 0, refused: 0, late: 0 };
--- a/src/bench/policy/simTarget.ts
+++ b/src/bench/policy/simTarget.ts
@@ -3,7 +3,6 @@
  */
 import * as config from "../../common/config/Types.js";
 import * as ids from "../../common/ids.js";
-import * as random from "../../common/random.js";
 import * as routing from "../../common/routing/Types.js";
 import * as types from "../../common/Types.js";
 
@@ -39,22 +38,6 @@
 export const effectiveServiceMs =
     (meanServiceMs * (quietMeanMs + noisyFactor * noisyMeanMs)) / (quietMeanMs + noisyMeanMs);
 
-const skippedNumbers = 32;
-
-/**
- * Creates a source of random numbers and skips the first ones, which are close to 1 for every small seed.
- *
- * @param seed - an integer
- * @returns the source
- */
-export const createSource = (seed: number): types.Random => {
-    const source = random.createRandom(seed);
-    for (let index = 0; index < skippedNumbers; index++) {
-        source.nextFloat();
-    }
-    return source;
-};
-
 /**
  * Picks an exponentially distributed time.
  *
--- a/src/bench/policy/world.ts
+++ b/src/bench/policy/world.ts
@@ -1,6 +1,7 @@
 /**
  * Targets, links and time that all policies share.
  */
+import * as random from "../../common/random.js";
 import * as config from "../../common/config/Types.js";
 import * as fixtures from "../../common/routing/fixture.js";
 import * as spillOver from "../../common/routing/spillOver.js";
@@ -42,12 +43,12 @@
  */
 export const createWorld = (scenario: policyTypes.Scenario, seed: number): World => {
     const scheduler = simScheduler.createSimScheduler();
-    const source = simTarget.createSource(seed);
+    const source = random.createRandom(seed);
     const configuration = fixtures.createConfiguration(scenario.shape);
     const section = [...configuration.services.values()][0];
     // Each target has numbers of its own, so that all policies meet the same noise.
     const targets = (section?.targets ?? []).map((target, index) =>
-        simTarget.createSimTarget(target, scheduler, simTarget.createSource(seed * 1_000 + index), scenario.noise),
+        simTarget.createSimTarget(target, scheduler, random.createRandom(seed * 1_000 + index), scenario.noise),
     );
     const zones = configuration.topology.zones.map(zone => zone.name);
     const getLinkMs = spillOver.createGetDelay(configuration.topology);
--- a/src/common/config/serviceFile.ts
+++ b/src/common/config/serviceFile.ts
@@ -14,7 +14,8 @@
 /** Both current deployments keep 200 to 250 connections to a target. */
 const defaultConnections = 200;
 const defaultQueueLimit = 100;
-const defaultMaxBodyBytes = 16 * 1024 * 1024;
+/** Photo bundles have tens of MB. Bodies are streamed, so a large limit costs no memory. */
+const defaultMaxBodyBytes = 256 * 1024 * 1024;
 const defaultOwnersPerZone = 1;
 /** The smaller figure of the two current deployments. */
 const defaultSlots = 2;
--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -6,6 +6,9 @@
 import * as xoroshiro from "pure-rand/generator/xoroshiro128plus";
 import * as types from "./Types.js";
 
+/** The generator mixes a small seed only slowly: its first numbers are close to 1 for every seed. */
+const warmUpSteps = 32;
+
 /**
  * Creates a reproducible source of random numbers.
  *
@@ -14,6 +17,9 @@
  */
 export const createRandom = (seed: number): types.Random => {
     const generator = xoroshiro.xoroshiro128plus(seed);
+    for (let step = 0; step < warmUpSteps; step++) {
+        uniformFloat.uniformFloat32(generator);
+    }
     return {
         nextFloat: () => uniformFloat.uniformFloat32(generator),
         nextInt: bound => uniformInt.uniformInt(generator, 0, bound - 1),
