Read the head conditionally; join requests for cold leases of one turn

Cause: each poll of the head carried the whole row, about 2 KB a second at the target size, although the design counts on a conditional read. Requests for cold leases each looked at all cold targets, so a zone with 920 of them cost quadratic work (790 ms of processor time a second in the capacity measurement of a daemon that had just started).

--- a/src/bench/control/virtualCluster.ts
+++ b/src/bench/control/virtualCluster.ts
@@ -207,6 +207,8 @@
         const table: typeof platform.table = {
             ...platform.table,
             read: key => (cut.has(index) ? Promise.resolve(unavailable) : platform.table.read(key)),
+            readIfChanged: (key, version) =>
+                cut.has(index) ? Promise.resolve(unavailable) : platform.table.readIfChanged(key, version),
         };
         const shared = {
             blackboard,
--- a/src/node/claims/claimCost.test.ts
+++ b/src/node/claims/claimCost.test.ts
@@ -33,6 +33,7 @@
     };
     const table: platform.TableService = {
         read: key => delay(() => store.table.read(key)),
+        readIfChanged: store.table.readIfChanged,
         scan: prefix => delay(() => store.table.scan(prefix)),
         transact: (conditions, writes) => delay(() => store.table.transact(conditions, writes)),
     };
--- a/src/node/claims/claimHistory.test.ts
+++ b/src/node/claims/claimHistory.test.ts
@@ -86,6 +86,7 @@
     // Each way takes 5 ms; a late write reaches the store long after its answer was given up.
     const table: platform.TableService = {
         scan: prefix => store.table.scan(prefix),
+        readIfChanged: store.table.readIfChanged,
         read: async key => {
             await wait(5);
             const result = await store.table.read(key);
--- a/src/node/coldstart/coldLeases.ts
+++ b/src/node/coldstart/coldLeases.ts
@@ -107,6 +107,8 @@
             return step !== undefined && step.kind !== "wait" && step.kind !== "done";
         });
 
+    let isUpdatePending = false;
+
     const runSteps = (): number => {
         const renewals: PlannedWrite[] = [];
         let wakeAtMs = Infinity;
@@ -160,6 +162,18 @@
         }
     };
 
+    /** Joins the requests of one turn, since each update looks at all targets: a zone returns with all of them cold. */
+    const updateSoon = (): void => {
+        if (isUpdatePending) {
+            return;
+        }
+        isUpdatePending = true;
+        queueMicrotask(() => {
+            isUpdatePending = false;
+            update();
+        });
+    };
+
     return {
         leaseEndMs: target => {
             const state = states.get(target);
@@ -167,12 +181,12 @@
         },
         request: target => {
             apply(target, { kind: "wanted", untilMs: scheduler.now() + wantedMs });
-            update();
+            updateSoon();
         },
         release: target => {
             if (states.has(target)) {
                 apply(target, { kind: "givenUp" });
-                update();
+                updateSoon();
             }
         },
         onDidTake: taken.event,
--- a/src/node/configuration/headPoll.ts
+++ b/src/node/configuration/headPoll.ts
@@ -51,7 +51,23 @@
         return head;
     };
 
-    const applyResult = (result: platform.ReadResult | undefined, requestedAtMs: number): void => {
+    const findHead = (result: platform.ChangedReadResult | undefined): config.ConfigHead | undefined => {
+        switch (result?.kind) {
+            case "found":
+                return parseRow(result.row);
+            case "unchanged":
+                return lastRow?.head;
+            case "absent":
+            case "unavailable":
+            case undefined:
+                return undefined;
+        }
+    };
+
+    const readHead = (): Promise<platform.ChangedReadResult> =>
+        lastRow === undefined ? table.read(headKey) : table.readIfChanged(headKey, lastRow.version);
+
+    const applyResult = (result: platform.ChangedReadResult | undefined, requestedAtMs: number): void => {
         const wasDown = isDown;
         isDown = result === undefined || result.kind === "unavailable";
         if (isDown !== wasDown) {
@@ -62,7 +78,7 @@
         if (result?.kind === "absent") {
             options.onRead(undefined, requestedAtMs);
         }
-        const head = result?.kind === "found" ? parseRow(result.row) : undefined;
+        const head = findHead(result);
         if (head !== undefined) {
             options.onRead(head, requestedAtMs);
         }
@@ -70,7 +86,7 @@
 
     const poll = async (): Promise<void> => {
         const requestedAtMs = scheduler.now();
-        const result = await waiting.waitAtMost(scheduler, table.read(headKey), options.timeoutMs);
+        const result = await waiting.waitAtMost(scheduler, readHead(), options.timeoutMs);
         if (isDisposed) {
             return;
         }
--- a/src/node/platform/Types.ts
+++ b/src/node/platform/Types.ts
@@ -5,7 +5,10 @@
 
 export interface Row {
     readonly key: string;
-    /** Grows with every write of the row. */
+    /**
+     * Grows with every write of the row, and is never used again for the same key, not even after the row was deleted.
+     * Claims of idempotency keys depend on it.
+     */
     readonly version: number;
     readonly value: unknown;
 }
@@ -41,8 +44,13 @@
     | { readonly kind: "unavailable"; readonly cause: string }
     | { readonly kind: "unknown"; readonly cause: string };
 
+/** `unchanged`: the row still has the version that the reader knows. */
+export type ChangedReadResult = ReadResult | { readonly kind: "unchanged" };
+
 export interface TableService {
     read(key: string): Promise<ReadResult>;
+    /** Reads a row unless it still has the given version; costs a read but hardly any bytes. */
+    readIfChanged(key: string, version: number): Promise<ChangedReadResult>;
     scan(prefix: string): Promise<ScanResult>;
     /** Applies all writes if each condition holds, else none. */
     transact(conditions: readonly Condition[], writes: readonly Write[]): Promise<TransactResult>;
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -43,12 +43,18 @@
 export const createPlatformClient = (baseUrl: string): PlatformClient => {
     const pool = new undici.Pool(baseUrl, { connections: maxConnections, connect: { timeout: requestTimeoutMs } });
 
-    const send = async (method: undici.Dispatcher.HttpMethod, path: string, body?: string): Promise<SendResult> => {
+    const send = async (
+        method: undici.Dispatcher.HttpMethod,
+        path: string,
+        body?: string,
+        headers: Record<string, string> = {},
+    ): Promise<SendResult> => {
         try {
             const response = await pool.request({
                 method,
                 path,
-                ...(body === undefined ? {} : { body, headers: { "content-type": "application/json" } }),
+                headers: body === undefined ? headers : { ...headers, "content-type": "application/json" },
+                body: body ?? null,
                 signal: AbortSignal.timeout(requestTimeoutMs),
             });
             const text = await response.body.text();
@@ -63,16 +69,23 @@
         cause: result.kind === "failed" ? result.cause : `status ${result.reply.status}`,
     });
 
+    const toReadResult = (result: SendResult): types.ReadResult => {
+        if (result.kind === "reply" && result.reply.status === 200) {
+            return { kind: "found", row: JSON.parse(result.reply.text) as types.Row };
+        }
+        if (result.kind === "reply" && result.reply.status === 404) {
+            return { kind: "absent" };
+        }
+        return toUnavailable(result);
+    };
+
     const table: types.TableService = {
-        read: async key => {
-            const result = await send("GET", `/rows/${encodeURIComponent(key)}`);
-            if (result.kind === "reply" && result.reply.status === 200) {
-                return { kind: "found", row: JSON.parse(result.reply.text) as types.Row };
-            }
-            if (result.kind === "reply" && result.reply.status === 404) {
-                return { kind: "absent" };
-            }
-            return toUnavailable(result);
+        read: async key => toReadResult(await send("GET", `/rows/${encodeURIComponent(key)}`)),
+        readIfChanged: async (key, version) => {
+            const headers = { "if-none-match": `"${version}"` };
+            const result = await send("GET", `/rows/${encodeURIComponent(key)}`, undefined, headers);
+            const isUnchanged = result.kind === "reply" && result.reply.status === 304;
+            return isUnchanged ? { kind: "unchanged" } : toReadResult(result);
         },
         scan: async prefix => {
             const result = await send("GET", `/rows?prefix=${encodeURIComponent(prefix)}`);
--- a/src/testing/memoryPlatform.ts
+++ b/src/testing/memoryPlatform.ts
@@ -49,14 +49,20 @@
         }
     };
 
+    const readRow = (key: string): Promise<platform.ReadResult> => {
+        counts.reads++;
+        if (isTableDown) {
+            return Promise.resolve(unavailable);
+        }
+        const row = rows.get(key);
+        return Promise.resolve(row === undefined ? { kind: "absent" } : { kind: "found", row });
+    };
+
     const table: platform.TableService = {
-        read: key => {
-            counts.reads++;
-            if (isTableDown) {
-                return Promise.resolve(unavailable);
-            }
-            const row = rows.get(key);
-            return Promise.resolve(row === undefined ? { kind: "absent" } : { kind: "found", row });
+        read: readRow,
+        readIfChanged: async (key, version) => {
+            const result = await readRow(key);
+            return result.kind === "found" && result.row.version === version ? { kind: "unchanged" } : result;
         },
         scan: prefix => {
             counts.reads++;
