Add the proof of a cut entry VM, with relays for control ports

--advertise-control names the address by which peers reach the control port, so that a relay can stand before it. The frozen entry VM no longer finds the announcement in its socket, which made the run without freshness pass now and then.

--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -61,7 +61,7 @@
     incarnation: createIncarnation(),
     zone: settings.zone,
     address: settings.listen,
-    control: settings.control,
+    control: settings.advertiseControl,
 });
 
 /**
--- a/src/node/settings/Types.ts
+++ b/src/node/settings/Types.ts
@@ -10,6 +10,8 @@
     readonly listen: types.Address;
     /** Address of the control port, for peers and operators. */
     readonly control: types.Address;
+    /** Address by which peers and operators reach the control port. */
+    readonly advertiseControl: types.Address;
     /** Base URL of the platform's services, as in `http://10.0.0.5:7000`. */
     readonly platform: string;
     readonly logLevel: "debug" | "info" | "warn" | "error" | "silent";
--- a/src/node/settings/definitions.ts
+++ b/src/node/settings/definitions.ts
@@ -61,6 +61,13 @@
         unit: "",
         defaultText: "127.0.0.1:9080",
     },
+    advertiseControl: {
+        kind: values.address,
+        description: "Address by which peers reach the control port, if it is not the one on which it listens.",
+        unit: "",
+        defaultText: undefined,
+        defaultNote: "the value of `--control`",
+    },
     platform: {
         kind: values.httpUrl,
         description: "Base URL of the platform's services.",
--- a/src/node/settings/entrySettings.ts
+++ b/src/node/settings/entrySettings.ts
@@ -98,8 +98,15 @@
     if (parsing.faults.length > 0) {
         return { kind: "invalid", faults: parsing.faults };
     }
-    const values = parsing.values as Omit<settings.EntrySettings, "vm"> & {
-        readonly vm?: settings.EntrySettings["vm"];
+    type Derived = "vm" | "advertiseControl";
+    const values = parsing.values as Omit<settings.EntrySettings, Derived> &
+        Partial<Pick<settings.EntrySettings, Derived>>;
+    return {
+        kind: "valid",
+        settings: {
+            ...values,
+            vm: values.vm ?? vmName.toVmFromAddress(values.listen),
+            advertiseControl: values.advertiseControl ?? values.control,
+        },
     };
-    return { kind: "valid", settings: { ...values, vm: values.vm ?? vmName.toVmFromAddress(values.listen) } };
 };
--- a/src/testing/failure/directSender.ts
+++ b/src/testing/failure/directSender.ts
@@ -60,7 +60,7 @@
         const received = await httpServer.readBody(response.body);
         const outcome = getHeader(response.headers, "tarragon-outcome");
         const error = getHeader(response.headers, "tarragon-error");
-        const isOwn = (id: string): boolean => id.startsWith(`${sending.call}.`);
+        const isOwn = (head: answers.AnswerHead): boolean => head.requestId.startsWith(`${sending.call}.`);
         const isAnswer = outcome === "ran" && error === undefined;
         return {
             outcome,
--- a/src/testing/failure/main.ts
+++ b/src/testing/failure/main.ts
@@ -46,7 +46,8 @@
     );
     print(`violations: ${result.violations.length}`);
     result.violations.slice(0, 10).forEach(violation => print(`  ${violation.rule}: ${violation.message}`));
-    process.exitCode = result.violations.length === 0 ? 0 : 1;
+    // Links that were cut can keep the event loop alive; all processes have ended by now.
+    process.exit(result.violations.length === 0 ? 0 : 1);
 };
 
 await new commander.Command("failure")
--- a/src/testing/failure/runScenario.ts
+++ b/src/testing/failure/runScenario.ts
@@ -57,6 +57,7 @@
         seed,
         ...(scenario.entryArgs === undefined ? {} : { entryArgs: scenario.entryArgs }),
         ...(scenario.hasPlatformRelays === undefined ? {} : { hasPlatformRelays: scenario.hasPlatformRelays }),
+        ...(scenario.hasControlRelays === undefined ? {} : { hasControlRelays: scenario.hasControlRelays }),
         entryEnv: { TARRAGONPATH_UNSAFE: unsafe.join(",") },
     });
     const callers: history.CallerEvent[] = [];
--- a/src/testing/failure/scenarioList.ts
+++ b/src/testing/failure/scenarioList.ts
@@ -7,6 +7,7 @@
 import * as frozen from "./scenarios/frozen.js";
 import * as operators from "./scenarios/operators.js";
 import * as outage from "./scenarios/outage.js";
+import * as partition from "./scenarios/partition.js";
 import * as poison from "./scenarios/poison.js";
 import * as resend from "./scenarios/resend.js";
 import * as shutdown from "./scenarios/shutdown.js";
@@ -23,6 +24,7 @@
     frozen.frozen,
     outage.outage,
     operators.operators,
+    partition.partition,
     uploads.uploads,
     poison.poisonous,
     silent.silent,
--- a/src/testing/failure/scenarios/frozen.ts
+++ b/src/testing/failure/scenarios/frozen.ts
@@ -42,6 +42,7 @@
     seed: 505,
     plan: plans.fiveEntries,
     entryArgs: plans.quickArgs,
+    hasControlRelays: true,
     run: async context => {
         const { system } = context;
         const owner = await findOwner(context);
@@ -53,6 +54,8 @@
         });
         await traffic.waitForRuns(30);
         owner.process.sendSignal("SIGSTOP");
+        // Without the cut, the announcement would wait in the socket beside the calls and could be read first.
+        system.controlRelays.get(owner.vm)?.setState({ kind: "cut" });
         context.note(`froze ${owner.vm}, owner of bookings in ${frozenZone}`);
         const buffered = requests.sendBuffered(context, owner);
         const acceptedAtMs = await takeZoneOut(context, others);
@@ -64,6 +67,7 @@
         context.note(`${owner.vm} continues`);
         await checkRevision(context, owner, 2);
         await buffered;
+        system.controlRelays.get(owner.vm)?.setState({ kind: "pass" });
         await Promise.all(system.entries.map(entry => checkRevision(context, entry, 2)));
         await traffic.waitForRuns(30);
         await traffic.stop();
--- a/src/testing/failure/scenarios/outage.ts
+++ b/src/testing/failure/scenarios/outage.ts
@@ -20,6 +20,7 @@
     seed: 1010,
     plan: plans.fiveEntries,
     entryArgs: plans.quickArgs,
+    hasControlRelays: true,
     run: async context => {
         const { system } = context;
         const watch = configStatus.startRevisionWatch(context, runScenarios.fewSecondsMs);
@@ -27,6 +28,8 @@
         await traffic.waitForRuns(30);
         const frozen = requests.getEntry(context, 2);
         frozen.process.sendSignal("SIGSTOP");
+        // Without the cut, the announcement would wait in the socket beside the calls and could be read first.
+        system.controlRelays.get(frozen.vm)?.setState({ kind: "cut" });
         context.note("froze entry-3");
         const buffered = requests.sendBuffered(context, frozen);
         const removed = await system.runCommand(["zone", "out", removedZone, "--wait-ms", "1000"]);
@@ -45,6 +48,7 @@
         frozen.process.sendSignal("SIGCONT");
         context.note("entry-3 continues");
         await buffered;
+        system.controlRelays.get(frozen.vm)?.setState({ kind: "pass" });
         await traffic.waitForRuns(30);
         await context.waitFor("the replacement uses revision 2 during the outage", async () => {
             const status = await configStatus.readStatus(replacement);
--- a/src/testing/system/Types.ts
+++ b/src/testing/system/Types.ts
@@ -54,6 +54,8 @@
     readonly zone: string;
     readonly listen: string;
     readonly control: string;
+    /** Address by which peers reach the control port; that of a relay if there are control relays. */
+    readonly advertisedControl: string;
     readonly process: ManagedProcess;
 }
 
@@ -68,6 +70,8 @@
     readonly targetSpec?: Partial<targets.TargetSpec>;
     /** True: each entry VM reaches the platform through its own relay. */
     readonly hasPlatformRelays?: boolean;
+    /** True: peers and operators reach the control port of each entry VM through a relay. */
+    readonly hasControlRelays?: boolean;
     /** Time for the start of the daemons. */
     readonly startTimeoutMs?: number;
 }
--- a/src/testing/system/system.ts
+++ b/src/testing/system/system.ts
@@ -22,7 +22,10 @@
     readonly targets: Readonly<Record<string, string>>;
     /** The operators' files, as published. */
     readonly configFolder: string;
+    /** Relays to the platform by entry VM. */
     readonly relays: ReadonlyMap<string, relay.Relay>;
+    /** Relays to the control ports by entry VM. */
+    readonly controlRelays: ReadonlyMap<string, relay.Relay>;
     readonly publish: (folder?: string) => Promise<types.PublishResult>;
     /** Runs a command of the operators, as in `["zone", "out", "a"]`. */
     readonly runCommand: (args: readonly string[]) => Promise<types.PublishResult>;
@@ -92,6 +95,7 @@
     const all: types.ManagedProcess[] = [];
     const entries: types.EntryVm[] = [];
     const relays = new Map<string, relay.Relay>();
+    const controlRelays = new Map<string, relay.Relay>();
 
     const start = (
         name: string,
@@ -126,7 +130,7 @@
     };
 
     const setListedVm = (entry: types.EntryVm, state: "live" | "leaving"): Promise<void> => {
-        const { vm, zone, listen: address, control } = entry;
+        const { vm, zone, listen: address, advertisedControl: control } = entry;
         return sendJson(`${platformUrl}/vms/${vm}`, "PUT", { vm, role: "entry", state, zone, address, control });
     };
 
@@ -139,13 +143,31 @@
         return link.url;
     };
 
+    const getAdvertisedControl = async (vm: string, control: string): Promise<string> => {
+        if (options.hasControlRelays !== true) {
+            return control;
+        }
+        const link = await relay.startRelay(control);
+        controlRelays.set(vm, link);
+        return link.address;
+    };
+
     const startEntry = async (vm: string, zone: string): Promise<types.EntryVm> => {
         const listen = await ports.acquireAddress();
         const control = await ports.acquireAddress();
+        const advertisedControl = await getAdvertisedControl(vm, control);
         const platformOfVm = await getPlatformUrlOf(vm);
         const flags = ["--vm", vm, "--zone", zone, "--listen", listen, "--control", control];
+        flags.push("--advertise-control", advertisedControl);
         const args = ["entry", ...flags, "--platform", platformOfVm, ...(options.entryArgs ?? [])];
-        const entry = { vm, zone, listen, control, process: start(vm, commandProgram, args, options.entryEnv) };
+        const entry = {
+            vm,
+            zone,
+            listen,
+            control,
+            advertisedControl,
+            process: start(vm, commandProgram, args, options.entryEnv),
+        };
         entries.push(entry);
         await setListedVm(entry, "live");
         return entry;
@@ -194,7 +216,7 @@
 
     const close = async (): Promise<void> => {
         await Promise.all(all.filter(item => !processes.hasEnded(item)).map(item => processes.stopProcess(item)));
-        await Promise.all([...relays.values()].map(link => link.close()));
+        await Promise.all([...relays.values(), ...controlRelays.values()].map(link => link.close()));
         await fs.rm(folder, { recursive: true, force: true });
     };
 
@@ -219,6 +241,7 @@
         targets: addresses,
         configFolder,
         relays,
+        controlRelays,
         publish: (from = configFolder) => runCommand(["publish", from]),
         runCommand,
         startEntry,
