--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -22,6 +22,15 @@
     readonly close: () => Promise<void>;
 }
 
+/** A reset while the end of the stream is being sent fails in libuv, and the open handle keeps the process running. */
+const closeAtOnce = (socket: net.Socket): void => {
+    if (socket.writableEnded) {
+        socket.destroy();
+    } else {
+        socket.resetAndDestroy();
+    }
+};
+
 /**
  * Starts a relay.
  *
@@ -93,7 +102,7 @@
         const actions = held;
         held = [];
         if (next.kind === "cut") {
-            sockets.forEach(socket => socket.resetAndDestroy());
+            sockets.forEach(closeAtOnce);
             return;
         }
         actions.forEach(action => schedulePass(action));
