Never answer "not run" for a key that may have run

Cause: a refusal that was decided before the arbiter was asked, as for a stale configuration, was "not run" for this sending, while an earlier sending of the same call could be running. The caller could then use a new key. Such refusals now look up the key first: known keys get their state, keys of other incarnations and foreign keys "may have run".

--- a/src/common/claims/Types.ts
+++ b/src/common/claims/Types.ts
@@ -50,12 +50,17 @@
     readonly signature: RequestSignature;
 }
 
+/** `unknown`: another incarnation or the table service would have to be asked. */
+export type KnownOutcome = "notRun" | "ran" | "mayHaveRun" | "unknown";
+
 /** Arbiter of the keys that this incarnation has issued and of foreign keys that it claims in the table service. */
 export interface ClaimController extends types.Disposable {
     /** Prefix for keys of callers who look up now, or undefined while leaving. */
     issueKeyPrefix(): string | undefined;
     /** Epoch of the keys that are issued now; peers need it to name this incarnation as arbiter. */
     getEpoch(): number;
+    /** Tells what is known of a key without starting anything. */
+    findOutcome(service: types.ServiceName, key: string): KnownOutcome;
     begin(request: ClaimRequest): Promise<ClaimDecision>;
     /** Entries and bytes in use, for status and capacity. */
     measure(): { readonly keys: number; readonly keptBytes: number };
--- a/src/node/claims/Types.ts
+++ b/src/node/claims/Types.ts
@@ -43,6 +43,10 @@
     /** Epoch of the local monotonic clock. */
     computeEpoch(): number;
     beginIssued(key: claims.KeyId, signature: claims.RequestSignature, epoch: number): ArbiterDecision;
+    /** Outcome of a key that this incarnation has issued. */
+    findIssued(key: claims.KeyId, epoch: number): claims.KnownOutcome;
+    /** Outcome of a foreign key, if it is in memory. */
+    findForeign(key: claims.KeyId): claims.KnownOutcome;
     beginForeign(key: claims.KeyId, signature: claims.RequestSignature): ArbiterDecision;
     /**
      * Ends an attempt and answers the requests that wait for it.
--- a/src/node/claims/claimController.test.ts
+++ b/src/node/claims/claimController.test.ts
@@ -144,3 +144,22 @@
     t.true(lines.every(line => line.startsWith("claim: ")));
     t.throws(() => createController("vm.1"));
 });
+
+// A refusal before arbitration, as for a stale configuration, said "not run" although the same key was running.
+test("what is known of a key without its arbiter's decision is never better than the truth", async t => {
+    const { controller, scheduler } = createFixture();
+    const prefix = controller.issueKeyPrefix() ?? "";
+    const find = (key: string): claims.KnownOutcome => controller.findOutcome(service, key);
+    t.is(find(`${prefix}1`), "notRun");
+    const claim = await beginRun(controller, `${prefix}1`);
+    t.is(find(`${prefix}1`), "mayHaveRun");
+    claim.finish({ kind: "done", answer: createAnswer(3) });
+    t.is(find(`${prefix}1`), "ran");
+    (await beginRun(controller, `${prefix}2`)).finish({ kind: "notRun", error: "queue_full" });
+    t.is(find(`${prefix}2`), "notRun");
+    t.is(find("vm2.0.1"), "unknown");
+    t.is(find("a-key-of-the-caller"), "unknown");
+    await scheduler.advance(10 * minuteMs);
+    (await beginRun(controller, `${controller.issueKeyPrefix()}3`)).finish({ kind: "notRun", error: "queue_full" });
+    t.is(find(`${prefix}1`), "mayHaveRun", "a forgotten key may have run");
+});
--- a/src/node/claims/claimController.ts
+++ b/src/node/claims/claimController.ts
@@ -120,7 +120,17 @@
         }
     };
 
+    const findOutcome = (service: shared.ServiceName, text: string): claims.KnownOutcome => {
+        const key = keys.computeKeyId(service, text);
+        const origin = keys.parseKeyOrigin(text);
+        if (origin.kind === "foreign") {
+            return arbiter.findForeign(key);
+        }
+        return origin.incarnation === incarnation ? arbiter.findIssued(key, origin.epoch) : "unknown";
+    };
+
     return {
+        findOutcome,
         issueKeyPrefix: () => {
             const mayIssue = !isDisposed && (options.mayIssue?.() ?? true);
             return mayIssue ? keys.formatKeyPrefix(incarnation, arbiter.computeEpoch()) : undefined;
--- a/src/node/claims/keyArbiter.ts
+++ b/src/node/claims/keyArbiter.ts
@@ -9,6 +9,18 @@
 
 type Waiter = (result: claims.ClaimResult) => void;
 
+const toKnownOutcome = (state: claims.KeyState): claims.KnownOutcome => {
+    switch (state.kind) {
+        case "notRun":
+            return "notRun";
+        case "done":
+            return "ran";
+        case "running":
+        case "mayHaveRun":
+            return "mayHaveRun";
+    }
+};
+
 /**
  * Creates an arbiter that knows no keys.
  *
@@ -94,8 +106,26 @@
         resolveWaiters(run.attempt, result);
     };
 
+    const findIssued = (key: claims.KeyId, epoch: number): claims.KnownOutcome => {
+        switch (arbiter.computeEpochStatus(epoch, computeEpoch(), oldestEpoch)) {
+            case "live":
+                return toKnownOutcome(table.get(epoch, key));
+            case "expired":
+                return "mayHaveRun";
+            case "unissued":
+                return "notRun";
+        }
+    };
+
+    const findForeign = (key: claims.KeyId): claims.KnownOutcome => {
+        const epoch = table.findEpoch(key);
+        return epoch === undefined ? "unknown" : toKnownOutcome(table.get(epoch, key));
+    };
+
     return {
         computeEpoch,
+        findIssued,
+        findForeign,
         beginIssued: (key, signature, epoch) => {
             removeExpired();
             const status = arbiter.computeEpochStatus(epoch, computeEpoch(), oldestEpoch);
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -5,6 +5,7 @@
 import * as claims from "../../common/claims/Types.js";
 import * as config from "../../common/config/Types.js";
 import * as errors from "../../common/errors/errors.js";
+import * as errorTable from "../../common/errors/errorTable.js";
 import * as errorKinds from "../../common/errors/Types.js";
 import * as membership from "../../common/membership/Types.js";
 import * as shared from "../../common/Types.js";
@@ -40,6 +41,13 @@
     countCalls(): number;
 }
 
+/** Refusals of requests that no entry VM would run. */
+const wrongRequestKinds: ReadonlySet<errorKinds.ErrorKind> = new Set([
+    "bad_request",
+    "unknown_service",
+    "body_too_large",
+]);
+
 const fallbackDeadlineMs = 10_000;
 
 /**
@@ -262,9 +270,35 @@
         }
     };
 
+    /**
+     * Corrects a refusal that was decided without the arbiter of the key. The same call may have been sent before, and
+     * then "not run" would be false.
+     */
+    const toSafeKind = (head: types.CallHead, kind: errorKinds.ErrorKind): errorKinds.ErrorKind => {
+        const isDecided = head.key === undefined || head.hop.kind === "route";
+        if (isDecided || errorTable.errorTable[kind].outcome !== "not-run") {
+            return kind;
+        }
+        if (options.isIdempotent(head.service, head.method, head.path)) {
+            return kind;
+        }
+        switch (options.claims.findOutcome(head.service, head.key)) {
+            case "notRun":
+                return kind;
+            case "ran":
+                return "answer_not_kept";
+            case "mayHaveRun":
+                return "outcome_unknown";
+            case "unknown":
+                return wrongRequestKinds.has(kind) ? kind : "outcome_unknown";
+        }
+    };
+
     const handleError = (head: types.CallHead, port: types.AnswerPort, error: unknown): void => {
         if (errors.isCallError(error)) {
-            refuse(head, port, error.kind, error.message);
+            const kind = toSafeKind(head, error.kind);
+            const suffix = kind === error.kind ? "" : "; an earlier call with this key may have run";
+            refuse(head, port, kind, `${error.message}${suffix}`);
             return;
         }
         logger.error(`front: call ${head.id} failed`, {
