--- a/src/testing/failure/scenarios/frozen.ts
+++ b/src/testing/failure/scenarios/frozen.ts
@@ -42,6 +42,7 @@
     seed: 505,
     plan: plans.fiveEntries,
     entryArgs: plans.quickArgs,
+    hasPlatformRelays: true,
     hasControlRelays: true,
     run: async context => {
         const { system } = context;
@@ -63,11 +64,15 @@
         context.note(`${frozenZone} is out of service`);
         const untilMs = acceptedAtMs + runScenarios.fewSecondsMs + 500;
         await httpServer.waitMs(Math.max(0, untilMs - httpServer.readMachineClockMs()));
+        // It must not learn of the new revision before it reads the calls.
+        system.controlRelays.forEach(link => link.setState({ kind: "cut" }));
+        system.relays.get(owner.vm)?.setState({ kind: "cut" });
         owner.process.sendSignal("SIGCONT");
         context.note(`${owner.vm} continues`);
         await checkRevision(context, owner, 2);
         await buffered;
-        system.controlRelays.get(owner.vm)?.setState({ kind: "pass" });
+        system.controlRelays.forEach(link => link.setState({ kind: "pass" }));
+        system.relays.get(owner.vm)?.setState({ kind: "pass" });
         await Promise.all(system.entries.map(entry => checkRevision(context, entry, 2)));
         await traffic.waitForRuns(30);
         await traffic.stop();
--- a/src/testing/failure/scenarios/outage.ts
+++ b/src/testing/failure/scenarios/outage.ts
@@ -45,10 +45,12 @@
         const replacement = await system.startEntry("entry-6", "zone-a");
         context.note("killed entry-1, started entry-6");
         await httpServer.waitMs(freezeMs);
+        // It must not learn of the new revision before it reads the calls.
+        system.controlRelays.forEach(link => link.setState({ kind: "cut" }));
         frozen.process.sendSignal("SIGCONT");
         context.note("entry-3 continues");
         await buffered;
-        system.controlRelays.get(frozen.vm)?.setState({ kind: "pass" });
+        system.controlRelays.forEach(link => link.setState({ kind: "pass" }));
         await traffic.waitForRuns(30);
         await context.waitFor("the replacement uses revision 2 during the outage", async () => {
             const status = await configStatus.readStatus(replacement);
