--- a/src/testing/failure/Types.ts
+++ b/src/testing/failure/Types.ts
@@ -78,8 +78,6 @@
     readonly entryArgs?: readonly string[];
     readonly hasPlatformRelays?: boolean;
     readonly hasControlRelays?: boolean;
-    /** The budget of probes is checked by a scenario of its own, `probes`, and passed over in the others. */
-    readonly checksProbes?: boolean;
     readonly run: (context: Context) => Promise<void>;
 }
 
--- a/src/testing/failure/runScenario.ts
+++ b/src/testing/failure/runScenario.ts
@@ -96,9 +96,7 @@
             .createTargets(scenario.plan, seed)
             .map(({ spec }) => ({ target: spec.id, coldSlots: spec.coldSlots }));
         const recorded = { targets: await running.readTargetEvents(), callers, removals, limits };
-        const found = checker
-            .checkHistory(recorded, allowances)
-            .filter(violation => scenario.checksProbes === true || violation.rule !== "probe-budget");
+        const found = checker.checkHistory(recorded, allowances);
         const logs = Object.fromEntries(
             running.entries.map(entry => [
                 `${entry.vm} ${entry.process.pid}`,
