End the daemon when a port cannot be opened

Cause: moleculer-web only logs the error, and its start never ends, so the daemon ran without serving and without a message. Before: with the callers' port in use, it was still running after 6 s and had printed nothing. After: it prints EADDRINUSE and ends.

--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -243,7 +243,7 @@
 
     return {
         start: async () => {
-            await broker.start();
+            await Promise.race([broker.start(), front.failure, control.failure]);
             lifetimes.add(board.freshness.onDidChange(setServingWhenSynced));
             setServingWhenSynced();
         },
--- a/src/node/entry/runEntry.ts
+++ b/src/node/entry/runEntry.ts
@@ -8,6 +8,7 @@
 import * as unsafeSwitches from "./unsafeSwitches.js";
 
 const standardOutput = 1;
+const exitDelayMs = 100;
 
 const writeAll = (text: string): void => {
     try {
@@ -31,7 +32,13 @@
         process.once("SIGTERM", () => resolve());
         process.once("SIGINT", () => resolve());
     });
-    await daemon.start();
+    try {
+        await daemon.start();
+    } catch (error) {
+        // The port that could be opened would keep the process running; the caller reports the error first.
+        setTimeout(() => process.exit(), exitDelayMs);
+        throw error;
+    }
     await stopped;
     await daemon.stop();
     logs.dispose();
--- a/src/node/http/gateway.ts
+++ b/src/node/http/gateway.ts
@@ -87,6 +87,8 @@
 /** A gateway as `node:http` sees it. */
 export interface Gateway {
     readonly schema: moleculer.ServiceSchema;
+    /** Rejects if the port cannot be opened; `moleculer-web` only logs that, and its start never ends. */
+    readonly failure: Promise<never>;
     /** Stops accepting connections and closes idle ones; resolves when the last connection is closed. */
     closeListener(): Promise<void>;
     /** Closes all connections, those of requests in flight included. */
@@ -107,6 +109,10 @@
 export const createGateway = (options: GatewayOptions): Gateway => {
     const { ip, port } = splitAddress(options.address);
     let server: http.Server | undefined;
+    let rejectFailure: (error: Error) => void;
+    const failure = new Promise<never>((_resolve, reject) => (rejectFailure = reject));
+    // Without a listener, a failure after the start would end the process.
+    failure.catch(() => undefined);
 
     const createAlias =
         (route: GatewayRoute) =>
@@ -140,6 +146,7 @@
         methods: {
             createServer(this: GatewayService): void {
                 server = createServer(options.sendDate, (request, response) => this.httpHandler(request, response));
+                server.on("error", error => rejectFailure(error));
                 this.server = server;
             },
         },
@@ -155,5 +162,5 @@
             server.closeIdleConnections();
         });
 
-    return { schema, closeListener, closeConnections: () => server?.closeAllConnections() };
+    return { schema, failure, closeListener, closeConnections: () => server?.closeAllConnections() };
 };
