--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -238,7 +238,7 @@
 
     return {
         start: async () => {
-            await broker.start();
+            await Promise.race([broker.start(), front.failure, control.failure]);
             lifetimes.add(
                 startGates.createStartGate({
                     board,
