--- a/src/bench/policy/ownerEntries.ts
+++ b/src/bench/policy/ownerEntries.ts
@@ -81,7 +81,7 @@
                     ),
                 );
             });
-        prober.createProber({ blackboard, dispatcher, scheduler, random, sendProbe, logger });
+        prober.createProber({ blackboard, dispatcher, scheduler, random, sendProbe, mayProbe: () => true, logger });
         return {
             member,
             dispatcher,
--- a/src/common/health/targetHealth.test.ts
+++ b/src/common/health/targetHealth.test.ts
@@ -78,6 +78,16 @@
     t.is(restarted.state.kind, "warming");
 });
 
+// The restarted target was given the limit of its earlier warm-up and collapsed under the second call.
+test("a target that closes its connections while it warms up is cold again", t => {
+    const warming = run([1, reported("cold", 0)], [10, reported("warm", 5)]);
+    const closed = targetHealth.applyHealthEvent(warming, { kind: "disconnected" }, 600);
+    t.is(closed.state.kind, "cold");
+    t.is(adaptiveLimit.computeLimit(closed, counts, 0, false, 600), 1);
+    const warm = run([1, reported("warm", 0)]);
+    t.true(targetHealth.isCold(targetHealth.applyHealthEvent(warm, { kind: "disconnected" }, 2), 2));
+});
+
 test("three failures eject a target, each failed trial doubles the time, and half of a cell stays", t => {
     const warm = [1, reported("warm", 0)] as const;
     const ejected = run(warm, [2, failed], [3, failed], [4, failed]);
--- a/src/common/health/targetHealth.ts
+++ b/src/common/health/targetHealth.ts
@@ -146,8 +146,18 @@
 
 /** A target that restarted is cold, and would collapse under a full share before its first report. */
 const applyRestart = (health: types.TargetHealth, nowMs: number): types.TargetHealth => {
-    const isTrusted = health.state.kind === "warm" || health.state.kind === "slow";
-    return isTrusted ? { ...health, state: { kind: "unknown" }, loweredAtMs: nowMs } : health;
+    switch (health.state.kind) {
+        case "warm":
+        case "slow":
+            return { ...health, state: { kind: "unknown" }, loweredAtMs: nowMs };
+        case "warming":
+            return { ...health, state: { kind: "cold" }, loweredAtMs: nowMs };
+        case "unknown":
+        case "cold":
+        case "draining":
+        case "ejected":
+            return health;
+    }
 };
 
 type Failure = Extract<types.HealthEvent, { kind: "failed" }>;
--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -145,7 +145,7 @@
             logger: logs.logger,
         }),
     );
-    lifetimes.add(
+    const gossip = lifetimes.add(
         gossips.createGossip({
             blackboard: board,
             rpcClient,
@@ -168,6 +168,7 @@
             dispatcher,
             scheduler,
             random,
+            mayProbe: gossip.seesMajority,
             sendProbe: probing.createProbeSender(sender, scheduler),
             logger: logs.logger,
         }),
--- a/src/node/peers/gossip.ts
+++ b/src/node/peers/gossip.ts
@@ -36,6 +36,11 @@
     readonly logger: shared.Logger;
 }
 
+export interface Gossip extends shared.Disposable {
+    /** Whether more than half of the entry VMs on the platform's list are members; true while the list is not known. */
+    seesMajority(): boolean;
+}
+
 /** An age is one byte on the wire, and 254 units have to cover the member timeout. */
 const agesPerTimeout = 250;
 
@@ -60,9 +65,9 @@
  * Creates the exchange and starts to pull.
  *
  * @param options - services, settings and the blackboard
- * @returns the lifetime of the exchange
+ * @returns the exchange; disposing it stops the pulls
  */
-export const createGossip = (options: GossipOptions): shared.Disposable => {
+export const createGossip = (options: GossipOptions): Gossip => {
     const { blackboard, rpcClient, scheduler, settings, logger } = options;
     const { self } = blackboard;
     const unitMs = Math.ceil(settings.memberTimeoutMs / agesPerTimeout);
@@ -220,9 +225,15 @@
     lifetimes.add(blackboard.configuration.onDidChange(() => members.updateSelf()));
     timer = scheduler.schedule(options.random.nextFloat() * settings.gossipIntervalMs, runTick);
 
-    return events.toDisposable(() => {
+    const lifetime = events.toDisposable(() => {
         isDisposed = true;
         timer?.dispose();
         lifetimes.dispose();
     });
+    const seesMajority = (): boolean => {
+        const listed = candidates.getListed();
+        const seen = listed.filter(vm => blackboard.members.get().has(vm));
+        return listed.length === 0 || seen.length * 2 > listed.length;
+    };
+    return { seesMajority, dispose: () => lifetime.dispose() };
 };
--- a/src/node/probes/prober.ts
+++ b/src/node/probes/prober.ts
@@ -33,6 +33,8 @@
     readonly dispatcher: routing.ProbedDispatcher;
     readonly scheduler: types.Scheduler;
     readonly random: types.Random;
+    /** Whether this VM may probe; false while it may be on the smaller side of a partition. */
+    readonly mayProbe: () => boolean;
     readonly sendProbe: (target: config.TargetConfig, timeoutMs: number) => Promise<ProbeResult>;
     readonly logger: types.Logger;
 }
@@ -160,7 +162,8 @@
     const runChecks = (): void => {
         const nowMs = scheduler.now();
         const views = dispatcher.listTargets();
-        const due = views
+        // On both sides of a partition there is an owner, and the budget is for all of them together.
+        const due = (options.mayProbe() ? views : [])
             .filter(view => isProbeDue(view, nowMs))
             .map(view => ({ view, state: getState(view.target.id, nowMs) }))
             .filter(({ state }) => !state.isRunning && nowMs >= state.notBeforeMs);
