--- a/src/common/routing/dispatcher.ts
+++ b/src/common/routing/dispatcher.ts
@@ -18,6 +18,8 @@
 import * as views from "./views.js";
 import * as waitQueue from "./waitQueue.js";
 
+const roundMs = (durationMs: number): number => Math.round(durationMs * 10) / 10;
+
 /** While calls wait, limits that grow with time are looked at again this often. */
 const recheckMs = 25;
 
@@ -49,7 +51,7 @@
     let disposed = false;
 
     const createRefusal = (request: types.SlotRequest, error: errors.ErrorKind, message: string): types.SlotGrant => {
-        logger.info("route: refused", { call: request.call, service: request.service, error });
+        logger.info("route: call is refused", { call: request.call, service: request.service, error });
         return { kind: "refused", error, message };
     };
 
@@ -82,13 +84,13 @@
         const isCold = targetHealth.isCold(entry.health, nowMs);
         const coldEndMs = isCold ? (entry.coldEndMs ?? nowMs) : Infinity;
         targetEntry.addCall(entry, nowMs, isCold);
-        logger.info("route: local", {
+        logger.info("route: call goes to an own target", {
             call: request.call,
             cell: cell.id,
             target: entry.config.id,
             inFlight: entry.inFlight,
             limit: entry.limit,
-            waitedMs: nowMs - sinceMs,
+            waitedMs: roundMs(nowMs - sinceMs),
         });
         let released = false;
         return {
@@ -123,7 +125,7 @@
     const logChange = (entry: targetEntry.TargetEntry, before: types.TargetState["kind"]): void => {
         const after = entry.health.state.kind;
         if (after !== before) {
-            logger.info("target: state", { target: entry.config.id, from: before, to: after });
+            logger.info("target: state has changed", { target: entry.config.id, from: before, to: after });
         }
     };
 
@@ -193,11 +195,11 @@
             return addWaiter(option.cell, request);
         }
         remoteLoads.recordForward(option.cell, option.member);
-        logger.info("route: remote", {
+        logger.info("route: call goes to the owner of a cell", {
             call: request.call,
             cell: option.cell.id,
             vm: option.member.info.vm,
-            costMs: option.costMs,
+            costMs: roundMs(option.costMs),
             spill: service.home !== undefined && option.cell !== service.home,
         });
         return Promise.resolve({ kind: "remote", member: option.member, cell: option.cell.id });
--- a/src/testing/failure/scenarios/shutdown.ts
+++ b/src/testing/failure/scenarios/shutdown.ts
@@ -39,7 +39,10 @@
 const checkNoNewRoutes = (context: types.Context, leaving: systemTypes.EntryVm, leftAt: Date): void => {
     const late = leaving.process.listLines().filter(line => {
         const loggedAt = Date.parse(line.split(" ")[0] ?? "");
-        return line.includes("route: local") && loggedAt > leftAt.getTime() + runScenarios.fewSecondsMs;
+        return (
+            line.includes("route: call goes to an own target") &&
+            loggedAt > leftAt.getTime() + runScenarios.fewSecondsMs
+        );
     });
     if (late.length > 0) {
         context.addViolation("leaving-entry", `${leaving.vm} sent ${late.length} calls to targets: ${late[0]}`);
