Take back pending faults before the check of normal service; split the gateways from the daemon

Cause of a red run of the crossed-answers test: faults that the 200 calls had not met hit the 50 calls after them, because a target whose answers broke off gets fewer calls. The check is unchanged; the faults end before it.

--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -19,11 +19,7 @@
 import * as adminHandlers from "../control/adminHandlers.js";
 import * as rpcRoutes from "../control/rpcRoute.js";
 import * as senders from "../forward/sender.js";
-import * as callHandlers from "../front/callHandler.js";
-import * as healthRoutes from "../front/healthRoute.js";
-import * as lookups from "../front/lookup.js";
 import * as traceStores from "../front/traceStore.js";
-import * as gateways from "../http/gateway.js";
 import * as logging from "../logging/Types.js";
 import * as gossips from "../peers/gossip.js";
 import * as rpcClients from "../peers/rpcClient.js";
@@ -34,6 +30,7 @@
 import * as settingsTypes from "../settings/Types.js";
 import * as systemSchedulers from "../systemScheduler.js";
 import * as callPaths from "./callPath.js";
+import * as entryGateways from "./entryGateways.js";
 import * as lifecycles from "./lifecycle.js";
 import * as probing from "./probing.js";
 import * as startGates from "./startGate.js";
@@ -213,8 +210,8 @@
     });
     rpcServer.addHandlers(adminHandlers.createAdminHandlers({ board, clock: scheduler, dispatcher, traces }));
 
-    const front = createFrontGateway(settings, board, calls, isFresh, logs);
-    const control = createControlGateway(settings, rpcRoutes.createRpcRoute(rpcServer), calls, logs);
+    const front = entryGateways.createFrontGateway(settings, board, calls, isFresh, logs);
+    const control = entryGateways.createControlGateway(settings, rpcRoutes.createRpcRoute(rpcServer), calls, logs);
     const broker = new moleculer.ServiceBroker({
         logger: false,
         transporter: null,
@@ -260,43 +257,3 @@
         },
     };
 };
-
-const createFrontGateway = (
-    settings: settingsTypes.EntrySettings,
-    board: blackboardTypes.Blackboard,
-    calls: callHandlers.CallHandler,
-    isFresh: () => boolean,
-    logs: logging.LogSink,
-): gateways.Gateway =>
-    gateways.createGateway({
-        name: "front",
-        sendDate: true,
-        address: settings.listen,
-        logger: logs.logger,
-        routes: [
-            { segment: "call", handle: (request, response) => calls.handle(request, response, false) },
-            {
-                segment: "lookup",
-                handle: lookups.createLookupHandler({ blackboard: board, ttlMs: settings.lookupTtlMs, isFresh }),
-            },
-            { segment: "health", handle: healthRoutes.createHealthRoute(board, isFresh) },
-        ],
-    });
-
-const createControlGateway = (
-    settings: settingsTypes.EntrySettings,
-    rpcRoute: gateways.GatewayRoute["handle"],
-    calls: callHandlers.CallHandler,
-    logs: logging.LogSink,
-): gateways.Gateway =>
-    gateways.createGateway({
-        name: "control",
-        // The control budget counts each byte of the peers' messages.
-        sendDate: false,
-        address: settings.control,
-        logger: logs.logger,
-        routes: [
-            { segment: "rpc", handle: rpcRoute },
-            { segment: "forward", handle: (request, response) => calls.handle(request, response, true) },
-        ],
-    });
--- a/src/testing/e2e/faults.test.ts
+++ b/src/testing/e2e/faults.test.ts
@@ -28,6 +28,10 @@
         await running.setTargetFaults("bookings-3", { silenceConnections: true });
         await calls.run(200);
         t.deepEqual(await calls.listViolations(), []);
+        // Faults that the calls have not met yet would otherwise hit the calls that follow.
+        await running.setTargetFaults("bookings-1", { crossAnswers: 0 });
+        await running.setTargetFaults("bookings-2", { truncateAnswers: 0 });
+        await running.setTargetFaults("bookings-3", { silenceConnections: false });
         const after = await calls.run(50);
         t.deepEqual(traffic.countOutcomes(after), { ran: 50 });
     });
--- a/src/testing/targets/targetServer.ts
+++ b/src/testing/targets/targetServer.ts
@@ -79,6 +79,9 @@
     return { bytes, digest: hash.digest("hex") };
 };
 
+/** Adds faults for the next answers; 0 takes back those that have not happened yet. */
+const addFaults = (pending: number, added: number | undefined): number => (added === 0 ? 0 : pending + (added ?? 0));
+
 /**
  * Starts a target.
  *
@@ -224,8 +227,8 @@
             ...rest
         } = change;
         state.setFaults(rest);
-        crossAnswers += pairs ?? 0;
-        truncateAnswers += count ?? 0;
+        crossAnswers = addFaults(crossAnswers, pairs);
+        truncateAnswers = addFaults(truncateAnswers, count);
         if (silenceConnections === true) {
             sockets.forEach(socket => silent.add(socket));
         }
