--- a/src/bench/capacity/harness.ts
+++ b/src/bench/capacity/harness.ts
@@ -1,6 +1,7 @@
 /**
  * The platform's stand-in, targets and daemons as processes, for the measurements of one part.
  */
+import * as system from "../../testing/system/system.js";
 import * as fs from "node:fs/promises";
 import * as undici from "undici";
 import * as storageNames from "../../common/config/storageNames.js";
@@ -34,19 +35,9 @@
 const startTimeoutMs = 30_000;
 const healthPollMs = 50;
 
-const isHealthy = async (address: string): Promise<boolean> => {
-    try {
-        const response = await undici.request(`http://${address}/health`, { signal: AbortSignal.timeout(1000) });
-        await response.body.dump();
-        return response.statusCode === 200;
-    } catch {
-        return false;
-    }
-};
-
 const waitForHealth = async (daemon: Daemon): Promise<void> => {
     const endsAtMs = httpServer.readMachineClockMs() + startTimeoutMs;
-    while (!(await isHealthy(daemon.listen))) {
+    while (!(await system.hasHealth(daemon.listen))) {
         if (processes.hasEnded(daemon.process) || httpServer.readMachineClockMs() > endsAtMs) {
             throw new Error(`${daemon.vm} is not healthy:\n${daemon.process.listLines().slice(-20).join("\n")}`);
         }
--- a/src/node/front/callHandler.ts
+++ b/src/node/front/callHandler.ts
@@ -48,8 +48,6 @@
     "body_too_large",
 ]);
 
-const fallbackDeadlineMs = 10_000;
-
 /**
  * Creates the handler of calls.
  *
@@ -230,7 +228,7 @@
     ): Promise<void> => {
         const arrivedAtMs = scheduler.now();
         const service = findService(head);
-        const deadlineMs = head.deadlineMs ?? service.deadlineMs ?? fallbackDeadlineMs;
+        const deadlineMs = head.deadlineMs ?? service.deadlineMs;
         const deadlineAtMs = arrivedAtMs + deadlineMs;
         const controller = new AbortController();
         const expire = (): void => {
--- a/src/testing/system/system.ts
+++ b/src/testing/system/system.ts
@@ -53,7 +53,13 @@
     }
 };
 
-const hasHealth = async (address: string): Promise<boolean> => {
+/**
+ * Asks a daemon whether it serves.
+ *
+ * @param address - address for callers
+ * @returns true if `/health` is answered with 200
+ */
+export const hasHealth = async (address: string): Promise<boolean> => {
     try {
         const response = await undici.request(`http://${address}/health`, { signal: AbortSignal.timeout(1000) });
         await response.body.dump();
