--- a/src/common/limits/retryBudget.ts
+++ b/src/common/limits/retryBudget.ts
@@ -5,11 +5,17 @@
 import * as types from "../Types.js";
 import * as tokenBucket from "./tokenBucket.js";
 
-/** Retries as a share of the calls in the window. */
-export const retryShare = 0.1;
 export const windowSeconds = 10;
-/** Retries that are allowed however few calls there are. */
-export const retryFloor: tokenBucket.TokenRate = { perSecond: 3, burst: 3 };
+
+/** How many retries are allowed. */
+export interface RetryPolicy {
+    /** Retries as a share of the calls in the window. */
+    readonly share: number;
+    /** Retries that are allowed however few calls there are. */
+    readonly floor: tokenBucket.TokenRate;
+}
+
+export const defaultRetryPolicy: RetryPolicy = { share: 0.1, floor: { perSecond: 3, burst: 3 } };
 
 /** Counts of the last seconds, newest last. */
 export interface RetryWindow {
@@ -26,13 +32,14 @@
  * Creates a window without calls.
  *
  * @param nowMs - local monotonic time
+ * @param policy - how many retries are allowed
  * @returns the window
  */
-export const createRetryWindow = (nowMs: number): RetryWindow => ({
+export const createRetryWindow = (nowMs: number, policy: RetryPolicy = defaultRetryPolicy): RetryWindow => ({
     second: Math.floor(nowMs / 1_000),
     calls: createZeros(windowSeconds),
     retries: createZeros(windowSeconds),
-    floor: tokenBucket.createTokenBucket(retryFloor, nowMs),
+    floor: tokenBucket.createTokenBucket(policy.floor, nowMs),
 });
 
 const updateWindow = (window: RetryWindow, nowMs: number): RetryWindow => {
@@ -70,35 +77,44 @@
  *
  * @param window - counts before it
  * @param nowMs - local monotonic time
+ * @param policy - how many retries are allowed
  * @returns counts after it, or undefined if neither the share nor the floor allows it
  */
-export const takeRetry = (window: RetryWindow, nowMs: number): RetryWindow | undefined => {
+export const takeRetry = (
+    window: RetryWindow,
+    nowMs: number,
+    policy: RetryPolicy = defaultRetryPolicy,
+): RetryWindow | undefined => {
     const moved = updateWindow(window, nowMs);
     // The floor is used first and counts towards the share, so the larger of the two is the bound, not their sum.
-    const floor = tokenBucket.takeTokens(moved.floor, retryFloor, 1, nowMs);
+    const floor = tokenBucket.takeTokens(moved.floor, policy.floor, 1, nowMs);
     if (floor !== undefined) {
         return { ...moved, floor, retries: addOne(moved.retries) };
     }
-    const allowed = computeSum(moved.calls) * retryShare;
+    const allowed = computeSum(moved.calls) * policy.share;
     return computeSum(moved.retries) + 1 <= allowed ? { ...moved, retries: addOne(moved.retries) } : undefined;
 };
 
 /**
  * Creates the budgets of all services.
  *
- * @param options - the clock
+ * @param options - the clock, and how many retries are allowed at present
  * @returns the budgets
  */
-export const createRetryBudget = (options: { readonly scheduler: types.Clock }): routing.RetryBudget => {
+export const createRetryBudget = (options: {
+    readonly scheduler: types.Clock;
+    readonly getPolicy?: () => RetryPolicy;
+}): routing.RetryBudget => {
+    const getPolicy = options.getPolicy ?? (() => defaultRetryPolicy);
     const windows = new Map<types.ServiceName, RetryWindow>();
 
     const getWindow = (service: types.ServiceName): RetryWindow =>
-        windows.get(service) ?? createRetryWindow(options.scheduler.now());
+        windows.get(service) ?? createRetryWindow(options.scheduler.now(), getPolicy());
 
     return {
         recordCall: service => void windows.set(service, addCall(getWindow(service), options.scheduler.now())),
         takeRetry: service => {
-            const next = takeRetry(getWindow(service), options.scheduler.now());
+            const next = takeRetry(getWindow(service), options.scheduler.now(), getPolicy());
             if (next === undefined) {
                 return false;
             }
--- /dev/null
+++ b/src/common/routes/routeTable.ts
@@ -0,0 +1,68 @@
+/**
+ * Finds the route of a request and the service that it goes to.
+ */
+import * as shared from "../Types.js";
+import * as types from "./Types.js";
+
+export interface RouteTable {
+    /**
+     * Finds the route with the longest prefix.
+     *
+     * @param host - the request's host, without port
+     * @param path - the path, without query
+     * @returns the route, or undefined if none matches
+     */
+    find(host: string, path: string): types.Route | undefined;
+    /**
+     * Picks the service of the next request, so that the counts follow the weights.
+     *
+     * @param route - the request's route
+     * @returns the service, or undefined if no service has a weight
+     */
+    pickService(route: types.Route): shared.ServiceName | undefined;
+}
+
+/** Smooth weighted round robin: each service earns its weight, the richest one pays for the request. */
+const createSplit = (services: readonly types.WeightedService[]): (() => shared.ServiceName | undefined) => {
+    const weighted = services.filter(entry => entry.weight > 0).map(entry => ({ ...entry, credit: 0 }));
+    const total = weighted.reduce((sum, entry) => sum + entry.weight, 0);
+    return () => {
+        let richest = weighted[0];
+        for (const entry of weighted) {
+            entry.credit += entry.weight;
+            if (richest === undefined || entry.credit > richest.credit) {
+                richest = entry;
+            }
+        }
+        if (richest !== undefined) {
+            richest.credit -= total;
+        }
+        return richest?.service;
+    };
+};
+
+/**
+ * Creates the table of a configuration.
+ *
+ * @param routes - all routes
+ * @returns the table
+ */
+export const createRouteTable = (routes: readonly types.Route[]): RouteTable => {
+    const byHost = new Map<string, types.Route[]>();
+    for (const route of routes) {
+        const list = byHost.get(route.host) ?? [];
+        list.push(route);
+        byHost.set(route.host, list);
+    }
+    for (const list of byHost.values()) {
+        list.sort((left, right) => right.prefix.length - left.prefix.length);
+    }
+    const splits = new Map<types.Route, () => shared.ServiceName | undefined>();
+    for (const route of routes) {
+        splits.set(route, createSplit(route.services));
+    }
+    return {
+        find: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
+        pickService: route => splits.get(route)?.(),
+    };
+};
--- /dev/null
+++ b/src/common/routes/sharedState.ts
@@ -0,0 +1,189 @@
+/**
+ * The state that all entry VMs share: configuration, zones out of service, targets. Changes may come by several ways and
+ * in any order; the version of each row decides which one is newer.
+ */
+import * as events from "../events.js";
+import * as shared from "../Types.js";
+import * as types from "./Types.js";
+
+/**
+ * How long a target whose row lapsed stays in use. A living target registers again within 2 s of the store's return
+ * (the platform's promise); the rest is the time until the row is read.
+ */
+const lapseGraceMs = 2_500;
+
+export interface SharedState {
+    getConfiguration(): types.RouteConfiguration | undefined;
+    isZoneOut(zone: shared.ZoneName): boolean;
+    listTargets(): Iterable<types.Registration>;
+    /** Everything, for a peer that joins. */
+    listSnapshots(): readonly types.StateSnapshot[];
+    /**
+     * Applies changes that are newer than what is known.
+     *
+     * @param changes - in any order
+     * @returns the changes that had an effect
+     */
+    applyChanges(changes: readonly types.StateChange[]): readonly types.StateChange[];
+    /**
+     * Applies a whole table: rows that it lacks are removed.
+     *
+     * @param snapshot - the table
+     * @param isDisturbed - whether missing targets may only have lapsed
+     * @returns the changes that had an effect
+     */
+    applySnapshot(snapshot: types.StateSnapshot, isDisturbed: boolean): readonly types.StateChange[];
+    readonly onDidChangeConfiguration: shared.Event<types.RouteConfiguration>;
+    /** A target was added, changed or removed, or a zone went out or came back. */
+    readonly onDidChangeTargets: shared.Event<void>;
+}
+
+const toRowKey = (change: types.StateChange): string => {
+    switch (change.kind) {
+        case "configuration":
+            return "configuration";
+        case "zone":
+            return `zone/${change.zone}`;
+        case "target":
+            return `target/${change.id}`;
+    }
+};
+
+const isRemoval = (change: types.StateChange): boolean => {
+    switch (change.kind) {
+        case "configuration":
+            return change.configuration === undefined;
+        case "zone":
+            return !change.isOut;
+        case "target":
+            return change.registration === undefined;
+    }
+};
+
+const isInTable = (change: types.StateChange, table: types.StateTable): boolean =>
+    (change.kind === "target") === (table === "targets");
+
+/** Targets rewrite their rows to show that they live; only the version differs then. */
+const isSameContent = (known: types.StateChange, change: types.StateChange): boolean =>
+    JSON.stringify({ ...known, version: 0 }) === JSON.stringify({ ...change, version: 0 });
+
+const toRemoval = (
+    change: types.StateChange,
+    version: types.RowVersion,
+    isLapse: boolean,
+): types.StateChange | undefined => {
+    switch (change.kind) {
+        case "configuration":
+            // A configuration is only ever replaced.
+            return undefined;
+        case "zone":
+            return { kind: "zone", version, zone: change.zone, isOut: false };
+        case "target":
+            return { kind: "target", version, id: change.id, registration: undefined, isLapse };
+    }
+};
+
+/**
+ * Creates an empty state.
+ *
+ * @param scheduler - clock and timers
+ * @returns the state
+ */
+export const createSharedState = (scheduler: shared.Scheduler): SharedState => {
+    const rows = new Map<string, types.StateChange>();
+    /** Targets in use: registered, or lapsed a short time ago. */
+    const targets = new Map<shared.TargetId, types.Registration>();
+    const lapses = new Map<shared.TargetId, shared.Disposable>();
+    const configurationEmitter = events.createEmitter<types.RouteConfiguration>();
+    const targetsEmitter = events.createEmitter<void>();
+    let configuration: types.RouteConfiguration | undefined;
+
+    const setTarget = (change: types.StateChange & { kind: "target" }): void => {
+        lapses.get(change.id)?.dispose();
+        lapses.delete(change.id);
+        if (change.registration !== undefined) {
+            targets.set(change.id, change.registration);
+        } else if (change.isLapse === true && targets.has(change.id)) {
+            const expire = (): void => {
+                lapses.delete(change.id);
+                targets.delete(change.id);
+                targetsEmitter.fire();
+            };
+            lapses.set(change.id, scheduler.schedule(lapseGraceMs, expire));
+        } else {
+            targets.delete(change.id);
+        }
+    };
+
+    const isNews = (change: types.StateChange): boolean => {
+        const known = rows.get(toRowKey(change));
+        if (known !== undefined && (known.version >= change.version || isSameContent(known, change))) {
+            return false;
+        }
+        if (change.kind !== "configuration") {
+            return true;
+        }
+        return change.configuration !== undefined && change.configuration.version > (configuration?.version ?? -1);
+    };
+
+    const applyOne = (change: types.StateChange): void => {
+        rows.set(toRowKey(change), change);
+        if (change.kind === "configuration" && change.configuration !== undefined) {
+            configuration = change.configuration;
+            configurationEmitter.fire(configuration);
+        } else if (change.kind === "target") {
+            setTarget(change);
+        }
+    };
+
+    const applyChanges = (changes: readonly types.StateChange[]): readonly types.StateChange[] => {
+        const applied: types.StateChange[] = [];
+        for (const change of changes) {
+            if (isNews(change)) {
+                applyOne(change);
+                applied.push(change);
+            }
+        }
+        if (applied.some(change => change.kind !== "configuration")) {
+            targetsEmitter.fire();
+        }
+        return applied;
+    };
+
+    const listMissing = (snapshot: types.StateSnapshot, isDisturbed: boolean): types.StateChange[] => {
+        const present = new Set(snapshot.changes.map(toRowKey));
+        const removals: types.StateChange[] = [];
+        for (const [key, row] of rows) {
+            const isKept = present.has(key) || isRemoval(row) || !isInTable(row, snapshot.table);
+            const removal = isKept ? undefined : toRemoval(row, snapshot.version, isDisturbed);
+            if (removal !== undefined) {
+                removals.push(removal);
+            }
+        }
+        return removals;
+    };
+
+    const toSnapshot = (table: types.StateTable): types.StateSnapshot => {
+        const all = [...rows.values()].filter(change => isInTable(change, table));
+        return {
+            table,
+            version: all.reduce((newest, change) => Math.max(newest, change.version), 0),
+            changes: all.filter(change => !isRemoval(change)),
+        };
+    };
+
+    return {
+        getConfiguration: () => configuration,
+        isZoneOut: zone => {
+            const change = rows.get(`zone/${zone}`);
+            return change !== undefined && !isRemoval(change);
+        },
+        listTargets: () => targets.values(),
+        listSnapshots: () => [toSnapshot("operators"), toSnapshot("targets")],
+        applyChanges,
+        applySnapshot: (snapshot, isDisturbed) =>
+            applyChanges([...snapshot.changes, ...listMissing(snapshot, isDisturbed)]),
+        onDidChangeConfiguration: configurationEmitter.event,
+        onDidChangeTargets: targetsEmitter.event,
+    };
+};
--- /dev/null
+++ b/src/common/routes/targetBook.ts
@@ -0,0 +1,288 @@
+/**
+ * The targets that an entry VM may send to, and the choice among them.
+ */
+import * as events from "../events.js";
+import * as shared from "../Types.js";
+import * as slowdowns from "./slowdown.js";
+import * as targetEntry from "./targetEntry.js";
+import * as types from "./Types.js";
+
+/** Weight of an answer in the usual latency of a route. */
+const usualWeight = 0.05;
+/** Usual latency of a route before any answer, as a share of its objective. */
+const firstUsualShare = 0.3;
+/** A target close to full works more slowly; the estimate for the last slot is raised by this factor. */
+const lastSlotFactor = 1.3;
+/** A cold target works about half as fast. */
+const coldFactor = 2;
+/** Cost of an attempt that fails, as a multiple of the route's objective. */
+const failureCost = 3;
+/** Cost of another zone in milliseconds: two crossings, and bytes that are paid for. */
+const otherZoneMs = 12;
+const otherZoneUploadMs = 60;
+/** Random share added to each estimate, so that VMs with equal views do not pick the same target. */
+const jitterShare = 0.05;
+
+export interface PickRequest {
+    readonly service: shared.ServiceName;
+    readonly route: types.Route;
+    /** Targets that this request was sent to already. */
+    readonly exclude: ReadonlySet<shared.TargetId>;
+}
+
+/** One attempt, from its choice to its end. */
+export interface Ticket {
+    readonly registration: types.Registration;
+    /** Latency to expect, in milliseconds. */
+    readonly expectedMs: number;
+    /** Must be called once, when the attempt has ended. */
+    finish(outcome: types.AttemptOutcome, report: types.LoadReport | undefined): void;
+}
+
+export type Pick =
+    | { readonly kind: "target"; readonly ticket: Ticket }
+    /** Targets exist, but none has a free slot. */
+    | { readonly kind: "full" }
+    /** The service has no target that may be sent to. */
+    | { readonly kind: "none" };
+
+export interface TargetBookOptions {
+    readonly scheduler: shared.Clock;
+    readonly random: shared.Random;
+    readonly zone: shared.ZoneName;
+    isZoneOut(zone: shared.ZoneName): boolean;
+    getService(name: shared.ServiceName): types.RoutedService | undefined;
+    /** Number of entry VMs that clients are sent to. */
+    countSenders(): number;
+}
+
+export interface TargetBook {
+    /** Takes over the targets in use. */
+    setTargets(registrations: Iterable<types.Registration>): void;
+    pick(request: PickRequest): Pick;
+    /** A report that came by a probe or a peer. */
+    applyReport(id: shared.TargetId, report: types.LoadReport, atMs: number): void;
+    /** The target's own word on how long it stays cold. */
+    applyColdLeft(id: shared.TargetId, coldLeftMs: number): void;
+    /** Targets whose last report is older than a given age, for probes. */
+    listSilent(ageMs: number): readonly types.Registration[];
+    recordProbe(id: shared.TargetId): void;
+    /** Fires when a slot became free or a target usable. */
+    readonly onDidFree: shared.Event<shared.ServiceName>;
+}
+
+/**
+ * Creates a book without targets.
+ *
+ * @param options - clock, random numbers and what else decides
+ * @returns the book
+ */
+export const createTargetBook = (options: TargetBookOptions): TargetBook => {
+    const { scheduler, random } = options;
+    const entries = new Map<shared.TargetId, targetEntry.TargetEntry>();
+    const byService = new Map<shared.ServiceName, targetEntry.TargetEntry[]>();
+    const means = new Map<shared.ServiceName, slowdowns.MeanSlowdown>();
+    const usualMs = new Map<string, number>();
+    const freeEmitter = events.createEmitter<shared.ServiceName>();
+
+    const getMean = (service: shared.ServiceName): slowdowns.MeanSlowdown => {
+        const mean = means.get(service) ?? slowdowns.createMeanSlowdown();
+        means.set(service, mean);
+        return mean;
+    };
+
+    const getUsualMs = (route: types.Route): number =>
+        usualMs.get(route.name) ?? Math.max(1, route.objectiveMs * firstUsualShare);
+
+    const isCold = (entry: targetEntry.TargetEntry, nowMs: number): boolean => nowMs < entry.coldUntilMs;
+
+    /** The bound holds over all VMs; each takes an equal part, as no VM can see the sends of the others in time. */
+    const hasColdRoom = (entry: targetEntry.TargetEntry, nowMs: number): boolean => {
+        const rate = options.getService(entry.registration.service)?.coldPerSecond ?? 0;
+        const senders = options.countSenders();
+        return targetEntry.countRecentSends(entry, nowMs) < Math.max(1, Math.floor(rate / senders));
+    };
+
+    const isUsable = (entry: targetEntry.TargetEntry): boolean =>
+        entry.registration.state === "ready" && !options.isZoneOut(entry.registration.zone);
+
+    const hasRoom = (entry: targetEntry.TargetEntry, nowMs: number): boolean => {
+        if (targetEntry.computeInFlight(entry, nowMs) > entry.registration.slots - 1 + 0.5) {
+            return false;
+        }
+        return !isCold(entry, nowMs) || hasColdRoom(entry, nowMs);
+    };
+
+    const computeExpectedMs = (entry: targetEntry.TargetEntry, route: types.Route, nowMs: number): number => {
+        const mean = getMean(entry.registration.service).get();
+        const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
+        const load = (targetEntry.computeInFlight(entry, nowMs) + 1) / entry.registration.slots;
+        const work = getUsualMs(route) * entry.pace * slowdown * (isCold(entry, nowMs) ? coldFactor : 1);
+        return work * (1 + 0.1 * load) * (load >= 1 ? lastSlotFactor : 1);
+    };
+
+    const computeCost = (
+        entry: targetEntry.TargetEntry,
+        expectedMs: number,
+        route: types.Route,
+        nowMs: number,
+    ): number => {
+        const isNear = entry.registration.zone === options.zone;
+        const zoneMs = isNear ? 0 : route.kind === "upload" ? otherZoneUploadMs : otherZoneMs;
+        const failureMs = targetEntry.computeFailureShare(entry, nowMs) * failureCost * route.objectiveMs;
+        return (expectedMs + zoneMs + failureMs) * (1 + jitterShare * random.nextFloat());
+    };
+
+    const finishFlight = (
+        entry: targetEntry.TargetEntry,
+        flight: targetEntry.Flight,
+        route: types.Route,
+        outcome: types.AttemptOutcome,
+        report: types.LoadReport | undefined,
+    ): void => {
+        const nowMs = scheduler.now();
+        entry.flights.delete(flight);
+        if (report !== undefined) {
+            // The target counts the request that it is answering as running.
+            targetEntry.recordReport(entry, report, entry.flights.size + 1, nowMs);
+            if (report.slowdown !== undefined) {
+                getMean(entry.registration.service).record(report.slowdown);
+            }
+        }
+        switch (outcome.kind) {
+            case "answered":
+                if (outcome.isFailure) {
+                    targetEntry.recordFailure(entry, nowMs);
+                    break;
+                }
+                targetEntry.recordSuccess(entry, flight, nowMs);
+                recordLatency(entry, route, outcome.latencyMs);
+                break;
+            case "unreachable":
+            case "broken":
+            case "silent":
+                targetEntry.recordFailure(entry, nowMs);
+                break;
+            case "refused":
+            case "cancelled":
+                break;
+        }
+        freeEmitter.fire(entry.registration.service);
+    };
+
+    const recordLatency = (entry: targetEntry.TargetEntry, route: types.Route, latencyMs: number): void => {
+        const slowdown = Math.max(1, entry.slowdown ?? getMean(entry.registration.service).get());
+        const usual = getUsualMs(route);
+        usualMs.set(route.name, usual + usualWeight * (latencyMs / slowdown / entry.pace - usual));
+    };
+
+    const createTicket = (entry: targetEntry.TargetEntry, route: types.Route, expectedMs: number): Ticket => {
+        const startedAtMs = scheduler.now();
+        const flight = { startedAtMs, usualMs: getUsualMs(route) };
+        entry.flights.add(flight);
+        entry.sends.push(startedAtMs);
+        return {
+            registration: entry.registration,
+            expectedMs,
+            finish: (outcome, report) => finishFlight(entry, flight, route, outcome, report),
+        };
+    };
+
+    const pick = (request: PickRequest): Pick => {
+        const nowMs = scheduler.now();
+        const usable = (byService.get(request.service) ?? []).filter(
+            entry => isUsable(entry) && !request.exclude.has(entry.registration.id),
+        );
+        if (usable.length === 0) {
+            return { kind: "none" };
+        }
+        const healthy = usable.filter(entry => entry.ejectedUntilMs <= nowMs);
+        let best: targetEntry.TargetEntry | undefined;
+        let bestCost = Infinity;
+        let bestExpectedMs = 0;
+        for (const entry of healthy.length > 0 ? healthy : usable) {
+            if (!hasRoom(entry, nowMs)) {
+                continue;
+            }
+            const expectedMs = computeExpectedMs(entry, request.route, nowMs);
+            const cost = computeCost(entry, expectedMs, request.route, nowMs);
+            if (cost < bestCost) {
+                [best, bestCost, bestExpectedMs] = [entry, cost, expectedMs];
+            }
+        }
+        return best === undefined
+            ? { kind: "full" }
+            : { kind: "target", ticket: createTicket(best, request.route, bestExpectedMs) };
+    };
+
+    const updateEntry = (registration: types.Registration): void => {
+        const nowMs = scheduler.now();
+        const known = entries.get(registration.id);
+        if (known === undefined || known.registration.startedAtMs !== registration.startedAtMs) {
+            entries.set(registration.id, targetEntry.createTargetEntry(registration, nowMs));
+            return;
+        }
+        if (known.registration !== registration) {
+            known.registration = registration;
+            known.coldUntilMs = registration.coldLeftMs > 0 ? nowMs + registration.coldLeftMs : 0;
+        }
+    };
+
+    const groupEntries = (): void => {
+        byService.clear();
+        for (const entry of entries.values()) {
+            const list = byService.get(entry.registration.service) ?? [];
+            list.push(entry);
+            byService.set(entry.registration.service, list);
+        }
+    };
+
+    return {
+        setTargets: registrations => {
+            const present = new Set<shared.TargetId>();
+            for (const registration of registrations) {
+                present.add(registration.id);
+                updateEntry(registration);
+            }
+            for (const id of entries.keys()) {
+                if (!present.has(id)) {
+                    entries.delete(id);
+                }
+            }
+            groupEntries();
+            for (const service of byService.keys()) {
+                freeEmitter.fire(service);
+            }
+        },
+        pick,
+        applyReport: (id, report, atMs) => {
+            const entry = entries.get(id);
+            if (entry === undefined || atMs < entry.othersAtMs) {
+                return;
+            }
+            targetEntry.recordReport(entry, report, entry.flights.size, atMs);
+            if (report.slowdown !== undefined) {
+                getMean(entry.registration.service).record(report.slowdown);
+            }
+        },
+        applyColdLeft: (id, coldLeftMs) => {
+            const entry = entries.get(id);
+            if (entry !== undefined) {
+                entry.coldUntilMs = coldLeftMs > 0 ? scheduler.now() + coldLeftMs : 0;
+            }
+        },
+        listSilent: ageMs => {
+            const nowMs = scheduler.now();
+            return [...entries.values()]
+                .filter(entry => isUsable(entry) && nowMs - Math.max(entry.othersAtMs, entry.probedAtMs) >= ageMs)
+                .map(entry => entry.registration);
+        },
+        recordProbe: id => {
+            const entry = entries.get(id);
+            if (entry !== undefined) {
+                entry.probedAtMs = scheduler.now();
+            }
+        },
+        onDidFree: freeEmitter.event,
+    };
+};
--- /dev/null
+++ b/src/node/routes/connectionPool.ts
@@ -0,0 +1,141 @@
+/**
+ * Connections to targets, kept open between requests.
+ */
+import * as net from "node:net";
+import * as shared from "../../common/Types.js";
+import * as targetConnection from "./targetConnection.js";
+import * as types from "./Types.js";
+
+/** A connection that is not open by then is given up; zones are a few milliseconds apart. */
+const openTimeoutMs = 500;
+const sweepIntervalMs = 1_000;
+
+export interface PoolRequest {
+    readonly address: shared.Address;
+    /** An idle connection may have gone silent unnoticed; a longer idle one is not used for this request. */
+    readonly longestIdleMs: number;
+}
+
+export interface ConnectionPool extends shared.Disposable {
+    /** Takes a connection that is in use by nobody else; undefined if none can be opened. */
+    acquire(request: PoolRequest): Promise<targetConnection.TargetConnection | undefined>;
+    /** Gives a connection back. */
+    release(address: shared.Address, connection: targetConnection.TargetConnection): void;
+    /** Closes the idle connections to an address. */
+    closeIdle(address: shared.Address): void;
+    /** Number of connections opened so far. */
+    countOpened(): number;
+}
+
+/**
+ * Creates an empty pool.
+ *
+ * @param options - clock and dialect of the connections
+ * @returns the pool
+ */
+export const createConnectionPool = (options: {
+    readonly scheduler: shared.Scheduler;
+    readonly dialect: types.HttpDialect;
+}): ConnectionPool => {
+    const { scheduler, dialect } = options;
+    const idle = new Map<shared.Address, targetConnection.TargetConnection[]>();
+    let opened = 0;
+
+    const removeIdle = (address: shared.Address, connection: targetConnection.TargetConnection): void => {
+        const list = idle.get(address);
+        const index = list?.indexOf(connection) ?? -1;
+        if (list !== undefined && index >= 0) {
+            list.splice(index, 1);
+        }
+    };
+
+    const open = (address: shared.Address): Promise<targetConnection.TargetConnection | undefined> =>
+        new Promise(resolve => {
+            const [host, port] = splitAddress(address);
+            const startedAtMs = scheduler.now();
+            const socket = net.connect({ host, port });
+            const timer = scheduler.schedule(openTimeoutMs, () => socket.destroy(new Error("timeout")));
+            const fail = (): void => {
+                timer.dispose();
+                resolve(undefined);
+            };
+            socket.once("error", fail);
+            socket.once("connect", () => {
+                timer.dispose();
+                socket.off("error", fail);
+                opened++;
+                const connection: targetConnection.TargetConnection = targetConnection.createTargetConnection({
+                    socket,
+                    openMs: scheduler.now() - startedAtMs,
+                    dialect,
+                    clock: scheduler,
+                    onClose: () => removeIdle(address, connection),
+                });
+                resolve(connection);
+            });
+        });
+
+    const closeIdle = (address: shared.Address): void => {
+        for (const connection of [...(idle.get(address) ?? [])]) {
+            connection.dispose();
+        }
+    };
+
+    const sweep = (): void => {
+        const nowMs = scheduler.now();
+        for (const [address, list] of idle) {
+            for (const connection of list.filter(entry => !entry.isReusable(nowMs))) {
+                connection.dispose();
+            }
+            if (list.length === 0) {
+                idle.delete(address);
+            }
+        }
+        sweepTimer = scheduler.schedule(sweepIntervalMs, sweep);
+    };
+    let sweepTimer = scheduler.schedule(sweepIntervalMs, sweep);
+
+    return {
+        acquire: async ({ address, longestIdleMs }) => {
+            const list = idle.get(address) ?? [];
+            const nowMs = scheduler.now();
+            // The most recently used one first: it is the least likely to have gone silent.
+            for (let index = list.length - 1; index >= 0; index--) {
+                const connection = list[index];
+                if (connection?.isReusable(nowMs) === true && connection.computeIdleMs(nowMs) <= longestIdleMs) {
+                    list.splice(index, 1);
+                    return connection;
+                }
+            }
+            return open(address);
+        },
+        release: (address, connection) => {
+            if (!connection.isReusable(scheduler.now())) {
+                connection.dispose();
+                return;
+            }
+            const list = idle.get(address) ?? [];
+            list.push(connection);
+            idle.set(address, list);
+        },
+        closeIdle,
+        countOpened: () => opened,
+        dispose: () => {
+            sweepTimer.dispose();
+            for (const address of [...idle.keys()]) {
+                closeIdle(address);
+            }
+        },
+    };
+};
+
+/**
+ * Splits an address.
+ *
+ * @param address - `ip:port`
+ * @returns host and port
+ */
+export const splitAddress = (address: shared.Address): [string, number] => {
+    const at = address.lastIndexOf(":");
+    return [address.slice(0, at), Number(address.slice(at + 1))];
+};
--- /dev/null
+++ b/src/node/routes/exchange.ts
@@ -0,0 +1,305 @@
+/**
+ * Brings one request to an end: picks targets, repeats and hedges where the route and the budget allow it, and answers at
+ * the deadline at the latest.
+ */
+import * as crashes from "../../common/crashes/Types.js";
+import * as routing from "../../common/routing/Types.js";
+import * as targetBook from "../../common/routes/targetBook.js";
+import * as routes from "../../common/routes/Types.js";
+import * as waitLine from "../../common/routes/waitLine.js";
+import * as shared from "../../common/Types.js";
+import * as targetConnection from "./targetConnection.js";
+import * as targetSender from "./targetSender.js";
+
+/** Longest wait for a slot, as a share of the objective: a refusal that comes later costs the client its next try. */
+const waitShare = 0.25;
+/** An idempotent request is sent to a second target after this share of its objective. */
+const hedgeShare = 0.45;
+/** A refused client is told to come back after this time; a slot frees up about that often. */
+const retryAfterMs = 100;
+/** Targets that may refuse a request before the load balancer does. */
+const maxRefusals = 2;
+/** Time that an attempt must have left to be worth starting. */
+const shortestAttemptMs = 10;
+
+export interface ExchangeRequest {
+    readonly outgoing: targetSender.OutgoingRequest;
+    readonly route: routes.Route;
+    readonly service: shared.ServiceName;
+    /** Local monotonic time of the final answer at the latest. */
+    readonly deadlineAtMs: number;
+    readonly fingerprint: string;
+    /** Aborted when the client has left. */
+    readonly signal: AbortSignal;
+}
+
+export type FinalAnswer =
+    | { readonly kind: "target"; readonly answer: targetConnection.TargetAnswer; readonly target: shared.TargetId }
+    /** The request did not run and will not. */
+    | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number }
+    /** The request may have run. */
+    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 502 | 504 }
+    | { readonly kind: "abandoned" };
+
+export interface ExchangeOptions {
+    readonly scheduler: shared.Scheduler;
+    readonly book: targetBook.TargetBook;
+    readonly line: waitLine.WaitLine<targetBook.Pick>;
+    readonly sender: targetSender.TargetSender;
+    readonly budget: routing.RetryBudget;
+    readonly crashes: crashes.CrashRegistry;
+    readonly logger: shared.Logger;
+    /** The request broke the connection to a target. */
+    reportCrash(fingerprint: string, target: shared.TargetId): void;
+}
+
+interface Running {
+    readonly ticket: targetBook.Ticket;
+    readonly attempt: targetSender.Attempt;
+    readonly startedAtMs: number;
+    isOver: boolean;
+}
+
+/**
+ * Runs a request.
+ *
+ * @param options - what the daemon's requests share
+ * @param request - the request
+ * @returns the one answer for the client
+ */
+export const runExchange = (options: ExchangeOptions, request: ExchangeRequest): Promise<FinalAnswer> =>
+    new Promise(resolve => createExchange(options, request, resolve).start());
+
+const createExchange = (
+    options: ExchangeOptions,
+    request: ExchangeRequest,
+    resolve: (answer: FinalAnswer) => void,
+): { start(): void } => {
+    const { scheduler, book, sender, budget, logger } = options;
+    const { route, service, outgoing } = request;
+    const isIdempotent = route.kind === "idempotent";
+    const tried = new Set<shared.TargetId>();
+    const running = new Set<Running>();
+    const timers: shared.Disposable[] = [];
+    const waiting = new AbortController();
+    /** Attempts that ran or may have run. */
+    let runs = 0;
+    let refusals = 0;
+    let isDone = false;
+    let failure: FinalAnswer | undefined;
+
+    const computeLeftMs = (): number => request.deadlineAtMs - scheduler.now();
+
+    const mayHaveRun = (): boolean => runs > 0;
+
+    const log = (message: string, fields: shared.LogFields): void =>
+        logger.info(message, { request: outgoing.id, route: route.name, service, ...fields });
+
+    const finish = (answer: FinalAnswer): void => {
+        if (isDone) {
+            return;
+        }
+        isDone = true;
+        timers.forEach(timer => timer.dispose());
+        request.signal.removeEventListener("abort", handleAbandon);
+        waiting.abort();
+        // After its client has left, a request that may not be repeated goes on: nobody could tell how far it came.
+        if (answer.kind !== "abandoned" || isIdempotent) {
+            for (const other of [...running]) {
+                stopAttempt(other, { kind: "cancelled", afterMs: scheduler.now() - other.startedAtMs });
+            }
+        }
+        resolve(answer);
+    };
+
+    const stopAttempt = (entry: Running, outcome: routes.AttemptOutcome): void => {
+        if (entry.isOver) {
+            return;
+        }
+        entry.isOver = true;
+        running.delete(entry);
+        entry.attempt.abort();
+        entry.ticket.finish(outcome, undefined);
+    };
+
+    const refuse = (reason: string): void => finish({ kind: "refused", reason, retryAfterMs });
+
+    /** The answer when no further attempt is made. */
+    const giveUp = (reason: string): void => {
+        if (running.size > 0) {
+            return;
+        }
+        if (failure !== undefined) {
+            finish(failure);
+        } else if (mayHaveRun() && !isIdempotent) {
+            finish({ kind: "failed", reason, statusCode: 502 });
+        } else {
+            refuse(reason);
+        }
+    };
+
+    const handleDeadline = (): void => {
+        for (const entry of [...running]) {
+            stopAttempt(entry, { kind: "silent" });
+        }
+        if (mayHaveRun()) {
+            finish({ kind: "failed", reason: "deadline", statusCode: 504 });
+        } else {
+            refuse("no slot before the deadline");
+        }
+    };
+
+    const handleAbandon = (): void => finish({ kind: "abandoned" });
+
+    const mayRepeat = (): boolean =>
+        !isDone && runs < route.maxTargets && computeLeftMs() > shortestAttemptMs && budget.takeRetry(service);
+
+    const repeat = (reason: string): void => {
+        if (isDone || running.size > 0) {
+            return;
+        }
+        if (mayRepeat()) {
+            void sendNext(reason);
+        } else {
+            giveUp(reason);
+        }
+    };
+
+    const handleFailedRun = (entry: Running, reason: string): void => {
+        if (isIdempotent) {
+            repeat(reason);
+        } else {
+            failure = { kind: "failed", reason, statusCode: 502 };
+            giveUp(reason);
+        }
+        log("exchange: attempt failed", { target: entry.ticket.registration.id, reason, runs });
+    };
+
+    const handleRefusal = (entry: Running): void => {
+        runs--;
+        refusals++;
+        log("exchange: target refused", { target: entry.ticket.registration.id, refusals });
+        if (refusals < maxRefusals) {
+            repeat("refused by targets");
+        } else {
+            giveUp("refused by targets");
+        }
+    };
+
+    const handleAnswer = (entry: Running, answer: targetConnection.TargetAnswer): void => {
+        const nowMs = scheduler.now();
+        const { head, statusCode } = answer;
+        const finishTicket = (outcome: routes.AttemptOutcome): void => entry.ticket.finish(outcome, head.load);
+        if (head.isRefusal || statusCode === 421) {
+            finishTicket({ kind: "refused" });
+            handleRefusal(entry);
+            return;
+        }
+        options.crashes.recordAnswer(request.fingerprint);
+        const isWhole = head.isSealed && !head.isEncoded;
+        const isFailure = statusCode >= 500 || !isWhole;
+        finishTicket({ kind: "answered", latencyMs: nowMs - entry.startedAtMs, isFailure });
+        if (!isFailure) {
+            log("exchange: answered", {
+                target: entry.ticket.registration.id,
+                status: statusCode,
+                latencyMs: Math.round(nowMs - entry.startedAtMs),
+                expectedMs: Math.round(entry.ticket.expectedMs),
+                runs,
+            });
+            finish({ kind: "target", answer, target: entry.ticket.registration.id });
+            return;
+        }
+        if (isWhole) {
+            failure = { kind: "target", answer, target: entry.ticket.registration.id };
+        }
+        handleFailedRun(entry, isWhole ? `status ${statusCode}` : "answer without signature");
+    };
+
+    const handleResult = (entry: Running, result: targetSender.AttemptResult): void => {
+        if (entry.isOver) {
+            return;
+        }
+        entry.isOver = true;
+        running.delete(entry);
+        switch (result.kind) {
+            case "answer":
+                handleAnswer(entry, result.answer);
+                break;
+            case "unreachable":
+                entry.ticket.finish({ kind: "unreachable" }, undefined);
+                handleRefusal(entry);
+                break;
+            case "broken":
+                entry.ticket.finish({ kind: "broken" }, undefined);
+                options.reportCrash(request.fingerprint, entry.ticket.registration.id);
+                handleFailedRun(entry, result.reason);
+                break;
+        }
+    };
+
+    const startAttempt = (ticket: targetBook.Ticket): void => {
+        tried.add(ticket.registration.id);
+        runs++;
+        const attempt = sender.start({
+            registration: ticket.registration,
+            request: outgoing,
+            leftMs: computeLeftMs,
+            mayRepeat: isIdempotent,
+        });
+        const entry: Running = { ticket, attempt, startedAtMs: scheduler.now(), isOver: false };
+        running.add(entry);
+        void attempt.result.then(result => handleResult(entry, result));
+    };
+
+    const sendNext = async (reason: string): Promise<void> => {
+        const pick = await options.line.wait({
+            service,
+            priority: route.priority,
+            longestWaitMs: Math.min(computeLeftMs(), route.objectiveMs * waitShare),
+            signal: waiting.signal,
+            take: () => {
+                const result = book.pick({ service, route, exclude: tried });
+                return result.kind === "target" ? result : undefined;
+            },
+        });
+        if (isDone) {
+            if (pick?.kind === "target") {
+                pick.ticket.finish({ kind: "cancelled", afterMs: 0 }, undefined);
+            }
+        } else if (pick?.kind === "target") {
+            startAttempt(pick.ticket);
+        } else {
+            log("exchange: no slot", { reason, runs });
+            giveUp("no free slot");
+        }
+    };
+
+    const hedge = (): void => {
+        if (isDone || running.size !== 1 || runs >= route.maxTargets) {
+            return;
+        }
+        const pick = book.pick({ service, route, exclude: tried });
+        if (pick.kind !== "target") {
+            return;
+        }
+        if (computeLeftMs() <= shortestAttemptMs || !budget.takeRetry(service)) {
+            pick.ticket.finish({ kind: "cancelled", afterMs: 0 }, undefined);
+            return;
+        }
+        log("exchange: hedged", { target: pick.ticket.registration.id });
+        startAttempt(pick.ticket);
+    };
+
+    return {
+        start: () => {
+            budget.recordCall(service);
+            request.signal.addEventListener("abort", handleAbandon, { once: true });
+            timers.push(scheduler.schedule(computeLeftMs(), handleDeadline));
+            if (isIdempotent && route.maxTargets > 1) {
+                timers.push(scheduler.schedule(route.objectiveMs * hedgeShare, hedge));
+            }
+            void sendNext("first attempt");
+        },
+    };
+};
--- /dev/null
+++ b/src/node/routes/lookupServer.ts
@@ -0,0 +1,64 @@
+/**
+ * Answers the platform's question whether this VM is ready, and the clients' question which VMs to use.
+ */
+import * as http from "node:http";
+import * as shared from "../../common/Types.js";
+import * as connectionPool from "./connectionPool.js";
+import * as types from "./Types.js";
+
+/** Clients ask again after this time; some keep an answer three times as long, which must end within the grace period. */
+export const lookupLifetimeMs = 1_000;
+
+export interface LookupServerOptions {
+    readonly address: shared.Address;
+    readonly dialect: types.LookupDialect;
+    readonly lifetimeMs: number;
+    isReady(): boolean;
+    pickFronts(question: types.LookupQuestion): readonly shared.Address[];
+}
+
+/**
+ * Creates the server.
+ *
+ * @param options - address and what to answer
+ * @returns starts to listen; disposing the result closes the server
+ */
+export const listenForLookups = (options: LookupServerOptions): Promise<shared.Disposable> => {
+    const { dialect } = options;
+
+    const answerLookup = (question: types.LookupQuestion, response: http.ServerResponse): void => {
+        const addresses = options.pickFronts(question);
+        if (addresses.length === 0) {
+            response.writeHead(503).end();
+            return;
+        }
+        const body = dialect.formatLookup(addresses, options.lifetimeMs);
+        response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
+        response.end(body);
+    };
+
+    const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+        request.resume();
+        const url = request.url ?? "/";
+        const question = dialect.parseLookup(url);
+        if (question !== undefined) {
+            answerLookup(question, response);
+        } else if (url.startsWith(dialect.readinessPath)) {
+            response.writeHead(options.isReady() ? 200 : 503).end();
+        } else {
+            response.writeHead(404).end();
+        }
+    });
+    const [host, port] = connectionPool.splitAddress(options.address);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ host, port, backlog: 1024 }, () =>
+            resolve({
+                dispose: () => {
+                    server.close();
+                    server.closeAllConnections();
+                },
+            }),
+        );
+    });
+};
--- /dev/null
+++ b/src/node/routes/membership.ts
@@ -0,0 +1,139 @@
+/**
+ * This VM among its peers: registers it, follows a hub or the store, and passes on what it learns.
+ */
+import * as sharedState from "../../common/routes/sharedState.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as hubLink from "./hubLink.js";
+import * as peerChannel from "./peerChannel.js";
+import * as peerHub from "./peerHub.js";
+import * as storeFollower from "./storeFollower.js";
+import * as types from "./Types.js";
+
+const registerTimeoutMs = 1_000;
+const registerBackoffMs = 1_000;
+const noAddress = "" as shared.Address;
+
+export interface Membership extends shared.Disposable {
+    start(): Promise<void>;
+    /** VMs that live as far as this VM knows, oldest first; at least this one. */
+    listPeers(): readonly routes.Peer[];
+    /** Tells the peers at once that this VM's readiness has changed. */
+    sendHello(): void;
+    sendReports(reports: readonly types.SharedReport[]): void;
+    sendCrash(report: peerChannel.CrashReport): void;
+}
+
+export interface MembershipOptions {
+    readonly settings: types.RouteSettings;
+    readonly incarnation: shared.IncarnationId;
+    readonly store: types.StateStore;
+    readonly state: sharedState.SharedState;
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+    isReady(): boolean;
+    handleReports(reports: readonly types.SharedReport[]): void;
+    handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
+}
+
+/**
+ * Creates the membership of a VM.
+ *
+ * @param options - settings, state and what to do with messages
+ * @returns the membership, not started
+ */
+export const createMembership = (options: MembershipOptions): Membership => {
+    const { settings, store, state, scheduler, logger } = options;
+    let rank = hubLink.unregisteredRank;
+
+    const getOwn = (): routes.Peer => ({
+        vm: settings.vm,
+        incarnation: options.incarnation,
+        zone: settings.zone,
+        region: settings.region,
+        frontAddress: settings.frontAddress ?? noAddress,
+        peerAddress: settings.peerAddress ?? noAddress,
+        rank,
+        cores: settings.cores,
+        isReady: options.isReady() && settings.frontAddress !== undefined,
+    });
+
+    const follower = storeFollower.createStoreFollower({
+        store,
+        state,
+        scheduler,
+        logger,
+        handleChanges: changes => hub?.pushChanges(changes),
+    });
+
+    const hub =
+        settings.peerAddress === undefined
+            ? undefined
+            : peerHub.createPeerHub({
+                  address: settings.peerAddress,
+                  scheduler,
+                  logger,
+                  getOwn,
+                  computeAgeMs: () => (follower.isRunning() ? follower.computeAgeMs() : Infinity),
+                  listSnapshots: () => state.listSnapshots(),
+              });
+
+    const link = hubLink.createHubLink({
+        scheduler,
+        logger,
+        seeds: settings.seeds,
+        getOwn,
+        handleMessages: channel => {
+            channel.on("state.snapshots", ({ snapshots }) =>
+                snapshots.forEach(snapshot => state.applySnapshot(snapshot, false)),
+            );
+            channel.on("state.changes", ({ changes }) => void state.applyChanges(changes));
+            channel.on("load.reports", ({ reports }) => options.handleReports(reports));
+            channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
+        },
+        handleLinked: () => follower.stop(),
+        handleLost: () => follower.start(),
+    });
+
+    const register = async (): Promise<void> => {
+        try {
+            rank = await store.registerPeer(getOwn(), registerTimeoutMs);
+            link.setCandidates(await store.fetchPeers(registerTimeoutMs));
+        } catch (error) {
+            const reason = error instanceof Error ? error.message : String(error);
+            logger.warn("peer: not registered", { reason });
+            scheduler.schedule(registerBackoffMs, () => void register());
+        }
+    };
+
+    return {
+        start: async () => {
+            hub?.onDidReceiveReports(options.handleReports);
+            hub?.onDidReceiveCrashes(options.handleCrashes);
+            await hub?.listen();
+            await register();
+            link.start();
+        },
+        listPeers: () => {
+            if (link.isLinked()) {
+                const told = link.listPeers().filter(peer => peer.vm !== settings.vm);
+                return [...told, getOwn()].sort((left, right) => left.rank - right.rank);
+            }
+            return hub?.listPeers() ?? [getOwn()];
+        },
+        sendHello: link.sendHello,
+        sendReports: reports => {
+            link.sendReports(reports);
+            hub?.pushReports(reports);
+        },
+        sendCrash: report => {
+            link.sendCrashes([report]);
+            hub?.pushCrashes([report]);
+        },
+        dispose: () => {
+            link.dispose();
+            follower.dispose();
+            hub?.dispose();
+        },
+    };
+};
--- /dev/null
+++ b/src/node/routes/peerHub.ts
@@ -0,0 +1,163 @@
+/**
+ * The serving side between entry VMs: passes what it reads in the store on to the VMs that are connected to it, and
+ * tells them which others are.
+ */
+import * as net from "node:net";
+import * as events from "../../common/events.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as connectionPool from "./connectionPool.js";
+import * as peerChannel from "./peerChannel.js";
+import * as types from "./Types.js";
+
+/** Also the time after which a VM that lost its power is noticed, times `missedBeats`. */
+export const beatIntervalMs = 250;
+export const missedBeats = 4;
+
+export interface PeerHub extends shared.Disposable {
+    listen(): Promise<void>;
+    /** VMs that are connected and were heard lately. */
+    listPeers(): readonly routes.Peer[];
+    pushChanges(changes: readonly routes.StateChange[]): void;
+    pushReports(reports: readonly types.SharedReport[]): void;
+    pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
+    readonly onDidReceiveReports: shared.Event<readonly types.SharedReport[]>;
+    readonly onDidReceiveCrashes: shared.Event<readonly peerChannel.CrashReport[]>;
+}
+
+export interface PeerHubOptions {
+    readonly address: shared.Address;
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+    getOwn(): routes.Peer;
+    /** Age of this VM's own view of the store; infinite if it does not follow the store. */
+    computeAgeMs(): number;
+    listSnapshots(): readonly routes.StateSnapshot[];
+}
+
+interface Spoke {
+    readonly channel: peerChannel.PeerChannel;
+    peer: routes.Peer | undefined;
+    /** Peers as last told. */
+    told: string;
+}
+
+/**
+ * Creates a hub that does not listen yet.
+ *
+ * @param options - address and the state to pass on
+ * @returns the hub
+ */
+export const createPeerHub = (options: PeerHubOptions): PeerHub => {
+    const { scheduler, logger } = options;
+    const spokes = new Set<Spoke>();
+    const reportEmitter = events.createEmitter<readonly types.SharedReport[]>();
+    const crashEmitter = events.createEmitter<readonly peerChannel.CrashReport[]>();
+
+    const isHeard = (spoke: Spoke): boolean =>
+        scheduler.now() - spoke.channel.getHeardAtMs() < beatIntervalMs * missedBeats;
+
+    const listPeers = (): readonly routes.Peer[] => {
+        const byVm = new Map<shared.VmId, routes.Peer>();
+        for (const spoke of spokes) {
+            if (spoke.peer !== undefined && isHeard(spoke)) {
+                byVm.set(spoke.peer.vm, spoke.peer);
+            }
+        }
+        const own = options.getOwn();
+        byVm.set(own.vm, own);
+        return [...byVm.values()].sort((left, right) => left.rank - right.rank);
+    };
+
+    const push = <M extends peerChannel.PeerMethod>(
+        method: M,
+        params: peerChannel.PeerMessages[M],
+        except?: Spoke,
+    ): void => {
+        for (const spoke of spokes) {
+            if (spoke !== except && spoke.peer !== undefined) {
+                spoke.channel.send(method, params);
+            }
+        }
+    };
+
+    const sendBeat = (spoke: Spoke, peers: readonly routes.Peer[]): void => {
+        const text = JSON.stringify(peers);
+        const isNews = text !== spoke.told;
+        spoke.told = text;
+        spoke.channel.send("hub.beat", { ageMs: Math.min(60_000, options.computeAgeMs()), peers: isNews ? peers : null });
+    };
+
+    const handleHello = (spoke: Spoke, peer: routes.Peer): void => {
+        const isNew = spoke.peer === undefined;
+        spoke.peer = peer;
+        if (isNew) {
+            logger.info("peer: joined", { vm: peer.vm, incarnation: peer.incarnation });
+            spoke.channel.send("state.snapshots", { snapshots: options.listSnapshots() });
+            sendBeat(spoke, listPeers());
+        }
+    };
+
+    const handleConnection = (socket: net.Socket): void => {
+        const spoke: Spoke = {
+            channel: peerChannel.createPeerChannel({
+                socket,
+                clock: scheduler,
+                logger,
+                onClose: () => {
+                    spokes.delete(spoke);
+                    if (spoke.peer !== undefined) {
+                        logger.info("peer: left", { vm: spoke.peer.vm });
+                    }
+                },
+            }),
+            peer: undefined,
+            told: "",
+        };
+        spokes.add(spoke);
+        spoke.channel.on("peer.hello", ({ peer }) => handleHello(spoke, peer));
+        spoke.channel.on("load.reports", params => {
+            reportEmitter.fire(params.reports);
+            push("load.reports", params, spoke);
+        });
+        spoke.channel.on("crash.reports", params => {
+            crashEmitter.fire(params.reports);
+            push("crash.reports", params, spoke);
+        });
+    };
+
+    const beat = (): void => {
+        const peers = listPeers();
+        for (const spoke of [...spokes]) {
+            if (!isHeard(spoke)) {
+                spoke.channel.dispose();
+            } else if (spoke.peer !== undefined) {
+                sendBeat(spoke, peers);
+            }
+        }
+        timer = scheduler.schedule(beatIntervalMs, beat);
+    };
+    let timer = scheduler.schedule(beatIntervalMs, beat);
+
+    const server = net.createServer(handleConnection);
+
+    return {
+        listen: () =>
+            new Promise((resolve, reject) => {
+                const [host, port] = connectionPool.splitAddress(options.address);
+                server.once("error", reject);
+                server.listen({ host, port }, resolve);
+            }),
+        listPeers,
+        pushChanges: changes => push("state.changes", { changes }),
+        pushReports: reports => push("load.reports", { reports }),
+        pushCrashes: reports => push("crash.reports", { reports }),
+        onDidReceiveReports: reportEmitter.event,
+        onDidReceiveCrashes: crashEmitter.event,
+        dispose: () => {
+            timer.dispose();
+            server.close();
+            spokes.forEach(spoke => spoke.channel.dispose());
+        },
+    };
+};
--- /dev/null
+++ b/src/node/routes/routeDaemon.ts
@@ -0,0 +1,207 @@
+/**
+ * The entry daemon for requests that are routed by host and path: connects the parts and runs them until it is stopped.
+ */
+import * as crypto from "node:crypto";
+import * as crashRegistry from "../../common/crashes/crashRegistry.js";
+import * as ids from "../../common/ids.js";
+import * as retryBudget from "../../common/limits/retryBudget.js";
+import * as random from "../../common/random.js";
+import * as frontChoice from "../../common/routes/frontChoice.js";
+import * as routeTable from "../../common/routes/routeTable.js";
+import * as sharedState from "../../common/routes/sharedState.js";
+import * as targetBook from "../../common/routes/targetBook.js";
+import * as routes from "../../common/routes/Types.js";
+import * as waitLine from "../../common/routes/waitLine.js";
+import * as shared from "../../common/Types.js";
+import * as connectionPool from "./connectionPool.js";
+import * as frontServer from "./frontServer.js";
+import * as lookupServer from "./lookupServer.js";
+import * as membership from "./membership.js";
+import * as requestHandler from "./requestHandler.js";
+import * as targetProber from "./targetProber.js";
+import * as targetSender from "./targetSender.js";
+import * as types from "./Types.js";
+
+/** Crashes after which a request is refused, over all VMs. */
+const crashLimit = 3;
+const maxCrashEntries = 10_000;
+const crashRetentionMs = 60_000;
+/** Share of the platform's retry bound that is used: views of the number of senders differ for a moment. */
+const retryUse = 0.7;
+/** Clients keep a lookup answer up to this many times its lifetime. */
+const lookupKeepFactor = 3;
+/** Time before the end of the grace period at which the process ends. */
+const graceMarginMs = 500;
+const leaveCheckMs = 100;
+
+export interface RouteDaemon {
+    start(): Promise<void>;
+    /** Leaves without breaking a request off; resolves when the process may end. */
+    stop(): Promise<void>;
+}
+
+export interface RouteDaemonOptions {
+    readonly settings: types.RouteSettings;
+    readonly http: types.HttpDialect;
+    readonly lookup: types.LookupDialect;
+    readonly store: types.StateStore;
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+}
+
+/**
+ * Creates the daemon.
+ *
+ * @param options - settings, dialects and the store
+ * @returns the daemon, not started
+ */
+export const createRouteDaemon = (options: RouteDaemonOptions): RouteDaemon => {
+    const { settings, scheduler, logger, store } = options;
+    const { bounds } = settings;
+    const incarnation = ids.toIncarnationId(crypto.randomUUID());
+    const state = sharedState.createSharedState(scheduler);
+    const services = new Map<shared.ServiceName, routes.RoutedService>();
+    let table: routeTable.RouteTable | undefined;
+    let isLeaving = false;
+
+    const isReady = (): boolean => table !== undefined && !isLeaving;
+
+    const members = membership.createMembership({
+        settings,
+        incarnation,
+        store,
+        state,
+        scheduler,
+        logger,
+        isReady,
+        handleReports: reports => reports.forEach(applyReport),
+        handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
+    });
+    const countSenders = (): number => Math.max(1, frontChoice.countFronts(members.listPeers()));
+
+    const book = targetBook.createTargetBook({
+        scheduler,
+        random: random.createRandom(crypto.randomInt(2 ** 31)),
+        zone: settings.zone,
+        isZoneOut: zone => state.isZoneOut(zone),
+        getService: name => services.get(name),
+        countSenders,
+    });
+    const line = waitLine.createWaitLine<targetBook.Pick>(scheduler);
+    const crashes = crashRegistry.createCrashRegistry({
+        scheduler,
+        limit: crashLimit,
+        maxEntries: maxCrashEntries,
+        retentionMs: crashRetentionMs,
+    });
+    const budget = retryBudget.createRetryBudget({
+        scheduler,
+        getPolicy: () => {
+            const extra = (bounds.retryExtra * retryUse) / countSenders();
+            const perSecond = (extra * 1_000) / bounds.retryWindowMs;
+            // A full bucket and the refill of a window together stay within the extra of the window.
+            return { share: bounds.retryShare * retryUse, floor: { perSecond: perSecond / 2, burst: extra / 2 } };
+        },
+    });
+    /** Whether clients are sent to this VM. */
+    const isFront = (): boolean => {
+        const peers = members.listPeers();
+        return frontChoice.pickFronts(peers, settings.zone).some(peer => peer.vm === settings.vm);
+    };
+    const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
+    const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
+    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: isFront });
+
+    const applyReport = (report: types.SharedReport): void =>
+        book.applyReport(report.target, report.load, scheduler.now() - report.ageMs);
+
+    const handler = requestHandler.createRequestHandler({
+        dialect: options.http,
+        exchange: {
+            scheduler,
+            book,
+            line,
+            sender,
+            budget,
+            crashes,
+            logger,
+            reportCrash: (fingerprint, target) => {
+                crashes.recordCrash(fingerprint, target);
+                members.sendCrash({ fingerprint, target });
+            },
+        },
+        getTable: () => table,
+        recordAnswer: () => undefined,
+    });
+
+    const front =
+        settings.frontAddress === undefined
+            ? undefined
+            : frontServer.createFrontServer({
+                  address: settings.frontAddress,
+                  clock: scheduler,
+                  getLimits: () => state.getConfiguration()?.limits,
+                  handle: handler.handle,
+                  formatRefusal: handler.formatRefusal,
+              });
+
+    const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
+        logger.info("config: applied", { version: configuration.version, routes: configuration.routes.length });
+        table = routeTable.createRouteTable(configuration.routes);
+        services.clear();
+        configuration.services.forEach(service => services.set(service.name, service));
+    };
+
+    const pickFronts = (question: types.LookupQuestion): readonly shared.Address[] => {
+        const peers = members.listPeers();
+        const picked = frontChoice.pickFronts(peers, question.zone);
+        return picked.map(peer => peer.frontAddress);
+    };
+
+    const lookupLifetimeMs = Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
+
+    const listenForLookups = async (): Promise<void> => {
+        const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
+        for (const address of addresses) {
+            if (address !== undefined) {
+                await lookupServer.listenForLookups({
+                    address,
+                    dialect: options.lookup,
+                    lifetimeMs: lookupLifetimeMs,
+                    isReady,
+                    pickFronts,
+                });
+            }
+        }
+    };
+
+    const wait = (delayMs: number): Promise<void> =>
+        new Promise(resolve => void scheduler.schedule(delayMs, resolve));
+
+    return {
+        start: async () => {
+            state.onDidChangeConfiguration(handleConfiguration);
+            state.onDidChangeTargets(() => book.setTargets(state.listTargets()));
+            book.onDidFree(service => line.offer(service));
+            await listenForLookups();
+            await front?.listen();
+            await members.start();
+            prober.start();
+            logger.info("life: started", { vm: settings.vm, incarnation, zone: settings.zone });
+        },
+        stop: async () => {
+            isLeaving = true;
+            const endsAtMs = scheduler.now() + bounds.graceMs - graceMarginMs;
+            logger.info("life: leaving", { connections: front?.countConnections() });
+            members.sendHello();
+            front?.startLeaving();
+            await wait(Math.min(lookupLifetimeMs * lookupKeepFactor, bounds.graceMs / 2));
+            front?.closeIdle();
+            while ((front?.countConnections() ?? 0) > 0 && scheduler.now() < endsAtMs) {
+                await wait(leaveCheckMs);
+                front?.closeIdle();
+            }
+            logger.info("life: stopped", { connections: front?.countConnections() });
+        },
+    };
+};
