--- a/src/node/routes/frontServer.ts
+++ b/src/node/routes/frontServer.ts
@@ -29,6 +29,8 @@
     readonly statusCode: number;
     readonly headers: types.RawHeaders;
     readonly body: Buffer;
+    /** False if the body is to end with the connection, as it did at the target. */
+    readonly isDelimited: boolean;
 }
 
 export interface FrontServer extends shared.Disposable {
@@ -87,8 +89,13 @@
         if (response.destroyed || response.headersSent) {
             return;
         }
-        const headers = [...answer.headers, "Content-Length", String(answer.body.length)];
-        if (closes || isLeaving) {
+        const headers = [...answer.headers];
+        if (answer.isDelimited) {
+            headers.push("Content-Length", String(answer.body.length));
+        } else {
+            response.useChunkedEncodingByDefault = false;
+        }
+        if (closes || isLeaving || !answer.isDelimited) {
             headers.push("Connection", "close");
         }
         response.writeHead(answer.statusCode, headers);
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -1,6 +1,7 @@
 /**
- * The connecting side between entry VMs: keeps a connection to the oldest VM that has a fresh view of the store. While
- * there is none, this VM follows the store itself.
+ * The connecting side between entry VMs: keeps a connection to the oldest VM that can be reached. A hub whose view of the
+ * store is old is left only if this VM reaches the store itself; while the store is away for all, the hub still tells
+ * which VMs live.
  */
 import * as net from "node:net";
 import * as routes from "../../common/routes/Types.js";
@@ -15,7 +16,7 @@
 const openTimeoutMs = 250;
 /** A hub that has not given its first beat by then is passed over. */
 const firstBeatTimeoutMs = 300;
-/** A hub with an older view of the store is left. */
+/** A hub with an older view of the store does not count as fresh. */
 const freshAgeMs = 2_200;
 /** A VM that follows the store itself looks for an older one this often. */
 const searchIntervalMs = 2_000;
@@ -28,6 +29,7 @@
     isLinked(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
+    countCandidates(): number;
     /** VMs that may be a hub. */
     setCandidates(peers: readonly routes.Peer[]): void;
     sendHello(): void;
@@ -40,9 +42,13 @@
     readonly logger: shared.Logger;
     readonly seeds: readonly shared.Address[];
     getOwn(): routes.Peer;
+    /** Whether this VM follows the store itself, with success. */
+    isStoreFresh(): boolean;
     handleMessages(channel: peerChannel.PeerChannel): void;
+    /** This VM has joined a hub. */
     handleLinked(): void;
-    handleLost(): void;
+    /** Whether this VM needs its own view of the store; told again and again. */
+    handleNeed(needsStore: boolean): void;
 }
 
 interface Link {
@@ -68,8 +74,12 @@
     let isSearching = false;
     let timer: shared.Disposable | undefined;
 
-    const isFresh = (entry: Link): boolean =>
-        scheduler.now() - entry.beatAtMs < peerHub.beatIntervalMs * peerHub.missedBeats && entry.ageMs < freshAgeMs;
+    const isHeard = (entry: Link): boolean =>
+        scheduler.now() - entry.beatAtMs < peerHub.beatIntervalMs * peerHub.missedBeats;
+
+    const isFresh = (entry: Link): boolean => entry.ageMs < freshAgeMs;
+
+    const isUseful = (entry: Link): boolean => isHeard(entry) && (isFresh(entry) || !options.isStoreFresh());
 
     /** Older VMs in the order of their age, then seeds that are not known as VMs. */
     const listAddresses = (): shared.Address[] => {
@@ -131,7 +141,7 @@
     const tryAddress = async (address: shared.Address): Promise<boolean> => {
         const socket = await openSocket(address);
         const entry = socket === undefined ? undefined : await join(socket, address);
-        if (entry === undefined || !isFresh(entry) || isDisposed) {
+        if (entry === undefined || !isUseful(entry) || isDisposed) {
             socket?.destroy();
             avoided.set(address, scheduler.now() + avoidMs);
             return false;
@@ -174,15 +184,16 @@
         }
         isSearching = false;
         if (!isFound) {
-            options.handleLost();
+            options.handleNeed(true);
         }
     };
 
     const check = (): void => {
         if (link !== undefined) {
             link.channel.send("peer.hello", { peer: options.getOwn() });
-            if (!isFresh(link)) {
-                lose("not fresh");
+            options.handleNeed(!isFresh(link));
+            if (!isUseful(link)) {
+                lose(isHeard(link) ? "old view of the store" : "silent");
             }
         }
         timer = scheduler.schedule(peerHub.beatIntervalMs, check);
@@ -201,6 +212,7 @@
         },
         isLinked: () => link !== undefined,
         listPeers: () => peers,
+        countCandidates: () => candidates.length,
         setCandidates: known => {
             candidates = known;
         },
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -12,12 +12,18 @@
 
 const registerTimeoutMs = 1_000;
 const registerBackoffMs = 1_000;
+/** Longer than a call that waits for a change. */
+const ownFreshMs = 2_000;
 const noAddress = "" as shared.Address;
 
 export interface Membership extends shared.Disposable {
     start(): Promise<void>;
+    /** Whether this VM is connected to a hub, or others are connected to it. */
+    isConnected(): boolean;
     /** VMs that live as far as this VM knows, oldest first; at least this one. */
     listPeers(): readonly routes.Peer[];
+    /** Number of VMs that may live, whether they can be reached or not. */
+    countKnown(): number;
     /** Tells the peers at once that this VM's readiness has changed. */
     sendHello(): void;
     sendReports(reports: readonly types.SharedReport[]): void;
@@ -91,8 +97,9 @@
             channel.on("load.reports", ({ reports }) => options.handleReports(reports));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
-        handleLinked: () => follower.stop(),
-        handleLost: () => follower.start(),
+        isStoreFresh: () => follower.isRunning() && follower.computeAgeMs() < ownFreshMs,
+        handleLinked: () => hub?.closeSpokes(),
+        handleNeed: needsStore => (needsStore ? follower.start() : follower.stop()),
     });
 
     const register = async (): Promise<void> => {
@@ -114,6 +121,7 @@
             await register();
             link.start();
         },
+        isConnected: () => link.isLinked() || (hub?.listPeers().length ?? 1) > 1,
         listPeers: () => {
             if (link.isLinked()) {
                 const told = link.listPeers().filter(peer => peer.vm !== settings.vm);
@@ -121,6 +129,7 @@
             }
             return hub?.listPeers() ?? [getOwn()];
         },
+        countKnown: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
         sendReports: reports => {
             link.sendReports(reports);
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -18,6 +18,8 @@
     listen(): Promise<void>;
     /** VMs that are connected and were heard lately. */
     listPeers(): readonly routes.Peer[];
+    /** Sends the connected VMs away, as this VM is no hub any more. */
+    closeSpokes(): void;
     pushChanges(changes: readonly routes.StateChange[]): void;
     pushReports(reports: readonly types.SharedReport[]): void;
     pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
@@ -149,6 +151,7 @@
                 server.listen({ host, port }, resolve);
             }),
         listPeers,
+        closeSpokes: () => spokes.forEach(spoke => spoke.channel.dispose()),
         pushChanges: changes => push("state.changes", { changes }),
         pushReports: reports => push("load.reports", { reports }),
         pushCrashes: reports => push("crash.reports", { reports }),
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -57,7 +57,7 @@
         if (retryAfterMs !== undefined) {
             headers.push(retryAfterHeader, String(retryAfterMs / 1_000));
         }
-        return { statusCode, headers, body: Buffer.from(`${reason}\n`) };
+        return { statusCode, headers, body: Buffer.from(`${reason}\n`), isDelimited: true };
     };
 
     const formatFinal = (
@@ -66,8 +66,8 @@
     ): frontServer.ClientAnswer | undefined => {
         switch (answer.kind) {
             case "target": {
-                const { statusCode, head, body } = answer.answer;
-                return { statusCode, headers: head.forwarded, body };
+                const { statusCode, head, body, isDelimited } = answer.answer;
+                return { statusCode, headers: head.forwarded, body, isDelimited };
             }
             case "refused":
                 return formatOwn(requestId, 503, answer.reason, answer.retryAfterMs);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -97,12 +97,16 @@
     const budget = retryBudget.createRetryBudget({
         scheduler,
         getPolicy: () => {
-            const extra = (bounds.retryExtra * retryUse) / countSenders();
+            const extra = bounds.retryExtra * computeExtraShare();
             const perSecond = (extra * 1_000) / bounds.retryWindowMs;
             // A full bucket and the refill of a window together stay within the extra of the window.
             return { share: bounds.retryShare * retryUse, floor: { perSecond: perSecond / 2, burst: extra / 2 } };
         },
     });
+    /** VMs that clients are sent to get half of the extra retries, all others together a part of the rest. */
+    const computeExtraShare = (): number =>
+        members.isConnected() && isFront() ? 0.5 / countSenders() : 0.3 / members.countKnown();
+
     /** Whether clients are sent to this VM. */
     const isFront = (): boolean => {
         const peers = members.listPeers();
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -18,6 +18,8 @@
     readonly statusCode: number;
     readonly head: types.AnswerHead;
     readonly body: Buffer;
+    /** False if the body ended with the connection: nobody can tell whether it is whole. */
+    readonly isDelimited: boolean;
 }
 
 export type ExchangeResult =
@@ -54,6 +56,7 @@
     readonly chunks: Buffer[];
     bytes: number;
     readonly keepsAlive: boolean;
+    readonly isDelimited: boolean;
 }
 
 export interface ConnectionOptions {
@@ -79,7 +82,6 @@
     const parser = new httpParser.HTTPParser("RESPONSE");
     let pending: Pending | undefined;
     let partial: PartialAnswer | undefined;
-    let isEndedByClose = false;
     let isSpoiled = false;
     let isClosed = false;
     let lastByteAtMs = clock.now();
@@ -105,8 +107,8 @@
         if (!keepsOpen) {
             close("not kept open");
         }
-        const { statusCode, head, chunks } = answer;
-        waiting?.resolve({ kind: "answer", answer: { statusCode, head, body: Buffer.concat(chunks) } });
+        const { statusCode, head, chunks, isDelimited } = answer;
+        waiting?.resolve({ kind: "answer", answer: { statusCode, head, body: Buffer.concat(chunks), isDelimited } });
     };
 
     const handleHeaders = (info: {
@@ -121,10 +123,10 @@
             isSpoiled = true;
             return 0;
         }
-        isEndedByClose = !hasLength(info.headers) && info.statusCode !== 204 && info.statusCode !== 304;
+        const isDelimited = hasLength(info.headers) || info.statusCode === 204 || info.statusCode === 304;
         const head = dialect.readAnswer(info.statusCode, info.headers);
-        const keepsAlive = info.shouldKeepAlive && !isEndedByClose;
-        partial = { statusCode: info.statusCode, head, chunks: [], bytes: 0, keepsAlive };
+        const keepsAlive = info.shouldKeepAlive && isDelimited;
+        partial = { statusCode: info.statusCode, head, chunks: [], bytes: 0, keepsAlive, isDelimited };
         return pending.request.method === "HEAD" ? 1 : 0;
     };
 
@@ -172,7 +174,7 @@
     };
 
     const handleEnd = (): void => {
-        if (isEndedByClose && partial !== undefined && pending !== undefined) {
+        if (partial?.isDelimited === false) {
             handleComplete();
         }
         close("closed by the target");
