Send clients to as few entry VMs as bear the requests; probe targets silent for 150 ms

Cause: with one front a zone each VM saw a third of the answers, and a target's pace changes twice a second, so that a quarter of the picks met a slow target. Ruled out: head-of-line blocking of pipelined clients as the main loss (server-side p90 was 237 ms at Mareeba for 90 ms of work). Conclusion: one front and fresh reports; sharing of reports between fronts matters only where demand needs several.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -134,4 +134,6 @@
     /** Share of a core that the VM has. */
     readonly cores: number;
     readonly isReady: boolean;
+    /** Requests that the VM takes from clients. */
+    readonly requestsPerSecond: number;
 }
--- a/src/common/routes/frontChoice.ts
+++ b/src/common/routes/frontChoice.ts
@@ -5,40 +5,47 @@
 import * as shared from "../Types.js";
 import * as types from "./Types.js";
 
-/** VMs that take the requests of a zone; the second one serves while the first one's loss is not yet noticed. */
-export const frontsPerZone = 1;
+/** Requests per second that a whole core serves while its queue stays short (docs/platform.md, "Fronts"). */
+const requestsPerCore = 700;
+/** Share of a VM's capacity that is planned with; the rest is for bursts until the next VM joins in. */
+const plannedShare = 0.4;
+
+const computeCapacity = (peer: types.Peer): number => peer.cores * requestsPerCore * plannedShare;
+
+/** The strongest VMs first; among equal ones the oldest, so that the choice rarely changes. */
+const comparePeers = (left: types.Peer, right: types.Peer): number =>
+    right.cores - left.cores || left.rank - right.rank;
 
 /**
- * Picks the VMs for the clients of a zone.
+ * Lists the VMs that clients are sent to: as few as bear the requests.
  *
- * @param peers - VMs that live, oldest first
- * @param zone - the clients' zone, or undefined if not known
- * @returns VMs to name, or an empty list if none is ready
+ * @param peers - VMs that live
+ * @returns the fronts; empty if no VM is ready
  */
-export const pickFronts = (
-    peers: readonly types.Peer[],
-    zone: shared.ZoneName | undefined,
-): readonly types.Peer[] => {
-    const ready = peers.filter(peer => peer.isReady);
-    const near = ready.filter(peer => peer.zone === zone);
-    if (near.length > 0) {
-        return near.slice(0, frontsPerZone);
+export const listFronts = (peers: readonly types.Peer[]): readonly types.Peer[] => {
+    const demand = peers.reduce((sum, peer) => sum + peer.requestsPerSecond, 0);
+    const ready = peers.filter(peer => peer.isReady).sort(comparePeers);
+    const fronts: types.Peer[] = [];
+    let capacity = 0;
+    for (const peer of ready) {
+        if (fronts.length > 0 && capacity >= demand) {
+            break;
+        }
+        fronts.push(peer);
+        capacity += computeCapacity(peer);
     }
-    const oldest = ready[0];
-    return oldest === undefined ? [] : ready.filter(peer => peer.zone === oldest.zone).slice(0, frontsPerZone);
+    return fronts;
 };
 
 /**
- * Counts the VMs that clients are sent to, over all zones.
+ * Picks the VMs for the clients of a zone.
  *
- * @param peers - VMs that live, oldest first
- * @returns the count
+ * @param peers - VMs that live
+ * @param zone - the clients' zone, or undefined if not known
+ * @returns the fronts in that zone, or all fronts if it has none
  */
-export const countFronts = (peers: readonly types.Peer[]): number => {
-    const zones = new Set(peers.map(peer => peer.zone));
-    const fronts = new Set<shared.VmId>();
-    for (const zone of zones) {
-        pickFronts(peers, zone).forEach(peer => fronts.add(peer.vm));
-    }
-    return fronts.size;
+export const pickFronts = (peers: readonly types.Peer[], zone: shared.ZoneName | undefined): readonly types.Peer[] => {
+    const fronts = listFronts(peers);
+    const near = fronts.filter(peer => peer.zone === zone);
+    return near.length > 0 ? near : fronts;
 };
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -38,6 +38,7 @@
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     isReady(): boolean;
+    computeRequestRate(): number;
     handleReports(reports: readonly types.SharedReport[]): void;
     handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
@@ -62,6 +63,7 @@
         rank,
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
+        requestsPerSecond: Math.round(options.computeRequestRate()),
     });
 
     const follower = storeFollower.createStoreFollower({
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -87,7 +87,10 @@
         const text = JSON.stringify(peers);
         const isNews = text !== spoke.told;
         spoke.told = text;
-        spoke.channel.send("hub.beat", { ageMs: Math.min(60_000, options.computeAgeMs()), peers: isNews ? peers : null });
+        spoke.channel.send("hub.beat", {
+            ageMs: Math.min(60_000, options.computeAgeMs()),
+            peers: isNews ? peers : null,
+        });
     };
 
     const handleHello = (spoke: Spoke, peer: routes.Peer): void => {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -7,6 +7,7 @@
 import * as retryBudget from "../../common/limits/retryBudget.js";
 import * as random from "../../common/random.js";
 import * as frontChoice from "../../common/routes/frontChoice.js";
+import * as rate from "../../common/routes/rate.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as targetBook from "../../common/routes/targetBook.js";
@@ -64,6 +65,8 @@
     let table: routeTable.RouteTable | undefined;
     let isLeaving = false;
 
+    const requestRate = rate.createRate(scheduler);
+
     const isReady = (): boolean => table !== undefined && !isLeaving;
 
     const members = membership.createMembership({
@@ -74,10 +77,11 @@
         scheduler,
         logger,
         isReady,
+        computeRequestRate: requestRate.compute,
         handleReports: reports => reports.forEach(applyReport),
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
-    const countSenders = (): number => Math.max(1, frontChoice.countFronts(members.listPeers()));
+    const countSenders = (): number => Math.max(1, frontChoice.listFronts(members.listPeers()).length);
 
     const book = targetBook.createTargetBook({
         scheduler,
@@ -108,10 +112,7 @@
         members.isConnected() && isFront() ? 0.5 / countSenders() : 0.3 / members.countKnown();
 
     /** Whether clients are sent to this VM. */
-    const isFront = (): boolean => {
-        const peers = members.listPeers();
-        return frontChoice.pickFronts(peers, settings.zone).some(peer => peer.vm === settings.vm);
-    };
+    const isFront = (): boolean => frontChoice.listFronts(members.listPeers()).some(peer => peer.vm === settings.vm);
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
     const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: isFront });
@@ -135,7 +136,7 @@
             },
         },
         getTable: () => table,
-        recordAnswer: () => undefined,
+        recordAnswer: () => requestRate.record(),
     });
 
     const front =
@@ -179,8 +180,7 @@
         }
     };
 
-    const wait = (delayMs: number): Promise<void> =>
-        new Promise(resolve => void scheduler.schedule(delayMs, resolve));
+    const wait = (delayMs: number): Promise<void> => new Promise(resolve => void scheduler.schedule(delayMs, resolve));
 
     return {
         start: async () => {
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -69,7 +69,10 @@
  */
 export const createStoreFollower = (options: StoreFollowerOptions): StoreFollower => {
     const { store, state, scheduler, logger } = options;
-    const tables = [createTable("operators", operatorsWaitMs, 0), createTable("targets", targetsWaitMs, targetsIntervalMs)];
+    const tables = [
+        createTable("operators", operatorsWaitMs, 0),
+        createTable("targets", targetsWaitMs, targetsIntervalMs),
+    ];
     let run = 0;
     let isRunning = false;
     const timers = new Map<TableState, shared.Disposable>();
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -7,9 +7,9 @@
 import * as targetSender from "./targetSender.js";
 
 const probeTimeoutMs = 500;
-/** Targets that were silent for longer are asked. */
-const silentAfterMs = 1_000;
-const checkIntervalMs = 100;
+/** Targets that were silent for longer are asked: a report is worth little after `slowdown.reportLifetimeMs`. */
+const silentAfterMs = 150;
+const checkIntervalMs = 50;
 
 export interface TargetProber extends shared.Disposable {
     start(): void;
