--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,12 +2,12 @@
 import * as tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["out/**", "node_modules/**"] },
+    { ignores: ["out/**", "target/**", "node_modules/**"] },
     js.configs.recommended,
     ...tseslint.configs.recommendedTypeChecked,
     {
-        files: ["src/**/*.ts"],
-        languageOptions: { parserOptions: { project: "./tsconfig.json" } },
+        files: ["src/**/*.ts", "platform/**/*.ts"],
+        languageOptions: { parserOptions: { project: ["./tsconfig.json", "./tsconfig.platform.json"] } },
         rules: {
             curly: ["error", "all"],
             eqeqeq: ["error", "always"],
@@ -34,7 +34,7 @@
     },
     {
         // The default export is how ava offers its test function.
-        files: ["src/**/*.test.ts"],
+        files: ["src/**/*.test.ts", "platform/**/*.test.ts"],
         rules: { "no-restricted-syntax": "off" },
     },
     { files: ["*.js"], ...tseslint.configs.disableTypeChecked },
--- /dev/null
+++ b/src/common/routes/routes.test.ts
@@ -0,0 +1,111 @@
+import test from "ava";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as ids from "../ids.js";
+import * as frontChoice from "./frontChoice.js";
+import * as rate from "./rate.js";
+import * as routeTable from "./routeTable.js";
+import * as waitLine from "./waitLine.js";
+
+test("the route with the longest prefix of the host is found", t => {
+    const table = routeTable.createRouteTable([
+        fixture.createRoute({ name: "short", prefix: "/a/" }),
+        fixture.createRoute({ name: "long", prefix: "/a/b/" }),
+        fixture.createRoute({ name: "other", host: "other.org", prefix: "/a/b/c/" }),
+    ]);
+    t.is(table.find("example.org", "/a/b/c/d")?.name, "long");
+    t.is(table.find("example.org", "/a/x")?.name, "short");
+    t.is(table.find("example.org", "/ab"), undefined);
+});
+
+test("a split follows its weights", t => {
+    const other = ids.toServiceName("other");
+    const services = [
+        { service: fixture.service, weight: 90 },
+        { service: other, weight: 10 },
+    ];
+    const route = fixture.createRoute({ services });
+    const table = routeTable.createRouteTable([route]);
+    const picks = Array.from({ length: 200 }, () => table.pickService(route));
+    t.is(picks.filter(service => service === other).length, 20);
+});
+
+test("as few VMs as bear the requests are fronts, the strongest and oldest first", t => {
+    const peers = [
+        fixture.createPeer("weak", { cores: 0.25, rank: 1 }),
+        fixture.createPeer("young", { rank: 3 }),
+        fixture.createPeer("old", { rank: 2 }),
+        fixture.createPeer("leaving", { rank: 0, isReady: false }),
+    ];
+    const listNames = (demand: number): string[] =>
+        frontChoice
+            .listFronts(peers.map(peer => ({ ...peer, requestsPerSecond: demand / peers.length })))
+            .map(peer => peer.vm);
+    t.deepEqual(listNames(10), ["old"]);
+    t.deepEqual(listNames(200), ["old", "young"]);
+    t.deepEqual(listNames(10_000), ["old", "young", "weak"]);
+});
+
+test("clients get the fronts of their zone, or all if it has none", t => {
+    const peers = [
+        fixture.createPeer("a", { requestsPerSecond: 200 }),
+        fixture.createPeer("b", { rank: 2, zone: fixture.otherZone }),
+    ];
+    t.deepEqual(
+        frontChoice.pickFronts(peers, fixture.otherZone).map(peer => peer.vm),
+        [ids.toVmId("b")],
+    );
+    t.is(frontChoice.pickFronts(peers, undefined).length, 2);
+    t.deepEqual(frontChoice.pickFronts([], fixture.zone), []);
+});
+
+test("a rate settles at the number of events per second", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const events = rate.createRate(scheduler);
+    for (let count = 0; count < 300; count++) {
+        await scheduler.advance(50);
+        events.record();
+    }
+    t.is(Math.round(events.compute()), 20);
+});
+
+test("waiting requests get free slots by priority, then in order", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const line = waitLine.createWaitLine<string>(scheduler);
+    const { signal } = new AbortController();
+    let free = 0;
+    const order: string[] = [];
+    const wait = (name: string, priority: number): void => {
+        const take = (): string | undefined => (free-- > 0 ? name : undefined);
+        const entry = { service: fixture.service, priority, longestWaitMs: 1_000, signal, take };
+        void line.wait(entry).then(value => order.push(value ?? `${name} expired`));
+    };
+    wait("second", 2);
+    wait("third", 2);
+    wait("first", 1);
+    for (let count = 0; count < 2; count++) {
+        free = 1;
+        line.offer(fixture.service);
+        await scheduler.advance(1);
+    }
+    await scheduler.advance(2_000);
+    t.deepEqual(order, ["first", "second", "third expired"]);
+});
+
+test("an aborted wait takes no slot", async t => {
+    const line = waitLine.createWaitLine<string>(virtualScheduler.createVirtualScheduler());
+    const left = new AbortController();
+    let isFree = false;
+    const waiting = line.wait({
+        service: fixture.service,
+        priority: 0,
+        longestWaitMs: 1_000,
+        signal: left.signal,
+        take: () => (isFree ? "slot" : undefined),
+    });
+    left.abort();
+    isFree = true;
+    line.offer(fixture.service);
+    t.is(await waiting, undefined);
+    t.is(line.count(fixture.service), 0);
+});
--- /dev/null
+++ b/src/common/routes/sharedState.test.ts
@@ -0,0 +1,81 @@
+import test from "ava";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as ids from "../ids.js";
+import * as sharedState from "./sharedState.js";
+
+const listIds = (state: sharedState.SharedState): string[] => [...state.listTargets()].map(target => target.id);
+
+test("an older row never replaces a newer one, in whatever order they come", t => {
+    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const draining = fixture.createRegistration("a", { state: "draining" });
+    state.applyChanges([fixture.createTargetChange(5, draining)]);
+    state.applyChanges([fixture.createTargetChange(4, fixture.createRegistration("a"))]);
+    t.deepEqual([...state.listTargets()], [draining]);
+});
+
+test("a configuration with a lower version does not revert the one in force", t => {
+    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    state.applyChanges([{ kind: "configuration", version: 5, configuration: fixture.createConfiguration(9) }]);
+    state.applyChanges([{ kind: "configuration", version: 6, configuration: fixture.createConfiguration(8) }]);
+    t.is(state.getConfiguration()?.version, 9);
+});
+
+test("a snapshot removes the rows that it lacks, but none that are newer than it", t => {
+    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    state.applyChanges([
+        fixture.createTargetChange(3, fixture.createRegistration("old")),
+        fixture.createTargetChange(9, fixture.createRegistration("new")),
+        { kind: "zone", version: 2, zone: fixture.zone, isOut: true },
+    ]);
+    state.applySnapshot({ table: "targets", version: 7, changes: [] }, false);
+    t.deepEqual(listIds(state), ["new"]);
+    t.true(state.isZoneOut(fixture.zone));
+    state.applySnapshot({ table: "operators", version: 10, changes: [] }, false);
+    t.false(state.isZoneOut(fixture.zone));
+});
+
+test("a row that is written again without a change has no effect", t => {
+    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
+    t.deepEqual(state.applyChanges([fixture.createTargetChange(2, fixture.createRegistration("a"))]), []);
+});
+
+test("a target whose row lapsed stays in use for a short time, and longer if it registers again", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const state = sharedState.createSharedState(scheduler);
+    const lapse = (version: number, id: string) =>
+        ({ kind: "target", version, id: ids.toTargetId(id), registration: undefined, isLapse: true }) as const;
+    state.applyChanges([
+        fixture.createTargetChange(1, fixture.createRegistration("back")),
+        fixture.createTargetChange(1, fixture.createRegistration("gone")),
+    ]);
+    state.applyChanges([lapse(2, "back"), lapse(2, "gone")]);
+    await scheduler.advance(1_000);
+    t.deepEqual(listIds(state), ["back", "gone"]);
+    state.applyChanges([fixture.createTargetChange(3, fixture.createRegistration("back"))]);
+    await scheduler.advance(10_000);
+    t.deepEqual(listIds(state), ["back"]);
+});
+
+test("a removal that is no lapse ends the use of a target at once", t => {
+    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
+    state.applyChanges([fixture.createTargetChange(2, undefined, ids.toTargetId("a"))]);
+    t.deepEqual(listIds(state), []);
+});
+
+test("a peer that joins gets all rows that are there", t => {
+    const source = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    source.applyChanges([
+        { kind: "configuration", version: 1, configuration: fixture.createConfiguration(3) },
+        { kind: "zone", version: 2, zone: fixture.zone, isOut: true },
+        fixture.createTargetChange(3, fixture.createRegistration("a")),
+        fixture.createTargetChange(4, undefined, ids.toTargetId("b")),
+    ]);
+    const joined = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
+    t.deepEqual(listIds(joined), ["a"]);
+    t.is(joined.getConfiguration()?.version, 3);
+    t.true(joined.isZoneOut(fixture.zone));
+});
--- /dev/null
+++ b/src/common/routes/targetBook.test.ts
@@ -0,0 +1,121 @@
+import test from "ava";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as ids from "../ids.js";
+import * as random from "../random.js";
+import * as shared from "../Types.js";
+import * as targetBook from "./targetBook.js";
+import * as types from "./Types.js";
+
+const createWorld = (registrations: readonly types.Registration[], senders = 1) => {
+    const scheduler = virtualScheduler.createVirtualScheduler(1_000);
+    const zonesOut = new Set<shared.ZoneName>();
+    const book = targetBook.createTargetBook({
+        scheduler,
+        random: random.createRandom(7),
+        zone: fixture.zone,
+        isZoneOut: zone => zonesOut.has(zone),
+        getService: () => fixture.createConfiguration(1).services[0],
+        countSenders: () => senders,
+    });
+    book.setTargets(registrations);
+    const route = fixture.createRoute();
+    const pick = (exclude: readonly string[] = []): targetBook.Pick =>
+        book.pick({ service: fixture.service, route, exclude: new Set(exclude.map(ids.toTargetId)) });
+    const pickId = (exclude: readonly string[] = []): string => {
+        const result = pick(exclude);
+        return result.kind === "target" ? result.ticket.registration.id : result.kind;
+    };
+    return { book, scheduler, zonesOut, pick, pickId };
+};
+
+const report = (slowdown: number): types.LoadReport => ({ running: 0, waiting: 0, slots: 2, slowdown });
+
+test("targets that drain, in a zone that is out, or that were tried already are not picked", t => {
+    const { zonesOut, pickId } = createWorld([
+        fixture.createRegistration("draining", { state: "draining" }),
+        fixture.createRegistration("out", { zone: fixture.otherZone }),
+        fixture.createRegistration("tried"),
+    ]);
+    zonesOut.add(fixture.otherZone);
+    t.is(pickId(["tried"]), "none");
+    t.is(pickId(), "tried");
+});
+
+test("no target gets more requests than it has slots", t => {
+    const { pickId } = createWorld([fixture.createRegistration("a"), fixture.createRegistration("b")]);
+    const picked = [pickId(), pickId(), pickId(), pickId()].sort();
+    t.deepEqual(picked, ["a", "a", "b", "b"]);
+    t.is(pickId(), "full");
+});
+
+test("requests of other VMs, by the target's report, take slots too", t => {
+    const { book, scheduler, pickId } = createWorld([fixture.createRegistration("a")]);
+    book.applyReport(ids.toTargetId("a"), { running: 2, waiting: 0, slots: 2, slowdown: 1 }, scheduler.now());
+    t.is(pickId(), "full");
+});
+
+test("a target that reports that it is slow is avoided until the report is old", async t => {
+    const { book, scheduler, pick, pickId } = createWorld([
+        fixture.createRegistration("slow"),
+        fixture.createRegistration("quick", { zone: fixture.otherZone }),
+    ]);
+    book.applyReport(ids.toTargetId("slow"), report(7), scheduler.now());
+    book.applyReport(ids.toTargetId("quick"), report(1), scheduler.now());
+    t.is(pickId(), "quick");
+    await scheduler.advance(5_000);
+    const result = pick();
+    t.is(result.kind === "target" ? result.ticket.registration.id : "", "slow");
+});
+
+test("an attempt that is overdue shows that its target has turned slow", async t => {
+    const { book, scheduler, pickId } = createWorld([
+        fixture.createRegistration("a"),
+        fixture.createRegistration("b", { zone: fixture.otherZone }),
+    ]);
+    book.applyReport(ids.toTargetId("a"), report(1), scheduler.now());
+    book.applyReport(ids.toTargetId("b"), report(1), scheduler.now());
+    t.is(pickId(), "a");
+    await scheduler.advance(400);
+    t.is(pickId(), "b");
+});
+
+test("a cold target gets its rate divided by the number of senders", async t => {
+    const { scheduler, pick, pickId } = createWorld([fixture.createRegistration("cold", { coldLeftMs: 60_000 })], 2);
+    let sent = 0;
+    for (let count = 0; count < 20; count++) {
+        const result = pick();
+        if (result.kind === "target") {
+            sent++;
+            result.ticket.finish({ kind: "answered", latencyMs: 1, isFailure: false }, undefined);
+        }
+    }
+    t.is(sent, 5);
+    await scheduler.advance(1_001);
+    t.is(pickId(), "cold");
+});
+
+test("a target that starts again under its id is a new one", t => {
+    const { book, pickId } = createWorld([fixture.createRegistration("a")]);
+    t.is(pickId(), "a");
+    t.is(pickId(), "a");
+    t.is(pickId(), "full");
+    book.setTargets([fixture.createRegistration("a", { startedAtMs: 2 })]);
+    t.is(pickId(), "a");
+});
+
+test("a target that fails three times in a row is ejected while others are there", t => {
+    const { pick, pickId } = createWorld([
+        fixture.createRegistration("bad"),
+        fixture.createRegistration("good", { zone: fixture.otherZone, slots: 100 }),
+    ]);
+    for (let count = 0; count < 3; count++) {
+        const result = pick(["good"]);
+        t.is(result.kind, "target");
+        if (result.kind === "target") {
+            result.ticket.finish({ kind: "broken" }, undefined);
+        }
+    }
+    t.is(pickId(), "good");
+    t.is(pickId(["good"]), "bad");
+});
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -99,7 +99,9 @@
             }
             socket.write(`${JSON.stringify(jsonRpc.createJSONRPCNotification(method, params))}\n`);
         },
-        on: (method, handler) => server.addMethod(method, params => handler(params)),
+        // Peers run the same program, so that a message has the form of its type.
+        on: <M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void) =>
+            server.addMethod(method, (params: unknown) => handler(params as PeerMessages[M])),
         getHeardAtMs: () => heardAtMs,
         dispose: close,
     };
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -92,7 +92,12 @@
             return;
         }
         isClosed = true;
-        socket.destroy();
+        if (pending === undefined) {
+            socket.destroy();
+        } else {
+            // A reset also drops bytes that have not reached the target yet; it must not begin an abandoned request.
+            socket.resetAndDestroy();
+        }
         const waiting = pending;
         pending = undefined;
         options.onClose();
@@ -145,7 +150,7 @@
     };
 
     parser[httpParser.HTTPParser.kOnHeaders] = () => undefined;
-    parser[httpParser.HTTPParser.kOnHeadersComplete] = handleHeaders as never;
+    parser[httpParser.HTTPParser.kOnHeadersComplete] = handleHeaders;
     parser[httpParser.HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
         if (partial === undefined) {
             return;
--- /dev/null
+++ b/src/testing/routes/fixture.ts
@@ -0,0 +1,133 @@
+/**
+ * Values for tests of the routing by host and path.
+ */
+import * as ids from "../../common/ids.js";
+import * as routes from "../../common/routes/Types.js";
+import * as nodeRoutes from "../../node/routes/Types.js";
+
+export const service = ids.toServiceName("bookings");
+export const zone = ids.toZoneName("west-a");
+export const otherZone = ids.toZoneName("west-b");
+
+/**
+ * Creates a route.
+ *
+ * @param fields - what differs from an idempotent route
+ * @returns the route
+ */
+export const createRoute = (fields: Partial<routes.Route> = {}): routes.Route => ({
+    name: "jobs",
+    host: "example.org",
+    prefix: "/jobs/",
+    kind: "idempotent",
+    timeoutMs: 1_000,
+    objectiveMs: 300,
+    priority: 1,
+    maxTargets: 2,
+    services: [{ service, weight: 1 }],
+    ...fields,
+});
+
+/**
+ * Creates a registration.
+ *
+ * @param id - the target
+ * @param fields - what differs from a warm target in the own zone
+ * @returns the registration
+ */
+export const createRegistration = (id: string, fields: Partial<routes.Registration> = {}): routes.Registration => ({
+    id: ids.toTargetId(id),
+    service,
+    address: ids.toAddress("127.0.0.1:1"),
+    zone,
+    slots: 2,
+    state: "ready",
+    coldLeftMs: 0,
+    startedAtMs: 1,
+    ...fields,
+});
+
+/**
+ * Creates the change that registers a target.
+ *
+ * @param version - the row's version
+ * @param registration - its content; undefined for a removal
+ * @param id - the target, if there is no content
+ * @returns the change
+ */
+export const createTargetChange = (
+    version: number,
+    registration: routes.Registration | undefined,
+    id = registration?.id ?? ids.toTargetId("none"),
+): routes.StateChange => ({ kind: "target", version, id, registration });
+
+/**
+ * Creates a configuration with one route.
+ *
+ * @param version - its version
+ * @returns the configuration
+ */
+export const createConfiguration = (version: number): routes.RouteConfiguration => ({
+    version,
+    routes: [createRoute()],
+    services: [{ name: service, healthPath: "/health", maxConnections: 100, coldPerSecond: 10 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+});
+
+/**
+ * Creates a peer.
+ *
+ * @param vm - its name
+ * @param fields - what differs from a ready VM without requests
+ * @returns the peer
+ */
+export const createPeer = (vm: string, fields: Partial<routes.Peer> = {}): routes.Peer => ({
+    vm: ids.toVmId(vm),
+    incarnation: ids.toIncarnationId(`${vm}-1`),
+    zone,
+    region: ids.toRegionName("west"),
+    frontAddress: ids.toAddress("127.0.0.1:1"),
+    peerAddress: ids.toAddress("127.0.0.1:2"),
+    rank: 1,
+    cores: 0.5,
+    isReady: true,
+    requestsPerSecond: 0,
+    ...fields,
+});
+
+/** A dialect with headers of its own, so that tests of the product need none of a platform. */
+export const plainDialect: nodeRoutes.HttpDialect = {
+    readRequest: headers => {
+        const map = toMap(headers);
+        const patience = map.get("x-patience");
+        return {
+            id: map.get("x-id"),
+            host: map.get("host") ?? "",
+            patienceMs: patience === undefined ? undefined : Number(patience),
+        };
+    },
+    writeAttempt: (headers, attempt) => [...headers, "x-left", String(attempt.leftMs), "x-target", attempt.target],
+    readAnswer: (statusCode, headers) => {
+        const map = toMap(headers);
+        return {
+            id: map.get("x-id"),
+            isSealed: map.has("x-seal"),
+            isRefusal: map.has("x-refused") || statusCode === 421,
+            load: undefined,
+            idleTimeoutMs: undefined,
+            coldLeftMs: undefined,
+            target: undefined,
+            forwarded: ["x-seal", map.get("x-seal") ?? ""],
+            isEncoded: map.has("content-encoding"),
+        };
+    },
+    writeOwnAnswer: requestId => ["x-id", requestId ?? ""],
+};
+
+const toMap = (headers: nodeRoutes.RawHeaders): Map<string, string> => {
+    const map = new Map<string, string>();
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        map.set((headers[index] ?? "").toLowerCase(), headers[index + 1] ?? "");
+    }
+    return map;
+};
