--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -20,7 +20,7 @@
     /** Takes a connection that is in use by nobody else; undefined if none can be opened. */
     acquire(request: PoolRequest): Promise<targetConnection.TargetConnection | undefined>;
     /** Gives a connection back. */
-    release(address: shared.Address, connection: targetConnection.TargetConnection): void;
+    release(connection: targetConnection.TargetConnection): void;
     /** Closes the idle connections to an address. */
     closeIdle(address: shared.Address): void;
     /** Number of connections opened so far. */
@@ -52,7 +52,6 @@
     const open = (address: shared.Address): Promise<targetConnection.TargetConnection | undefined> =>
         new Promise(resolve => {
             const [host, port] = splitAddress(address);
-            const startedAtMs = scheduler.now();
             const socket = net.connect({ host, port });
             const timer = scheduler.schedule(openTimeoutMs, () => socket.destroy(new Error("timeout")));
             const fail = (): void => {
@@ -66,7 +65,7 @@
                 opened++;
                 const connection: targetConnection.TargetConnection = targetConnection.createTargetConnection({
                     socket,
-                    openMs: scheduler.now() - startedAtMs,
+                    address,
                     dialect,
                     clock: scheduler,
                     onClose: () => removeIdle(address, connection),
@@ -109,7 +108,8 @@
             }
             return open(address);
         },
-        release: (address, connection) => {
+        release: connection => {
+            const { address } = connection;
             if (!connection.isReusable(scheduler.now())) {
                 connection.dispose();
                 return;
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -45,7 +45,7 @@
     readonly scheduler: shared.Scheduler;
     readonly book: targetBook.TargetBook;
     readonly line: waitLine.WaitLine<targetBook.Pick>;
-    readonly sender: targetSender.TargetSender;
+    readonly sender: Pick<targetSender.TargetSender, "start">;
     readonly budget: routing.RetryBudget;
     readonly crashes: crashes.CrashRegistry;
     readonly logger: shared.Logger;
@@ -169,7 +169,7 @@
         if (isIdempotent) {
             repeat(reason);
         } else {
-            failure = { kind: "failed", reason, statusCode: 502 };
+            failure ??= { kind: "failed", reason, statusCode: 502 };
             giveUp(reason);
         }
         log("exchange: attempt failed", { target: entry.ticket.registration.id, reason, runs });
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -42,7 +42,7 @@
     isReusable(nowMs: number): boolean;
     /** Time since the last byte from the target. */
     computeIdleMs(nowMs: number): number;
-    readonly openMs: number;
+    readonly address: shared.Address;
 }
 
 interface Pending {
@@ -61,7 +61,7 @@
 
 export interface ConnectionOptions {
     readonly socket: net.Socket;
-    readonly openMs: number;
+    readonly address: shared.Address;
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     onClose(): void;
@@ -208,7 +208,7 @@
         isReusable: nowMs =>
             !isClosed && !isSpoiled && pending === undefined && nowMs - lastByteAtMs < idleTimeoutMs - idleMarginMs,
         computeIdleMs: nowMs => nowMs - lastByteAtMs,
-        openMs: options.openMs,
+        address: options.address,
         dispose: () => close("closed here"),
     };
 };
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -101,13 +101,13 @@
                 return { kind: "unreachable" };
             }
             if (isAborted) {
-                pool.release(address, connection);
+                pool.release(connection);
                 return { kind: "unreachable" };
             }
             isSent = true;
             const { id, method } = attempt.request;
             const result = await connection.send({ bytes: formatRequest(attempt), id, method });
-            pool.release(address, connection);
+            pool.release(connection);
             return result;
         };
 
@@ -136,7 +136,7 @@
         const bytes = [formatHead("GET", path, ["Host", registration.address])];
         const result = await connection.send({ bytes, id: undefined, method: "GET" });
         timer.dispose();
-        pool.release(registration.address, connection);
+        pool.release(connection);
         return result.kind === "answer" ? result.answer.head : undefined;
     };
 
