--- a/src/node/logging/Types.ts
+++ b/src/node/logging/Types.ts
@@ -8,6 +8,11 @@
 export interface LogOptions {
     readonly level: LogLevel;
     readonly format: "text" | "json";
+    /**
+     * Lines of level `debug` and `info` in a second; further ones are counted and dropped. Warnings and errors are always
+     * kept.
+     */
+    readonly maxInfoPerSecond?: number;
     /** Receives whole lines, several at a time. */
     write(text: string): void;
 }
--- a/src/node/logging/logSink.test.ts
+++ b/src/node/logging/logSink.test.ts
@@ -29,3 +29,17 @@
     sink.dispose();
     t.regex(text, /^\S+ warn: life: leaving calls=2\n$/);
 });
+
+test("lines beyond the rate are dropped and counted, warnings are kept", t => {
+    let text = "";
+    const write = (chunk: string): void => void (text += chunk);
+    const sink = logSink.createLogSink({ level: "info", format: "text", maxInfoPerSecond: 2, write });
+    for (let count = 0; count < 50; count++) {
+        sink.logger.info("route: picked");
+        sink.logger.warn("route: failed");
+    }
+    sink.dispose();
+    t.is(text.match(/failed/g)?.length, 50);
+    // The loop may cross from one second into the next.
+    t.true((text.match(/picked/g)?.length ?? 0) <= 4);
+});
--- a/src/node/logging/logSink.ts
+++ b/src/node/logging/logSink.ts
@@ -57,6 +57,28 @@
         }
     };
 
+    let second = 0;
+    let infoLines = 0;
+    let droppedLines = 0;
+
+    /** Counts a line against its second; false if it is one too many. */
+    const admit = (level: string): boolean => {
+        const now = Math.floor(performance.now() / 1_000);
+        if (now !== second) {
+            second = now;
+            infoLines = 0;
+            if (droppedLines > 0) {
+                append(formatLine("warn", "log: lines dropped", { lines: droppedLines }));
+                droppedLines = 0;
+            }
+        }
+        if (level === "warn" || level === "error" || ++infoLines <= (options.maxInfoPerSecond ?? Infinity)) {
+            return true;
+        }
+        droppedLines++;
+        return false;
+    };
+
     const timer = setInterval(flush, flushIntervalMs);
     timer.unref();
     const lifetime = events.toDisposable(() => {
@@ -67,8 +89,11 @@
     const logger = loglevel.default.getLogger(Symbol("tarragonpath"));
     logger.methodFactory =
         level =>
-        (message: string, fields?: shared.LogFields): void =>
-            append(formatLine(level, message, fields));
+        (message: string, fields?: shared.LogFields): void => {
+            if (admit(level)) {
+                append(formatLine(level, message, fields));
+            }
+        };
     // loglevel keeps the level in a browser's storage unless the second argument is false.
     logger.setLevel(options.level, false);
 
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -42,7 +42,7 @@
 const never: Step = { afterMs: 1_000_000, result: { kind: "broken", reason: "never" } };
 
 /** Runs one request against targets that behave as scripted, in the order of the attempts. */
-const run = async (
+const run = (
     steps: readonly Step[],
     options: { readonly route?: Partial<routes.Route>; readonly budget?: number; readonly targets?: number } = {},
 ) => {
@@ -117,7 +117,7 @@
 const once: Partial<routes.Route> = { kind: "non-idempotent" };
 
 test("a request that may run once is not sent again after its connection broke", async t => {
-    const world = await run([broken, ok(10)], { route: once });
+    const world = run([broken, ok(10)], { route: once });
     await world.advance(2_000);
     const answer = world.getAnswer();
     t.is(world.sent.length, 1);
@@ -126,40 +126,40 @@
 });
 
 test("a request that may run once is sent to another target if the first one did not run it", async t => {
-    const world = await run([refusal, ok(10)], { route: once });
+    const world = run([refusal, ok(10)], { route: once });
     await world.advance(2_000);
     t.is(world.getAnswer()?.kind, "target");
     t.is(new Set(world.sent).size, 2);
 });
 
 test("refusals by targets end in a refusal that is true, well before the deadline", async t => {
-    const world = await run([refusal, refusal, refusal], { route: once });
+    const world = run([refusal, refusal, refusal], { route: once });
     await world.advance(2_000);
     t.is(world.getAnswer()?.kind, "refused");
     t.true(world.getAnsweredAtMs() < 100);
 });
 
 test("a request that may have run is never refused", async t => {
-    const world = await run([broken, refusal, refusal], { route: { maxTargets: 2 }, budget: 0 });
+    const world = run([broken, refusal, refusal], { route: { maxTargets: 2 }, budget: 0 });
     await world.advance(2_000);
     // An idempotent request may be refused even then, as it may run again.
     t.is(world.getAnswer()?.kind, "refused");
-    const unsafe = await run([broken, refusal], { route: once });
+    const unsafe = run([broken, refusal], { route: once });
     await unsafe.advance(2_000);
     t.is(unsafe.getAnswer()?.kind, "failed");
 });
 
 test("an idempotent request is repeated after a failure, within the budget", async t => {
-    const repeated = await run([broken, ok(10)]);
+    const repeated = run([broken, ok(10)]);
     await repeated.advance(2_000);
     t.is(repeated.getAnswer()?.kind, "target");
-    const spent = await run([broken, ok(10)], { budget: 0 });
+    const spent = run([broken, ok(10)], { budget: 0 });
     await spent.advance(2_000);
     t.is(spent.sent.length, 1);
 });
 
 test("a slow idempotent request is sent to a second target, and the slower attempt is aborted", async t => {
-    const world = await run([never, ok(20)]);
+    const world = run([never, ok(20)]);
     await world.advance(2_000);
     t.is(world.getAnswer()?.kind, "target");
     t.is(world.sent.length, 2);
@@ -168,7 +168,7 @@
 });
 
 test("without an answer the request fails at its deadline, not later", async t => {
-    const world = await run([never, never]);
+    const world = run([never, never]);
     await world.advance(2_000);
     const answer = world.getAnswer();
     t.is(answer?.kind === "failed" ? answer.statusCode : undefined, 504);
@@ -176,25 +176,25 @@
 });
 
 test("an answer without signature is no success", async t => {
-    const world = await run([{ afterMs: 5, result: createAnswer({ isSealed: false }) }], { route: once });
+    const world = run([{ afterMs: 5, result: createAnswer({ isSealed: false }) }], { route: once });
     await world.advance(2_000);
     t.is(world.getAnswer()?.kind, "failed");
 });
 
 test("the target's own failure is passed on when nothing better comes", async t => {
-    const world = await run([{ afterMs: 5, result: createAnswer({ status: 500 }) }], { route: once });
+    const world = run([{ afterMs: 5, result: createAnswer({ status: 500 }) }], { route: once });
     await world.advance(2_000);
     const answer = world.getAnswer();
     t.is(answer?.kind === "target" ? answer.answer.statusCode : undefined, 500);
 });
 
 test("when the client leaves, an idempotent request is aborted and another one goes on", async t => {
-    const idempotent = await run([never]);
+    const idempotent = run([never]);
     await idempotent.advance(10);
     idempotent.leave();
     await idempotent.advance(10);
     t.is(idempotent.countAborted(), 1);
-    const other = await run([never], { route: once });
+    const other = run([never], { route: once });
     await other.advance(10);
     other.leave();
     await other.advance(10);
@@ -203,7 +203,7 @@
 });
 
 test("a request without a target is refused at once", async t => {
-    const world = await run([], { targets: 0 });
+    const world = run([], { targets: 0 });
     await world.advance(100);
     t.is(world.getAnswer()?.kind, "refused");
     t.true(world.getAnsweredAtMs() <= 100);
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -92,8 +92,16 @@
 
     const mayHaveRun = (): boolean => runs > 0;
 
-    const log = (message: string, fields: shared.LogFields): void =>
-        logger.info(message, { request: outgoing.id, route: route.name, service, ...fields });
+    const describe = (fields: shared.LogFields): shared.LogFields => ({
+        request: outgoing.id,
+        route: route.name,
+        service,
+        ...fields,
+    });
+
+    const log = (message: string, fields: shared.LogFields): void => logger.info(message, describe(fields));
+
+    const warn = (message: string, fields: shared.LogFields): void => logger.warn(message, describe(fields));
 
     const finish = (answer: FinalAnswer): void => {
         if (isDone) {
@@ -172,13 +180,13 @@
             failure ??= { kind: "failed", reason, statusCode: 502 };
             giveUp(reason);
         }
-        log("exchange: attempt failed", { target: entry.ticket.registration.id, reason, runs });
+        warn("exchange: attempt failed", { target: entry.ticket.registration.id, reason, runs });
     };
 
     const handleRefusal = (entry: Running): void => {
         runs--;
         refusals++;
-        log("exchange: target refused", { target: entry.ticket.registration.id, refusals });
+        warn("exchange: target refused", { target: entry.ticket.registration.id, refusals });
         if (refusals < maxRefusals) {
             repeat("refused by targets");
         } else {
@@ -270,7 +278,7 @@
         } else if (pick?.kind === "target") {
             startAttempt(pick.ticket);
         } else {
-            log("exchange: no slot", { reason, runs });
+            warn("exchange: no slot", { reason, runs });
             giveUp("no free slot");
         }
     };
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -129,7 +129,7 @@
         const latencyMs = scheduler.now() - request.receivedAtMs;
         if (answer.kind !== "target") {
             const reason = answer.kind === "abandoned" ? "client left" : answer.reason;
-            logger.info("exchange: not served", { request: head.id, kind: answer.kind, reason, latencyMs });
+            logger.warn("exchange: not served", { request: head.id, kind: answer.kind, reason, latencyMs });
         }
         options.recordAnswer({ kind: answer.kind, latencyMs });
         return formatFinal(head.id, answer);
