--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -107,7 +107,12 @@
 
 /** How an attempt at a target ended. */
 export type AttemptOutcome =
-    | { readonly kind: "answered"; readonly latencyMs: number; readonly isFailure: boolean }
+    | {
+          readonly kind: "answered";
+          readonly latencyMs: number;
+          readonly isFailure: boolean;
+          readonly answerBytes: number;
+      }
     /** The target refused before it started. */
     | { readonly kind: "refused" }
     /** No connection, or nothing was sent. */
@@ -129,8 +134,8 @@
     readonly frontAddress: types.Address;
     /** Where peers connect. */
     readonly peerAddress: types.Address;
-    /** Order of registration; the oldest peer follows the store for the others. */
-    readonly rank: number;
+    /** Start of the process by its own clock, in Unix milliseconds; it only serves to order the VMs. */
+    readonly startedAtMs: number;
     /** Share of a core that the VM has. */
     readonly cores: number;
     readonly isReady: boolean;
--- a/src/common/routes/frontChoice.ts
+++ b/src/common/routes/frontChoice.ts
@@ -3,6 +3,7 @@
  * better; the others stand by.
  */
 import * as shared from "../Types.js";
+import * as peerOrder from "./peerOrder.js";
 import * as types from "./Types.js";
 
 /** Requests per second that a whole core serves while its queue stays short (docs/platform.md, "Fronts"). */
@@ -12,10 +13,6 @@
 
 const computeCapacity = (peer: types.Peer): number => peer.cores * requestsPerCore * plannedShare;
 
-/** The strongest VMs first; among equal ones the oldest, so that the choice rarely changes. */
-const comparePeers = (left: types.Peer, right: types.Peer): number =>
-    right.cores - left.cores || left.rank - right.rank;
-
 /**
  * Lists the VMs that clients are sent to: as few as bear the requests.
  *
@@ -24,7 +21,9 @@
  */
 export const listFronts = (peers: readonly types.Peer[]): readonly types.Peer[] => {
     const demand = peers.reduce((sum, peer) => sum + peer.requestsPerSecond, 0);
-    const ready = peers.filter(peer => peer.isReady).sort(comparePeers);
+    // The first VM is the hub; it takes requests last, so that one failure does not hit both duties.
+    const [hub, ...others] = [...peers].sort(peerOrder.comparePeers);
+    const ready = [...others, ...(hub === undefined ? [] : [hub])].filter(peer => peer.isReady);
     const fronts: types.Peer[] = [];
     let capacity = 0;
     for (const peer of ready) {
--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -32,10 +32,10 @@
 
 test("as few VMs as bear the requests are fronts, the strongest and oldest first", t => {
     const peers = [
-        fixture.createPeer("weak", { cores: 0.25, rank: 1 }),
-        fixture.createPeer("young", { rank: 3 }),
-        fixture.createPeer("old", { rank: 2 }),
-        fixture.createPeer("leaving", { rank: 0, isReady: false }),
+        fixture.createPeer("weak", { cores: 0.25, startedAtMs: 1 }),
+        fixture.createPeer("young", { startedAtMs: 3 }),
+        fixture.createPeer("old", { startedAtMs: 2 }),
+        fixture.createPeer("leaving", { startedAtMs: 0, isReady: false }),
     ];
     const listNames = (demand: number): string[] =>
         frontChoice
@@ -49,7 +49,7 @@
 test("clients get the fronts of their zone, or all if it has none", t => {
     const peers = [
         fixture.createPeer("a", { requestsPerSecond: 200 }),
-        fixture.createPeer("b", { rank: 2, zone: fixture.otherZone }),
+        fixture.createPeer("b", { startedAtMs: 2, zone: fixture.otherZone }),
     ];
     t.deepEqual(
         frontChoice.pickFronts(peers, fixture.otherZone).map(peer => peer.vm),
--- a/src/common/routes/targetBook.test.ts
+++ b/src/common/routes/targetBook.test.ts
@@ -21,7 +21,7 @@
     book.setTargets(registrations);
     const route = fixture.createRoute();
     const pick = (exclude: readonly string[] = []): targetBook.Pick =>
-        book.pick({ service: fixture.service, route, exclude: new Set(exclude.map(ids.toTargetId)) });
+        book.pick({ service: fixture.service, route, bodyBytes: 0, exclude: new Set(exclude.map(ids.toTargetId)) });
     const pickId = (exclude: readonly string[] = []): string => {
         const result = pick(exclude);
         return result.kind === "target" ? result.ticket.registration.id : result.kind;
@@ -87,7 +87,7 @@
         const result = pick();
         if (result.kind === "target") {
             sent++;
-            result.ticket.finish({ kind: "answered", latencyMs: 1, isFailure: false }, undefined);
+            result.ticket.finish({ kind: "answered", latencyMs: 1, isFailure: false, answerBytes: 10 }, undefined);
         }
     }
     t.is(sent, 5);
--- a/src/common/routes/targetBook.ts
+++ b/src/common/routes/targetBook.ts
@@ -19,13 +19,14 @@
 const failureCost = 3;
 /** Cost of another zone in milliseconds: two crossings, and bytes that are paid for. */
 const otherZoneMs = 12;
-const otherZoneUploadMs = 60;
+const otherZoneMsPerKilobyte = 4;
 /** Random share added to each estimate, so that VMs with equal views do not pick the same target. */
 const jitterShare = 0.05;
 
 export interface PickRequest {
     readonly service: shared.ServiceName;
     readonly route: types.Route;
+    readonly bodyBytes: number;
     /** Targets that this request was sent to already. */
     readonly exclude: ReadonlySet<shared.TargetId>;
 }
@@ -83,6 +84,8 @@
     const byService = new Map<shared.ServiceName, targetEntry.TargetEntry[]>();
     const means = new Map<shared.ServiceName, slowdowns.MeanSlowdown>();
     const usualMs = new Map<string, number>();
+    /** Mean size of a route's answers. */
+    const answerBytes = new Map<string, number>();
     const freeEmitter = events.createEmitter<shared.ServiceName>();
 
     const getMean = (service: shared.ServiceName): slowdowns.MeanSlowdown => {
@@ -124,11 +127,13 @@
     const computeCost = (
         entry: targetEntry.TargetEntry,
         expectedMs: number,
-        route: types.Route,
+        request: PickRequest,
         nowMs: number,
     ): number => {
+        const { route } = request;
         const isNear = entry.registration.zone === options.zone;
-        const zoneMs = isNear ? 0 : route.kind === "upload" ? otherZoneUploadMs : otherZoneMs;
+        const kilobytes = (request.bodyBytes + (answerBytes.get(route.name) ?? 0)) / 1_000;
+        const zoneMs = isNear ? 0 : otherZoneMs + kilobytes * otherZoneMsPerKilobyte;
         const failureMs = targetEntry.computeFailureShare(entry, nowMs) * failureCost * route.objectiveMs;
         return (expectedMs + zoneMs + failureMs) * (1 + jitterShare * random.nextFloat());
     };
@@ -156,7 +161,7 @@
                     break;
                 }
                 targetEntry.recordSuccess(entry, flight, nowMs);
-                recordLatency(entry, route, outcome.latencyMs);
+                recordAnswer(entry, route, outcome.latencyMs, outcome.answerBytes);
                 break;
             case "unreachable":
             case "broken":
@@ -170,7 +175,14 @@
         freeEmitter.fire(entry.registration.service);
     };
 
-    const recordLatency = (entry: targetEntry.TargetEntry, route: types.Route, latencyMs: number): void => {
+    const recordAnswer = (
+        entry: targetEntry.TargetEntry,
+        route: types.Route,
+        latencyMs: number,
+        bytes: number,
+    ): void => {
+        const meanBytes = answerBytes.get(route.name) ?? bytes;
+        answerBytes.set(route.name, meanBytes + usualWeight * (bytes - meanBytes));
         const slowdown = Math.max(1, entry.slowdown ?? getMean(entry.registration.service).get());
         const usual = getUsualMs(route);
         usualMs.set(route.name, usual + usualWeight * (latencyMs / slowdown / entry.pace - usual));
@@ -205,7 +217,7 @@
                 continue;
             }
             const expectedMs = computeExpectedMs(entry, request.route, nowMs);
-            const cost = computeCost(entry, expectedMs, request.route, nowMs);
+            const cost = computeCost(entry, expectedMs, request, nowMs);
             if (cost < bestCost) {
                 [best, bestCost, bestExpectedMs] = [entry, cost, expectedMs];
             }
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -77,8 +77,8 @@
         waitMs: number,
         timeoutMs: number,
     ): Promise<TableChanges>;
-    /** Registers this VM; resolves to its rank. */
-    registerPeer(peer: routes.Peer, timeoutMs: number): Promise<number>;
+    /** Registers this VM as one that others may find. */
+    registerPeer(peer: routes.Peer, timeoutMs: number): Promise<void>;
     fetchPeers(timeoutMs: number): Promise<readonly routes.Peer[]>;
 }
 
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -80,6 +80,12 @@
     const isIdempotent = route.kind === "idempotent";
     const tried = new Set<shared.TargetId>();
     const running = new Set<Running>();
+    const pickRequest: targetBook.PickRequest = {
+        service,
+        route,
+        bodyBytes: outgoing.body.length,
+        exclude: tried,
+    };
     const timers: shared.Disposable[] = [];
     const waiting = new AbortController();
     /** Attempts that ran or may have run. */
@@ -206,7 +212,8 @@
         options.crashes.recordAnswer(request.fingerprint);
         const isWhole = head.isSealed && !head.isEncoded;
         const isFailure = statusCode >= 500 || !isWhole;
-        finishTicket({ kind: "answered", latencyMs: nowMs - entry.startedAtMs, isFailure });
+        const latencyMs = nowMs - entry.startedAtMs;
+        finishTicket({ kind: "answered", latencyMs, isFailure, answerBytes: answer.body.length });
         if (!isFailure) {
             log("exchange: answered", {
                 target: entry.ticket.registration.id,
@@ -267,7 +274,7 @@
             longestWaitMs: Math.min(computeLeftMs(), route.objectiveMs * waitShare),
             signal: waiting.signal,
             take: () => {
-                const result = book.pick({ service, route, exclude: tried });
+                const result = book.pick(pickRequest);
                 return result.kind === "target" ? result : undefined;
             },
         });
@@ -287,7 +294,7 @@
         if (isDone || running.size !== 1 || runs >= route.maxTargets) {
             return;
         }
-        const pick = book.pick({ service, route, exclude: tried });
+        const pick = book.pick(pickRequest);
         if (pick.kind !== "target") {
             return;
         }
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -1,9 +1,10 @@
 /**
- * The connecting side between entry VMs: keeps a connection to the oldest VM that can be reached. A hub whose view of the
- * store is old is left only if this VM reaches the store itself; while the store is away for all, the hub still tells
- * which VMs live.
+ * The connecting side between entry VMs: keeps a connection to the first VM in the order of peers that can be reached. A
+ * hub whose view of the store is old is left only if this VM reaches the store itself; while the store is away for all,
+ * the hub still tells which VMs live.
  */
 import * as net from "node:net";
+import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as connectionPool from "./connectionPool.js";
@@ -11,27 +12,26 @@
 import * as peerHub from "./peerHub.js";
 import * as types from "./Types.js";
 
-/** Rank of a VM that the store does not know yet. JSON has no infinity. */
-export const unregisteredRank = Number.MAX_SAFE_INTEGER;
 const openTimeoutMs = 250;
-/** A hub that has not given its first beat by then is passed over. */
+/** A VM that has not given its first beat by then is passed over. */
 const firstBeatTimeoutMs = 300;
-/** A hub with an older view of the store does not count as fresh. */
+/** A hub with an older view of the store does not count as fresh: a call waits for 1.5 s at the most. */
 const freshAgeMs = 2_200;
-/** A VM that follows the store itself looks for an older one this often. */
+/** A VM without a hub looks for one this often. */
 const searchIntervalMs = 2_000;
 /** A VM that could not be reached is passed over for this time. */
 const avoidMs = 5_000;
 
 export interface HubLink extends shared.Disposable {
     start(): void;
-    /** Whether a fresh hub is connected. */
+    /** Whether a hub is connected. */
     isLinked(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
+    /** VMs that were ever heard of and not said to have left. */
     countCandidates(): number;
-    /** VMs that may be a hub. */
-    setCandidates(peers: readonly routes.Peer[]): void;
+    /** Takes note of a VM that may be a hub. */
+    addCandidate(peer: routes.Peer): void;
     sendHello(): void;
     sendReports(reports: readonly types.SharedReport[]): void;
     sendCrashes(reports: readonly peerChannel.CrashReport[]): void;
@@ -54,6 +54,7 @@
 interface Link {
     readonly channel: peerChannel.PeerChannel;
     readonly address: shared.Address;
+    readonly peers: Map<shared.VmId, routes.Peer>;
     ageMs: number;
     beatAtMs: number;
 }
@@ -67,12 +68,12 @@
 export const createHubLink = (options: HubLinkOptions): HubLink => {
     const { scheduler, logger } = options;
     const avoided = new Map<shared.Address, number>();
-    let candidates: readonly routes.Peer[] = [];
-    let peers: readonly routes.Peer[] = [];
+    const candidates = new Map<shared.VmId, routes.Peer>();
     let link: Link | undefined;
     let isDisposed = false;
     let isSearching = false;
-    let timer: shared.Disposable | undefined;
+    let helloText = "";
+    let timers: shared.Disposable[] = [];
 
     const isHeard = (entry: Link): boolean =>
         scheduler.now() - entry.beatAtMs < peerHub.beatIntervalMs * peerHub.missedBeats;
@@ -81,19 +82,22 @@
 
     const isUseful = (entry: Link): boolean => isHeard(entry) && (isFresh(entry) || !options.isStoreFresh());
 
-    /** Older VMs in the order of their age, then seeds that are not known as VMs. */
-    const listAddresses = (): shared.Address[] => {
+    const isBefore = (peer: routes.Peer): boolean => peerOrder.comparePeers(peer, options.getOwn()) < 0;
+
+    /** The VM at an address, as far as known; a seed is only an address at first. */
+    const findPeer = (address: shared.Address): routes.Peer | undefined =>
+        [...candidates.values()].find(peer => peer.peerAddress === address);
+
+    /** The next address to try: VMs in their order, then seeds that are not known as VMs. */
+    const findNext = (tried: ReadonlySet<shared.Address>): shared.Address | undefined => {
         const own = options.getOwn();
-        const known = candidates.filter(peer => peer.vm !== own.vm);
-        const older = known
-            .filter(peer => peer.rank < own.rank)
-            .sort((left, right) => left.rank - right.rank)
-            .map(peer => peer.peerAddress);
-        const isKnown = (address: shared.Address): boolean =>
-            address === own.peerAddress || known.some(peer => peer.peerAddress === address);
-        const seeds = own.rank === unregisteredRank ? options.seeds.filter(address => !isKnown(address)) : [];
         const nowMs = scheduler.now();
-        return [...older, ...seeds].filter(address => (avoided.get(address) ?? 0) <= nowMs);
+        const before = [...candidates.values()]
+            .filter(peer => peer.vm !== own.vm && isBefore(peer))
+            .sort(peerOrder.comparePeers)
+            .map(peer => peer.peerAddress);
+        const seeds = options.seeds.filter(seed => seed !== own.peerAddress && findPeer(seed) === undefined);
+        return [...before, ...seeds].find(address => !tried.has(address) && (avoided.get(address) ?? 0) <= nowMs);
     };
 
     const openSocket = (address: shared.Address): Promise<net.Socket | undefined> =>
@@ -111,6 +115,20 @@
             });
         });
 
+    const handleBeat = (entry: Link, beat: peerChannel.PeerMessages["hub.beat"]): void => {
+        entry.ageMs = beat.ageMs;
+        entry.beatAtMs = scheduler.now();
+        for (const peer of beat.changed) {
+            entry.peers.set(peer.vm, peer);
+            candidates.set(peer.vm, peer);
+        }
+        for (const vm of beat.left) {
+            entry.peers.delete(vm);
+            candidates.delete(vm);
+        }
+    };
+
+    /** Says hello to a VM and waits for its first beat. */
     const join = (socket: net.Socket, address: shared.Address): Promise<Link | undefined> =>
         new Promise(resolve => {
             const channel = peerChannel.createPeerChannel({
@@ -119,18 +137,15 @@
                 logger,
                 onClose: () => {
                     resolve(undefined);
-                    handleClose(entry);
+                    if (link === entry) {
+                        lose("closed");
+                    }
                 },
             });
-            const entry: Link = { channel, address, ageMs: Infinity, beatAtMs: scheduler.now() };
+            const entry: Link = { channel, address, peers: new Map(), ageMs: Infinity, beatAtMs: scheduler.now() };
             const timeout = scheduler.schedule(firstBeatTimeoutMs, () => resolve(undefined));
-            channel.on("hub.beat", ({ ageMs, peers: told }) => {
-                entry.ageMs = ageMs;
-                entry.beatAtMs = scheduler.now();
-                if (told !== null && (link === undefined || link === entry)) {
-                    peers = told;
-                    candidates = told;
-                }
+            channel.on("hub.beat", beat => {
+                handleBeat(entry, beat);
                 timeout.dispose();
                 resolve(entry);
             });
@@ -141,27 +156,25 @@
     const tryAddress = async (address: shared.Address): Promise<boolean> => {
         const socket = await openSocket(address);
         const entry = socket === undefined ? undefined : await join(socket, address);
-        if (entry === undefined || !isUseful(entry) || isDisposed) {
+        const peer = findPeer(address);
+        const isHub = entry !== undefined && peer !== undefined && isBefore(peer) && isUseful(entry);
+        if (!isHub || isDisposed) {
             socket?.destroy();
-            avoided.set(address, scheduler.now() + avoidMs);
+            if (entry === undefined) {
+                avoided.set(address, scheduler.now() + avoidMs);
+            }
             return false;
         }
         link = entry;
-        logger.info("peer: follows hub", { address, ageMs: Math.round(entry.ageMs) });
+        helloText = "";
+        logger.info("peer: follows hub", { vm: peer.vm, address, ageMs: Math.round(entry.ageMs) });
         options.handleLinked();
         return true;
     };
 
-    const handleClose = (entry: Link): void => {
-        if (link === entry) {
-            lose("closed");
-        }
-    };
-
     const lose = (reason: string): void => {
         const lost = link;
         link = undefined;
-        peers = [];
         if (lost !== undefined) {
             logger.warn("peer: hub lost", { address: lost.address, reason });
             avoided.set(lost.address, scheduler.now() + avoidMs);
@@ -175,12 +188,11 @@
             return;
         }
         isSearching = true;
+        const tried = new Set<shared.Address>();
         let isFound = false;
-        for (const address of listAddresses()) {
+        for (let address = findNext(tried); address !== undefined && !isFound; address = findNext(tried)) {
+            tried.add(address);
             isFound = await tryAddress(address);
-            if (isFound) {
-                break;
-            }
         }
         isSearching = false;
         if (!isFound) {
@@ -188,41 +200,56 @@
         }
     };
 
+    /** Sends what this VM tells of itself if it has changed, a short sign of life otherwise. */
+    const sendSign = (entry: Link): void => {
+        const own = options.getOwn();
+        const text = JSON.stringify(own);
+        if (text === helloText) {
+            entry.channel.send("peer.beat", {});
+            return;
+        }
+        helloText = text;
+        entry.channel.send("peer.hello", { peer: own });
+    };
+
     const check = (): void => {
         if (link !== undefined) {
-            link.channel.send("peer.hello", { peer: options.getOwn() });
+            sendSign(link);
             options.handleNeed(!isFresh(link));
             if (!isUseful(link)) {
                 lose(isHeard(link) ? "old view of the store" : "silent");
             }
         }
-        timer = scheduler.schedule(peerHub.beatIntervalMs, check);
     };
 
-    const searchAgain = (): void => {
-        void search();
-        searchTimer = scheduler.schedule(searchIntervalMs, searchAgain);
+    const repeat = (intervalMs: number, action: () => void): shared.Disposable => {
+        let timer: shared.Disposable;
+        const runAgain = (): void => {
+            action();
+            timer = scheduler.schedule(intervalMs, runAgain);
+        };
+        runAgain();
+        return { dispose: () => timer.dispose() };
     };
-    let searchTimer: shared.Disposable | undefined;
 
     return {
         start: () => {
-            check();
-            searchAgain();
+            timers = [repeat(peerHub.beatIntervalMs, check), repeat(searchIntervalMs, () => void search())];
         },
         isLinked: () => link !== undefined,
-        listPeers: () => peers,
-        countCandidates: () => candidates.length,
-        setCandidates: known => {
-            candidates = known;
+        listPeers: () => [...(link?.peers.values() ?? [])],
+        countCandidates: () => candidates.size,
+        addCandidate: peer => void candidates.set(peer.vm, peer),
+        sendHello: () => {
+            if (link !== undefined) {
+                sendSign(link);
+            }
         },
-        sendHello: () => link?.channel.send("peer.hello", { peer: options.getOwn() }),
         sendReports: reports => link?.channel.send("load.reports", { reports }),
         sendCrashes: reports => link?.channel.send("crash.reports", { reports }),
         dispose: () => {
             isDisposed = true;
-            timer?.dispose();
-            searchTimer?.dispose();
+            timers.forEach(timer => timer.dispose());
             link?.channel.dispose();
         },
     };
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,6 +1,7 @@
 /**
  * This VM among its peers: registers it, follows a hub or the store, and passes on what it learns.
  */
+import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -10,8 +11,11 @@
 import * as storeFollower from "./storeFollower.js";
 import * as types from "./Types.js";
 
-const registerTimeoutMs = 1_000;
-const registerBackoffMs = 1_000;
+const storeTimeoutMs = 1_000;
+/** A VM without peers asks the store for them after this time; at the start the seeds answer sooner. */
+const lonelyMs = 1_500;
+/** Time between two looks for peers in the store. */
+const lookIntervalMs = 10_000;
 /** Longer than a call that waits for a change. */
 const ownFreshMs = 2_000;
 const noAddress = "" as shared.Address;
@@ -51,7 +55,9 @@
  */
 export const createMembership = (options: MembershipOptions): Membership => {
     const { settings, store, state, scheduler, logger } = options;
-    let rank = hubLink.unregisteredRank;
+    const startedAtMs = Date.now();
+    let isRegistered = false;
+    let timer: shared.Disposable | undefined;
 
     const getOwn = (): routes.Peer => ({
         vm: settings.vm,
@@ -60,7 +66,7 @@
         region: settings.region,
         frontAddress: settings.frontAddress ?? noAddress,
         peerAddress: settings.peerAddress ?? noAddress,
-        rank,
+        startedAtMs,
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
         requestsPerSecond: Math.round(options.computeRequestRate()),
@@ -83,6 +89,8 @@
                   logger,
                   getOwn,
                   computeAgeMs: () => (follower.isRunning() ? follower.computeAgeMs() : Infinity),
+                  isHub: () => !link.isLinked(),
+                  handlePeer: peer => link.addCandidate(peer),
                   listSnapshots: () => state.listSnapshots(),
               });
 
@@ -104,15 +112,24 @@
         handleNeed: needsStore => (needsStore ? follower.start() : follower.stop()),
     });
 
-    const register = async (): Promise<void> => {
+    const hasPeers = (): boolean => link.isLinked() || (hub?.listPeers().length ?? 1) > 1;
+
+    /** A hub can be found in the store by VMs whose seeds are gone; a VM that is alone looks for it there. */
+    const look = async (): Promise<void> => {
         try {
-            rank = await store.registerPeer(getOwn(), registerTimeoutMs);
-            link.setCandidates(await store.fetchPeers(registerTimeoutMs));
+            if (!link.isLinked() && !isRegistered) {
+                isRegistered = true;
+                await store.registerPeer(getOwn(), storeTimeoutMs);
+            }
+            if (!hasPeers()) {
+                (await store.fetchPeers(storeTimeoutMs)).forEach(link.addCandidate);
+            }
         } catch (error) {
+            isRegistered = false;
             const reason = error instanceof Error ? error.message : String(error);
-            logger.warn("peer: not registered", { reason });
-            scheduler.schedule(registerBackoffMs, () => void register());
+            logger.warn("peer: store not reached", { reason });
         }
+        timer = scheduler.schedule(lookIntervalMs, () => void look());
     };
 
     return {
@@ -120,14 +137,14 @@
             hub?.onDidReceiveReports(options.handleReports);
             hub?.onDidReceiveCrashes(options.handleCrashes);
             await hub?.listen();
-            await register();
             link.start();
+            timer = scheduler.schedule(lonelyMs, () => void look());
         },
-        isConnected: () => link.isLinked() || (hub?.listPeers().length ?? 1) > 1,
+        isConnected: hasPeers,
         listPeers: () => {
             if (link.isLinked()) {
                 const told = link.listPeers().filter(peer => peer.vm !== settings.vm);
-                return [...told, getOwn()].sort((left, right) => left.rank - right.rank);
+                return [...told, getOwn()].sort(peerOrder.comparePeers);
             }
             return hub?.listPeers() ?? [getOwn()];
         },
@@ -142,6 +159,7 @@
             hub?.pushCrashes([report]);
         },
         dispose: () => {
+            timer?.dispose();
             link.dispose();
             follower.dispose();
             hub?.dispose();
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -3,6 +3,7 @@
  */
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
+import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as types from "./Types.js";
@@ -18,10 +19,12 @@
 
 /** Notifications by method. */
 export interface PeerMessages {
-    /** A VM joins, or tells that it is alive. */
+    /** A VM joins, or what it tells of itself has changed. */
     readonly "peer.hello": { readonly peer: routes.Peer };
-    /** The hub's regular message: how old its view of the store is, and who is connected. */
-    readonly "hub.beat": { readonly ageMs: number; readonly peers: readonly routes.Peer[] | null };
+    /** A VM is alive. */
+    readonly "peer.beat": Readonly<Record<string, never>>;
+    /** The hub's regular message: how old its view of the store is, and who has joined or left. */
+    readonly "hub.beat": { readonly ageMs: number } & peerOrder.PeerChanges;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.changes": { readonly changes: readonly routes.StateChange[] };
     readonly "load.reports": { readonly reports: readonly types.SharedReport[] };
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -4,6 +4,7 @@
  */
 import * as net from "node:net";
 import * as events from "../../common/events.js";
+import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as connectionPool from "./connectionPool.js";
@@ -34,14 +35,23 @@
     getOwn(): routes.Peer;
     /** Age of this VM's own view of the store; infinite if it does not follow the store. */
     computeAgeMs(): number;
+    /** A VM has told of itself. */
+    handlePeer(peer: routes.Peer): void;
+    /** Whether this VM follows no other hub. */
+    isHub(): boolean;
     listSnapshots(): readonly routes.StateSnapshot[];
 }
 
+/** Stands for an age without bound, which JSON cannot express. */
+const longestAgeMs = 60_000;
+const noChanges: peerOrder.PeerChanges = { changed: [], left: [] };
+
 interface Spoke {
     readonly channel: peerChannel.PeerChannel;
     peer: routes.Peer | undefined;
-    /** Peers as last told. */
-    told: string;
+    /** Whether it was told all peers; later beats bear the changes only. */
+    wasTold: boolean;
+    hasSnapshots: boolean;
 }
 
 /**
@@ -53,6 +63,8 @@
 export const createPeerHub = (options: PeerHubOptions): PeerHub => {
     const { scheduler, logger } = options;
     const spokes = new Set<Spoke>();
+    /** Peers at the last beat. */
+    let known: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
     const reportEmitter = events.createEmitter<readonly types.SharedReport[]>();
     const crashEmitter = events.createEmitter<readonly peerChannel.CrashReport[]>();
 
@@ -68,7 +80,7 @@
         }
         const own = options.getOwn();
         byVm.set(own.vm, own);
-        return [...byVm.values()].sort((left, right) => left.rank - right.rank);
+        return [...byVm.values()].sort(peerOrder.comparePeers);
     };
 
     const push = <M extends peerChannel.PeerMethod>(
@@ -83,23 +95,28 @@
         }
     };
 
-    const sendBeat = (spoke: Spoke, peers: readonly routes.Peer[]): void => {
-        const text = JSON.stringify(peers);
-        const isNews = text !== spoke.told;
-        spoke.told = text;
-        spoke.channel.send("hub.beat", {
-            ageMs: Math.min(60_000, options.computeAgeMs()),
-            peers: isNews ? peers : null,
-        });
+    const sendBeat = (spoke: Spoke, changes: peerOrder.PeerChanges): void => {
+        const told = spoke.wasTold ? changes : { changed: listPeers(), left: [] };
+        spoke.wasTold = true;
+        spoke.channel.send("hub.beat", { ageMs: Math.min(longestAgeMs, options.computeAgeMs()), ...told });
+    };
+
+    /** A VM that follows another hub has nothing to pass on; it takes no part of the state of its own. */
+    const sendSnapshots = (spoke: Spoke): void => {
+        if (!spoke.hasSnapshots && options.isHub()) {
+            spoke.hasSnapshots = true;
+            spoke.channel.send("state.snapshots", { snapshots: options.listSnapshots() });
+        }
     };
 
     const handleHello = (spoke: Spoke, peer: routes.Peer): void => {
         const isNew = spoke.peer === undefined;
         spoke.peer = peer;
+        options.handlePeer(peer);
         if (isNew) {
             logger.info("peer: joined", { vm: peer.vm, incarnation: peer.incarnation });
-            spoke.channel.send("state.snapshots", { snapshots: options.listSnapshots() });
-            sendBeat(spoke, listPeers());
+            sendSnapshots(spoke);
+            sendBeat(spoke, noChanges);
         }
     };
 
@@ -117,10 +134,13 @@
                 },
             }),
             peer: undefined,
-            told: "",
+            wasTold: false,
+            hasSnapshots: false,
         };
         spokes.add(spoke);
         spoke.channel.on("peer.hello", ({ peer }) => handleHello(spoke, peer));
+        // A beat only shows that the VM is alive, which the channel has noted.
+        spoke.channel.on("peer.beat", () => undefined);
         spoke.channel.on("load.reports", params => {
             reportEmitter.fire(params.reports);
             push("load.reports", params, spoke);
@@ -133,11 +153,14 @@
 
     const beat = (): void => {
         const peers = listPeers();
+        const changes = peerOrder.comparePeerLists(known, peers);
+        known = new Map(peers.map(peer => [peer.vm, peer]));
         for (const spoke of [...spokes]) {
             if (!isHeard(spoke)) {
                 spoke.channel.dispose();
             } else if (spoke.peer !== undefined) {
-                sendBeat(spoke, peers);
+                sendSnapshots(spoke);
+                sendBeat(spoke, changes);
             }
         }
         timer = scheduler.schedule(beatIntervalMs, beat);
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -88,7 +88,7 @@
     region: ids.toRegionName("west"),
     frontAddress: ids.toAddress("127.0.0.1:1"),
     peerAddress: ids.toAddress("127.0.0.1:2"),
-    rank: 1,
+    startedAtMs: 1,
     cores: 0.5,
     isReady: true,
     requestsPerSecond: 0,
