--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -94,7 +94,6 @@
     readonly vm: types.VmId;
     readonly zone: types.ZoneName;
     readonly region: types.RegionName;
-    readonly regions: ReadonlyMap<types.ZoneName, types.RegionName>;
     readonly cores: number;
     readonly frontAddress: types.Address | undefined;
     readonly readinessAddress: types.Address | undefined;
@@ -116,6 +115,4 @@
     readonly retryWindowMs: number;
     /** Retries in a window that are allowed however few requests there are. */
     readonly retryExtra: number;
-    readonly coldFactor: number;
-    readonly coldExtra: number;
 }
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -55,6 +55,7 @@
     readonly channel: peerChannel.PeerChannel;
     readonly address: shared.Address;
     readonly peers: Map<shared.VmId, routes.Peer>;
+    isHub: boolean;
     ageMs: number;
     beatAtMs: number;
 }
@@ -80,7 +81,8 @@
 
     const isFresh = (entry: Link): boolean => entry.ageMs < freshAgeMs;
 
-    const isUseful = (entry: Link): boolean => isHeard(entry) && (isFresh(entry) || !options.isStoreFresh());
+    const isUseful = (entry: Link): boolean =>
+        entry.isHub && isHeard(entry) && (isFresh(entry) || !options.isStoreFresh());
 
     const isBefore = (peer: routes.Peer): boolean => peerOrder.comparePeers(peer, options.getOwn()) < 0;
 
@@ -115,7 +117,8 @@
             });
         });
 
-    const handleBeat = (entry: Link, beat: peerChannel.PeerMessages["hub.beat"]): void => {
+    const handleBeat = (entry: Link, beat: peerChannel.HubBeat): void => {
+        entry.isHub = beat.isHub;
         entry.ageMs = beat.ageMs;
         entry.beatAtMs = scheduler.now();
         for (const peer of beat.changed) {
@@ -142,7 +145,14 @@
                     }
                 },
             });
-            const entry: Link = { channel, address, peers: new Map(), ageMs: Infinity, beatAtMs: scheduler.now() };
+            const entry: Link = {
+                channel,
+                address,
+                peers: new Map(),
+                isHub: false,
+                ageMs: Infinity,
+                beatAtMs: scheduler.now(),
+            };
             const timeout = scheduler.schedule(firstBeatTimeoutMs, () => resolve(undefined));
             channel.on("hub.beat", beat => {
                 handleBeat(entry, beat);
--- /dev/null
+++ b/src/node/routes/membership.test.ts
@@ -0,0 +1,187 @@
+import test from "ava";
+import * as ids from "../../common/ids.js";
+import * as sharedState from "../../common/routes/sharedState.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as ports from "../../testing/system/ports.js";
+import * as systemScheduler from "../systemScheduler.js";
+import * as membership from "./membership.js";
+import * as types from "./Types.js";
+
+const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
+
+/** A store in memory that can be unreachable for some VMs. */
+const createStore = () => {
+    let version = 1;
+    let configuration = fixture.createConfiguration(1);
+    const unreachable = new Set<shared.VmId>();
+    const calls = new Map<shared.VmId, number>();
+    const registered: routes.Peer[] = [];
+
+    const connect = (vm: shared.VmId): types.StateStore => {
+        const call = (): void => {
+            calls.set(vm, (calls.get(vm) ?? 0) + 1);
+            if (unreachable.has(vm)) {
+                throw new Error("unreachable");
+            }
+        };
+        const listChanges = (table: routes.StateTable): routes.StateChange[] =>
+            table === "operators" ? [{ kind: "configuration", version, configuration }] : [];
+        return {
+            fetchSnapshot: table => {
+                call();
+                return Promise.resolve({ table, version, changes: listChanges(table) });
+            },
+            fetchChanges: async (table, after, waitMs) => {
+                const isNews = (): boolean => table === "operators" && version > after;
+                for (let waitedMs = 0; waitedMs < waitMs && !isNews(); waitedMs += 20) {
+                    await new Promise(resolve => setTimeout(resolve, 20));
+                }
+                call();
+                return { kind: "changes", version, changes: isNews() ? listChanges(table) : [] };
+            },
+            registerPeer: peer => {
+                call();
+                registered.push(peer);
+                return Promise.resolve();
+            },
+            fetchPeers: () => {
+                call();
+                return Promise.resolve(registered);
+            },
+            dispose: () => undefined,
+        };
+    };
+
+    const setConfiguration = (next: number): void => {
+        version++;
+        configuration = fixture.createConfiguration(next);
+    };
+
+    return { connect, setConfiguration, unreachable, calls };
+};
+
+const startVm = async (
+    name: string,
+    options: {
+        readonly store: ReturnType<typeof createStore>;
+        readonly port: number;
+        readonly seeds: readonly number[];
+    },
+) => {
+    const vm = ids.toVmId(name);
+    const toAddress = (port: number): shared.Address => ids.toAddress(`127.0.0.1:${port}`);
+    const state = sharedState.createSharedState(scheduler);
+    const member = membership.createMembership({
+        settings: {
+            vm,
+            zone: fixture.zone,
+            region: ids.toRegionName("west"),
+            cores: 1,
+            frontAddress: toAddress(1),
+            readinessAddress: undefined,
+            lookupAddress: undefined,
+            peerAddress: toAddress(options.port),
+            seeds: options.seeds.map(toAddress),
+            store: toAddress(1),
+            bounds: {
+                graceMs: 1_000,
+                longestLookupMs: 1_000,
+                retryShare: 0,
+                retryWindowMs: 1_000,
+                retryExtra: 0,
+            },
+        },
+        incarnation: ids.toIncarnationId(name),
+        store: options.store.connect(vm),
+        state,
+        scheduler,
+        logger: silentLogger.createSilentLogger(),
+        isReady: () => true,
+        computeRequestRate: () => 0,
+        handleReports: () => undefined,
+        handleCrashes: () => undefined,
+    });
+    await member.start();
+    return { vm, member, state, getVersion: () => state.getConfiguration()?.version };
+};
+
+const waitUntil = async (isTrue: () => boolean, timeoutMs = 10_000): Promise<boolean> => {
+    for (const untilMs = Date.now() + timeoutMs; Date.now() < untilMs && !isTrue();) {
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    return isTrue();
+};
+
+const acquirePorts = (count: number): Promise<number[]> =>
+    Promise.all(Array.from({ length: count }, () => ports.acquirePort()));
+
+const startVms = async (count: number) => {
+    const store = createStore();
+    const free = await acquirePorts(count);
+    const vms = [];
+    for (const [index, port] of free.entries()) {
+        vms.push(await startVm(`vm-${index}`, { store, port, seeds: free.slice(0, 2) }));
+        // Starts are ordered by the millisecond.
+        await new Promise(resolve => setTimeout(resolve, 2));
+    }
+    return { store, vms };
+};
+
+test("one VM follows the store, the others get its changes", async t => {
+    const { store, vms } = await startVms(4);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 4 && vm.getVersion() === 1)));
+    await new Promise(resolve => setTimeout(resolve, 2_500));
+    const before = new Map(store.calls);
+    await new Promise(resolve => setTimeout(resolve, 2_500));
+    const callers = vms.filter(vm => (store.calls.get(vm.vm) ?? 0) > (before.get(vm.vm) ?? 0));
+    t.is(callers.length, 1);
+    store.setConfiguration(2);
+    t.true(await waitUntil(() => vms.every(vm => vm.getVersion() === 2)));
+    vms.forEach(vm => vm.member.dispose());
+});
+
+test("when the hub ends, another VM takes its place", async t => {
+    const { store, vms } = await startVms(3);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3)));
+    vms[0]?.member.dispose();
+    store.setConfiguration(2);
+    const left = vms.slice(1);
+    t.true(await waitUntil(() => left.every(vm => vm.getVersion() === 2 && vm.member.listPeers().length === 2)));
+    left.forEach(vm => vm.member.dispose());
+});
+
+test("when the hub alone is cut off from the store, the others still get changes", async t => {
+    const { store, vms } = await startVms(3);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3 && vm.getVersion() === 1)));
+    const [hub, ...others] = vms;
+    store.unreachable.add(hub?.vm ?? ids.toVmId("none"));
+    store.setConfiguration(2);
+    t.true(await waitUntil(() => others.every(vm => vm.getVersion() === 2)));
+    vms.forEach(vm => vm.member.dispose());
+});
+
+test("while the store is away for all, the VMs still know of each other", async t => {
+    const { store, vms } = await startVms(3);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3)));
+    vms.forEach(vm => store.unreachable.add(vm.vm));
+    await new Promise(resolve => setTimeout(resolve, 4_000));
+    t.true(vms.every(vm => vm.member.listPeers().length === 3));
+    store.unreachable.clear();
+    store.setConfiguration(2);
+    t.true(await waitUntil(() => vms.every(vm => vm.getVersion() === 2)));
+    vms.forEach(vm => vm.member.dispose());
+});
+
+test("a VM whose seeds are gone finds the hub in the store", async t => {
+    const { store, vms } = await startVms(2);
+    const hub = vms[0];
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 2)));
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    const [port, unused] = await acquirePorts(2);
+    const late = await startVm("late", { store, port: port ?? 0, seeds: [unused ?? 0] });
+    t.true(await waitUntil(() => late.member.listPeers().length === 3 && hub?.member.listPeers().length === 3));
+    [...vms, late].forEach(vm => vm.member.dispose());
+});
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -89,6 +89,7 @@
                   logger,
                   getOwn,
                   computeAgeMs: () => (follower.isRunning() ? follower.computeAgeMs() : Infinity),
+                  listKnown: () => listPeers(),
                   isHub: () => !link.isLinked(),
                   handlePeer: peer => link.addCandidate(peer),
                   listSnapshots: () => state.listSnapshots(),
@@ -112,6 +113,14 @@
         handleNeed: needsStore => (needsStore ? follower.start() : follower.stop()),
     });
 
+    const listPeers = (): readonly routes.Peer[] => {
+        if (!link.isLinked()) {
+            return hub?.listPeers() ?? [getOwn()];
+        }
+        const others = link.listPeers().filter(peer => peer.vm !== settings.vm);
+        return [...others, getOwn()].sort(peerOrder.comparePeers);
+    };
+
     const hasPeers = (): boolean => link.isLinked() || (hub?.listPeers().length ?? 1) > 1;
 
     /** A hub can be found in the store by VMs whose seeds are gone; a VM that is alone looks for it there. */
@@ -141,13 +150,7 @@
             timer = scheduler.schedule(lonelyMs, () => void look());
         },
         isConnected: hasPeers,
-        listPeers: () => {
-            if (link.isLinked()) {
-                const told = link.listPeers().filter(peer => peer.vm !== settings.vm);
-                return [...told, getOwn()].sort(peerOrder.comparePeers);
-            }
-            return hub?.listPeers() ?? [getOwn()];
-        },
+        listPeers,
         countKnown: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
         sendReports: reports => {
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -17,6 +17,12 @@
     readonly target: shared.TargetId;
 }
 
+export interface HubBeat extends peerOrder.PeerChanges {
+    /** False if the VM follows a hub itself; it then only helps to find that one. */
+    readonly isHub: boolean;
+    readonly ageMs: number;
+}
+
 /** Notifications by method. */
 export interface PeerMessages {
     /** A VM joins, or what it tells of itself has changed. */
@@ -24,7 +30,7 @@
     /** A VM is alive. */
     readonly "peer.beat": Readonly<Record<string, never>>;
     /** The hub's regular message: how old its view of the store is, and who has joined or left. */
-    readonly "hub.beat": { readonly ageMs: number } & peerOrder.PeerChanges;
+    readonly "hub.beat": HubBeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.changes": { readonly changes: readonly routes.StateChange[] };
     readonly "load.reports": { readonly reports: readonly types.SharedReport[] };
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -37,6 +37,8 @@
     computeAgeMs(): number;
     /** A VM has told of itself. */
     handlePeer(peer: routes.Peer): void;
+    /** All VMs that this VM knows to live, also by its own hub. */
+    listKnown(): readonly routes.Peer[];
     /** Whether this VM follows no other hub. */
     isHub(): boolean;
     listSnapshots(): readonly routes.StateSnapshot[];
@@ -96,9 +98,10 @@
     };
 
     const sendBeat = (spoke: Spoke, changes: peerOrder.PeerChanges): void => {
-        const told = spoke.wasTold ? changes : { changed: listPeers(), left: [] };
+        const told = spoke.wasTold ? changes : { changed: options.listKnown(), left: [] };
         spoke.wasTold = true;
-        spoke.channel.send("hub.beat", { ageMs: Math.min(longestAgeMs, options.computeAgeMs()), ...told });
+        const ageMs = Math.min(longestAgeMs, options.computeAgeMs());
+        spoke.channel.send("hub.beat", { isHub: options.isHub(), ageMs, ...told });
     };
 
     /** A VM that follows another hub has nothing to pass on; it takes no part of the state of its own. */
