--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -32,6 +32,8 @@
     countCandidates(): number;
     /** Takes note of a VM that may be a hub. */
     addCandidate(peer: routes.Peer): void;
+    /** Tells the hub of a VM that may go before it. */
+    sendMet(peer: routes.Peer): void;
     sendHello(): void;
     sendReports(reports: readonly types.SharedReport[]): void;
     sendCrashes(reports: readonly peerChannel.CrashReport[]): void;
@@ -250,6 +252,7 @@
         listPeers: () => [...(link?.peers.values() ?? [])],
         countCandidates: () => candidates.size,
         addCandidate: peer => void candidates.set(peer.vm, peer),
+        sendMet: peer => link?.channel.send("peer.met", { peer }),
         sendHello: () => {
             if (link !== undefined) {
                 sendSign(link);
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -143,6 +143,23 @@
     vms.forEach(vm => vm.member.dispose());
 });
 
+test("two groups that grew apart become one", async t => {
+    const store = createStore();
+    const [first = 0, second = 0, third = 0] = await acquirePorts(3);
+    const strong = await startVm("a", { store, port: first, seeds: [] });
+    await new Promise(resolve => setTimeout(resolve, 2));
+    const weak = await startVm("b", { store, port: second, seeds: [] });
+    await new Promise(resolve => setTimeout(resolve, 2));
+    const member = await startVm("c", { store, port: third, seeds: [second] });
+    t.true(await waitUntil(() => member.member.listPeers().length === 2));
+    // The first VM knows no hub, only a VM that follows one.
+    strong.member.dispose();
+    const again = await startVm("a", { store, port: first, seeds: [third] });
+    const all = [again, weak, member];
+    t.true(await waitUntil(() => all.every(vm => vm.member.listPeers().length === 3)));
+    all.forEach(vm => vm.member.dispose());
+});
+
 test("when the hub ends, another VM takes its place", async t => {
     const { store, vms } = await startVms(3);
     t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3)));
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -91,7 +91,10 @@
                   computeAgeMs: () => (follower.isRunning() ? follower.computeAgeMs() : Infinity),
                   listKnown: () => listPeers(),
                   isHub: () => !link.isLinked(),
-                  handlePeer: peer => link.addCandidate(peer),
+                  handlePeer: peer => {
+                      link.addCandidate(peer);
+                      link.sendMet(peer);
+                  },
                   listSnapshots: () => state.listSnapshots(),
               });
 
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -27,6 +27,8 @@
 export interface PeerMessages {
     /** A VM joins, or what it tells of itself has changed. */
     readonly "peer.hello": { readonly peer: routes.Peer };
+    /** A VM that follows a hub tells it of a visitor, which may be a hub that goes before it. */
+    readonly "peer.met": { readonly peer: routes.Peer };
     /** A VM is alive. */
     readonly "peer.beat": Readonly<Record<string, never>>;
     /** The hub's regular message: how old its view of the store is, and who has joined or left. */
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -115,8 +115,8 @@
     const handleHello = (spoke: Spoke, peer: routes.Peer): void => {
         const isNew = spoke.peer === undefined;
         spoke.peer = peer;
-        options.handlePeer(peer);
         if (isNew) {
+            options.handlePeer(peer);
             logger.info("peer: joined", { vm: peer.vm, incarnation: peer.incarnation });
             sendSnapshots(spoke);
             sendBeat(spoke, noChanges);
@@ -142,6 +142,7 @@
         };
         spokes.add(spoke);
         spoke.channel.on("peer.hello", ({ peer }) => handleHello(spoke, peer));
+        spoke.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A beat only shows that the VM is alive, which the channel has noted.
         spoke.channel.on("peer.beat", () => undefined);
         spoke.channel.on("load.reports", params => {
