--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -251,7 +251,13 @@
         isLinked: () => link !== undefined,
         listPeers: () => [...(link?.peers.values() ?? [])],
         countCandidates: () => candidates.size,
-        addCandidate: peer => void candidates.set(peer.vm, peer),
+        addCandidate: peer => {
+            candidates.set(peer.vm, peer);
+            if (isBefore(peer)) {
+                avoided.delete(peer.peerAddress);
+                void search();
+            }
+        },
         sendMet: peer => link?.channel.send("peer.met", { peer }),
         sendHello: () => {
             if (link !== undefined) {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -81,7 +81,9 @@
         handleReports: reports => reports.forEach(applyReport),
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
-    const countSenders = (): number => Math.max(1, frontChoice.listFronts(members.listPeers()).length);
+    let zoneSlots: frontChoice.ZoneSlots = new Map();
+    const listFronts = (): readonly routes.Peer[] => frontChoice.listFronts(members.listPeers(), zoneSlots);
+    const countSenders = (): number => Math.max(1, listFronts().length);
 
     const book = targetBook.createTargetBook({
         scheduler,
@@ -157,9 +159,20 @@
         configuration.services.forEach(service => services.set(service.name, service));
     };
 
+    const handleTargets = (): void => {
+        const slots = new Map<shared.ZoneName, number>();
+        for (const target of state.listTargets()) {
+            if (!state.isZoneOut(target.zone)) {
+                slots.set(target.zone, (slots.get(target.zone) ?? 0) + target.slots);
+            }
+        }
+        zoneSlots = slots;
+        book.setTargets(state.listTargets());
+    };
+
     const pickFronts = (question: types.LookupQuestion): readonly shared.Address[] => {
         const peers = members.listPeers();
-        const picked = frontChoice.pickFronts(peers, question.zone);
+        const picked = frontChoice.pickFronts(peers, zoneSlots, question.zone);
         return picked.map(peer => peer.frontAddress);
     };
 
@@ -185,7 +198,7 @@
     return {
         start: async () => {
             state.onDidChangeConfiguration(handleConfiguration);
-            state.onDidChangeTargets(() => book.setTargets(state.listTargets()));
+            state.onDidChangeTargets(handleTargets);
             book.onDidFree(service => line.offer(service));
             await listenForLookups();
             await front?.listen();
