--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -69,6 +69,7 @@
         readonly store: ReturnType<typeof createStore>;
         readonly port: number;
         readonly seeds: readonly number[];
+        readonly cores?: number;
     },
 ) => {
     const vm = ids.toVmId(name);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -114,7 +114,7 @@
         members.isConnected() && isFront() ? 0.5 / countSenders() : 0.3 / members.countKnown();
 
     /** Whether clients are sent to this VM. */
-    const isFront = (): boolean => frontChoice.listFronts(members.listPeers()).some(peer => peer.vm === settings.vm);
+    const isFront = (): boolean => listFronts().some(peer => peer.vm === settings.vm);
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
     const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: isFront });
