--- a/src/common/routes/rate.ts
+++ b/src/common/routes/rate.ts
@@ -12,6 +12,18 @@
     compute(): number;
 }
 
+/** Steps of a rounded rate; peers are told a new rate only when it has changed by about this factor. */
+const roundingFactor = 1.25;
+
+/**
+ * Rounds a rate to one of a few steps.
+ *
+ * @param perSecond - the rate
+ * @returns 0 or a power of the rounding factor
+ */
+export const roundRate = (perSecond: number): number =>
+    perSecond < 1 ? 0 : roundingFactor ** Math.round(Math.log(perSecond) / Math.log(roundingFactor));
+
 /**
  * Creates a rate of 0.
  *
@@ -19,8 +31,9 @@
  * @returns the rate
  */
 export const createRate = (clock: types.Clock): Rate => {
+    const startedAtMs = clock.now();
     let weight = 0;
-    let atMs = clock.now();
+    let atMs = startedAtMs;
 
     const advance = (): void => {
         const nowMs = clock.now();
@@ -35,7 +48,9 @@
         },
         compute: () => {
             advance();
-            return (weight * 1_000) / memoryMs;
+            // Corrects for the time before the start, in which nothing was counted.
+            const covered = memoryMs * (1 - Math.exp(-(atMs - startedAtMs) / memoryMs));
+            return covered > 0 ? (weight * 1_000) / covered : 0;
         },
     };
 };
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -2,6 +2,7 @@
  * This VM among its peers: registers it, follows a hub or the store, and passes on what it learns.
  */
 import * as peerOrder from "../../common/routes/peerOrder.js";
+import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -69,7 +70,7 @@
         startedAtMs,
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
-        requestsPerSecond: Math.round(options.computeRequestRate()),
+        requestsPerSecond: rate.roundRate(options.computeRequestRate()),
     });
 
     const follower = storeFollower.createStoreFollower({
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -12,8 +12,8 @@
 import * as types from "./Types.js";
 
 /** Also the time after which a VM that lost its power is noticed, times `missedBeats`. */
-export const beatIntervalMs = 250;
-export const missedBeats = 4;
+export const beatIntervalMs = 400;
+export const missedBeats = 3;
 
 export interface PeerHub extends shared.Disposable {
     listen(): Promise<void>;
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -115,9 +115,15 @@
 
     /** Whether clients are sent to this VM. */
     const isFront = (): boolean => listFronts().some(peer => peer.vm === settings.vm);
+    /** Fronts probe the targets of their zone; the first front also those of zones without one. */
+    const mayProbe = (zone: shared.ZoneName): boolean => {
+        const fronts = listFronts();
+        const prober = fronts.find(peer => peer.zone === zone) ?? fronts[0];
+        return prober?.vm === settings.vm;
+    };
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
-    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: isFront });
+    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe });
 
     const applyReport = (report: types.SharedReport): void =>
         book.applyReport(report.target, report.load, scheduler.now() - report.ageMs);
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -24,7 +24,6 @@
     stop(): void;
     /** Age of the oldest table's last successful call; infinite before the first. */
     computeAgeMs(): number;
-    /** Fires with what changed, for peers. */
     isRunning(): boolean;
 }
 
@@ -152,6 +151,9 @@
     };
 
     const stop = (): void => {
+        if (isRunning) {
+            logger.info("state: leaves the store to the hub");
+        }
         isRunning = false;
         run++;
         timers.forEach(timer => timer.dispose());
@@ -165,6 +167,7 @@
             }
             isRunning = true;
             run++;
+            logger.info("state: follows the store");
             for (const table of tables) {
                 // Changes may have been missed while another VM followed the store.
                 table.cursor = undefined;
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -26,7 +26,8 @@
     readonly book: targetBook.TargetBook;
     readonly sender: targetSender.TargetSender;
     readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
-    mayProbe(): boolean;
+    /** Whether this VM probes the targets of a zone. */
+    mayProbe(zone: shared.ZoneName): boolean;
 }): TargetProber => {
     const { scheduler, book, sender, services } = options;
     let timer: shared.Disposable | undefined;
@@ -50,8 +51,10 @@
     };
 
     const check = (): void => {
-        if (options.mayProbe()) {
-            book.listSilent(silentAfterMs).forEach(registration => void probe(registration));
+        for (const registration of book.listSilent(silentAfterMs)) {
+            if (options.mayProbe(registration.zone)) {
+                void probe(registration);
+            }
         }
         timer = scheduler.schedule(checkIntervalMs, check);
     };
