--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -120,10 +120,10 @@
 
 test("the cost of an offer does not grow with the line", t => {
     const line = waitLine.createWaitLine<string>(virtualScheduler.createVirtualScheduler());
-    const { signal } = new AbortController();
     let asked = 0;
     const take = (): undefined => void asked++;
     for (let count = 0; count < 500; count++) {
+        const { signal } = new AbortController();
         void line.wait({ service: fixture.service, priority: 1, longestWaitMs: 1_000, signal, take });
     }
     asked = 0;
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -12,7 +12,7 @@
 export interface LookupServerOptions {
     readonly address: shared.Address;
     readonly dialect: types.LookupDialect;
-    readonly lifetimeMs: number;
+    getLifetimeMs(): number;
     isReady(): boolean;
     pickFronts(question: types.LookupQuestion): readonly shared.Address[];
 }
@@ -32,7 +32,7 @@
             response.writeHead(503).end();
             return;
         }
-        const body = dialect.formatLookup(addresses, options.lifetimeMs);
+        const body = dialect.formatLookup(addresses, options.getLifetimeMs());
         response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
         response.end(body);
     };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -37,6 +37,8 @@
 
 export interface RouteDaemon {
     start(): Promise<void>;
+    /** Takes over the bounds of changed settings; addresses and names stay as they are until a restart. */
+    reload(changed: types.RouteSettings): void;
     /** Leaves without breaking a request off; resolves when the process may end. */
     stop(): Promise<void>;
 }
@@ -58,7 +60,7 @@
  */
 export const createRouteDaemon = (options: RouteDaemonOptions): RouteDaemon => {
     const { settings, scheduler, logger, store } = options;
-    const { bounds } = settings;
+    let { bounds } = settings;
     const incarnation = ids.toIncarnationId(crypto.randomUUID());
     const state = sharedState.createSharedState(scheduler);
     const services = new Map<shared.ServiceName, routes.RoutedService>();
@@ -182,7 +184,7 @@
         return picked.map(peer => peer.frontAddress);
     };
 
-    const lookupLifetimeMs = Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
+    const getLookupLifetimeMs = (): number => Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
 
     const listenForLookups = async (): Promise<void> => {
         const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
@@ -191,7 +193,7 @@
                 await lookupServer.listenForLookups({
                     address,
                     dialect: options.lookup,
-                    lifetimeMs: lookupLifetimeMs,
+                    getLifetimeMs: getLookupLifetimeMs,
                     isReady,
                     pickFronts,
                 });
@@ -212,13 +214,17 @@
             prober.start();
             logger.info("life: started", { vm: settings.vm, incarnation, zone: settings.zone });
         },
+        reload: changed => {
+            bounds = changed.bounds;
+            logger.info("life: settings reloaded", { ...bounds });
+        },
         stop: async () => {
             isLeaving = true;
             const endsAtMs = scheduler.now() + bounds.graceMs - graceMarginMs;
             logger.info("life: leaving", { connections: front?.countConnections() });
             members.sendHello();
             front?.startLeaving();
-            await wait(Math.min(lookupLifetimeMs * lookupKeepFactor, bounds.graceMs / 2));
+            await wait(Math.min(getLookupLifetimeMs() * lookupKeepFactor, bounds.graceMs / 2));
             front?.closeIdle();
             while ((front?.countConnections() ?? 0) > 0 && scheduler.now() < endsAtMs) {
                 await wait(leaveCheckMs);
