--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -136,6 +136,8 @@
     readonly peerAddress: types.Address;
     /** Start of the process by its own clock, in Unix milliseconds; it only serves to order the VMs. */
     readonly startedAtMs: number;
+    /** Whether the settings name this VM as one that others find first. */
+    readonly isSeed: boolean;
     /** Share of a core that the VM has. */
     readonly cores: number;
     readonly isReady: boolean;
--- a/src/common/routes/peerOrder.ts
+++ b/src/common/routes/peerOrder.ts
@@ -11,15 +11,18 @@
 }
 
 /**
- * Compares two VMs: the strongest first, among equal ones the one that started first. All VMs come to the same order, as
- * each one tells its own figures.
+ * Compares two VMs: seeds first, as all VMs find them at once, then the strongest, then the one that started first. All
+ * VMs come to the same order, as each one tells its own figures.
  *
  * @param left - a VM
  * @param right - another VM
  * @returns a negative number if `left` goes first
  */
 export const comparePeers = (left: types.Peer, right: types.Peer): number =>
-    right.cores - left.cores || left.startedAtMs - right.startedAtMs || (left.vm < right.vm ? -1 : 1);
+    Number(right.isSeed) - Number(left.isSeed) ||
+    right.cores - left.cores ||
+    left.startedAtMs - right.startedAtMs ||
+    (left.vm < right.vm ? -1 : 1);
 
 const isEqual = (left: types.Peer, right: types.Peer | undefined): boolean =>
     right !== undefined && JSON.stringify(left) === JSON.stringify(right);
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -68,6 +68,7 @@
         frontAddress: settings.frontAddress ?? noAddress,
         peerAddress: settings.peerAddress ?? noAddress,
         startedAtMs,
+        isSeed: settings.peerAddress !== undefined && settings.seeds.includes(settings.peerAddress),
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
         requestsPerSecond: rate.roundRate(options.computeRequestRate()),
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -34,6 +34,8 @@
 /** Time before the end of the grace period at which the process ends. */
 const graceMarginMs = 500;
 const leaveCheckMs = 100;
+/** A VM with fewer requests per second does not probe: fresh reports are worth nothing to it. */
+const fewestRequestsToProbe = 5;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -119,6 +121,9 @@
     const isFront = (): boolean => listFronts().some(peer => peer.vm === settings.vm);
     /** Fronts probe the targets of their zone; the first front also those of zones without one. */
     const mayProbe = (zone: shared.ZoneName): boolean => {
+        if (requestRate.compute() < fewestRequestsToProbe) {
+            return false;
+        }
         const fronts = listFronts();
         const prober = fronts.find(peer => peer.zone === zone) ?? fronts[0];
         return prober?.vm === settings.vm;
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -89,6 +89,7 @@
     frontAddress: ids.toAddress("127.0.0.1:1"),
     peerAddress: ids.toAddress("127.0.0.1:2"),
     startedAtMs: 1,
+    isSeed: false,
     cores: 0.5,
     isReady: true,
     requestsPerSecond: 0,
