--- /dev/null
+++ b/src/node/routes/frontServer.test.ts
@@ -0,0 +1,131 @@
+import * as net from "node:net";
+import test from "ava";
+import * as ids from "../../common/ids.js";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as ports from "../../testing/system/ports.js";
+import * as systemScheduler from "../systemScheduler.js";
+import * as connectionPool from "./connectionPool.js";
+import * as frontServer from "./frontServer.js";
+
+const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
+
+const createAnswer = (text: string, isDelimited = true): frontServer.ClientAnswer => ({
+    statusCode: 200,
+    headers: ["x-own", "1"],
+    body: Buffer.from(text),
+    isDelimited,
+});
+
+const startFront = async (
+    handle: frontServer.FrontOptions["handle"],
+    limits: Partial<ReturnType<typeof fixture.createConfiguration>["limits"]> = {},
+) => {
+    const address = ids.toAddress(await ports.acquireAddress());
+    const front = frontServer.createFrontServer({
+        address,
+        clock: scheduler,
+        getLimits: () => ({ ...fixture.createConfiguration(1).limits, ...limits }),
+        handle,
+        formatRefusal: (_headers, statusCode, reason) => ({ ...createAnswer(reason), statusCode }),
+    });
+    await front.listen();
+    const connect = (): {
+        readonly socket: net.Socket;
+        readonly read: () => string;
+        readonly ended: Promise<unknown>;
+    } => {
+        const [host, port] = connectionPool.splitAddress(address);
+        const socket = net.connect({ host, port });
+        let text = "";
+        socket.on("data", chunk => (text += chunk.toString()));
+        socket.on("error", () => undefined);
+        return { socket, read: () => text, ended: new Promise(resolve => socket.once("close", resolve)) };
+    };
+    return { front, connect };
+};
+
+const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+const formatRequest = (path: string, more = ""): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n${more}\r\n`;
+
+test("answers come in the order of the requests, whichever is ready first", async t => {
+    const { front, connect } = await startFront(async request => {
+        await wait(request.url === "/slow" ? 100 : 1);
+        return createAnswer(request.url);
+    });
+    const client = connect();
+    client.socket.write(formatRequest("/slow") + formatRequest("/fast"));
+    await wait(250);
+    const text = client.read();
+    t.true(text.indexOf("/slow") >= 0 && text.indexOf("/slow") < text.indexOf("/fast"));
+    front.dispose();
+});
+
+test("a body in chunks arrives whole", async t => {
+    const { front, connect } = await startFront(request => Promise.resolve(createAnswer(request.body.toString())));
+    const client = connect();
+    client.socket.write(
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    );
+    await wait(100);
+    t.true(client.read().endsWith("abcde"));
+    front.dispose();
+});
+
+test("a header or body beyond its limit is refused and not handled", async t => {
+    let handled = 0;
+    const handle = (): Promise<undefined> => Promise.resolve(void handled++);
+    const { front, connect } = await startFront(handle, { maxHeaderBytes: 50, maxBodyBytes: 5 });
+    const long = connect();
+    long.socket.write(formatRequest("/", `x: ${"y".repeat(100)}\r\n`));
+    const large = connect();
+    large.socket.write("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\nabcdef");
+    await Promise.all([long.ended, large.ended]);
+    t.regex(long.read(), /^HTTP\/1.1 431/);
+    t.regex(large.read(), /^HTTP\/1.1 413/);
+    t.is(handled, 0);
+    front.dispose();
+});
+
+test("an answer without a length ends with the connection", async t => {
+    const { front, connect } = await startFront(() => Promise.resolve(createAnswer("part", false)));
+    const client = connect();
+    client.socket.write(formatRequest("/"));
+    await client.ended;
+    t.notRegex(client.read(), /content-length|transfer-encoding/i);
+    t.true(client.read().endsWith("part"));
+    front.dispose();
+});
+
+test("a client that leaves aborts its requests", async t => {
+    let abort: (() => void) | undefined;
+    const aborted = new Promise<void>(resolve => (abort = resolve));
+    const { front, connect } = await startFront(request => {
+        request.signal.addEventListener("abort", () => abort?.());
+        return new Promise(() => undefined);
+    });
+    const client = connect();
+    client.socket.write(formatRequest("/"));
+    await wait(50);
+    client.socket.end();
+    await t.notThrowsAsync(aborted);
+    front.dispose();
+});
+
+test("a server that leaves finishes what it has, and closes only connections that wait for nothing", async t => {
+    const { front, connect } = await startFront(async () => {
+        await wait(150);
+        return createAnswer("done");
+    });
+    const idle = connect();
+    const busy = connect();
+    busy.socket.write(formatRequest("/"));
+    await wait(50);
+    front.startLeaving();
+    front.closeIdle();
+    await idle.ended;
+    await busy.ended;
+    t.regex(busy.read(), /connection: close/i);
+    t.true(busy.read().endsWith("done"));
+    t.is(front.countConnections(), 0);
+});
