--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -31,8 +31,6 @@
 export interface RoutedService {
     readonly name: types.ServiceName;
     readonly healthPath: string;
-    /** Connections that a target accepts from all callers together. */
-    readonly maxConnections: number;
     /** Requests per second that a target bears while it is cold. */
     readonly coldPerSecond: number;
 }
@@ -122,7 +120,7 @@
     /** No answer in time. */
     | { readonly kind: "silent" }
     /** The client left, or another attempt answered first. */
-    | { readonly kind: "cancelled"; readonly afterMs: number };
+    | { readonly kind: "cancelled" };
 
 /** An entry VM as its peers know it. */
 export interface Peer {
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -49,7 +49,6 @@
 
 /** A client's question for the addresses of entry VMs. */
 export interface LookupQuestion {
-    readonly region: types.RegionName | undefined;
     readonly zone: types.ZoneName | undefined;
 }
 
@@ -82,13 +81,6 @@
     fetchPeers(timeoutMs: number): Promise<readonly routes.Peer[]>;
 }
 
-/** Load of a target as another VM saw it. */
-export interface SharedReport {
-    readonly target: types.TargetId;
-    readonly load: routes.LoadReport;
-    readonly ageMs: number;
-}
-
 /** Settings of the route daemon. */
 export interface RouteSettings {
     readonly vm: types.VmId;
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -75,7 +75,7 @@
             const result = new Promise<targetSender.AttemptResult>(
                 resolve => void scheduler.schedule(step.afterMs, () => resolve(step.result)),
             );
-            return { result, abort: () => void aborted++, isSent: () => true };
+            return { result, abort: () => void aborted++ };
         },
     };
     void exchange
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -120,7 +120,7 @@
         // After its client has left, a request that may not be repeated goes on: nobody could tell how far it came.
         if (answer.kind !== "abandoned" || isIdempotent) {
             for (const other of [...running]) {
-                stopAttempt(other, { kind: "cancelled", afterMs: scheduler.now() - other.startedAtMs });
+                stopAttempt(other, { kind: "cancelled" });
             }
         }
         resolve(answer);
@@ -280,7 +280,7 @@
         });
         if (isDone) {
             if (pick?.kind === "target") {
-                pick.ticket.finish({ kind: "cancelled", afterMs: 0 }, undefined);
+                pick.ticket.finish({ kind: "cancelled" }, undefined);
             }
         } else if (pick?.kind === "target") {
             startAttempt(pick.ticket);
@@ -299,7 +299,7 @@
             return;
         }
         if (computeLeftMs() <= shortestAttemptMs || !budget.takeRetry(service)) {
-            pick.ticket.finish({ kind: "cancelled", afterMs: 0 }, undefined);
+            pick.ticket.finish({ kind: "cancelled" }, undefined);
             return;
         }
         log("exchange: hedged", { target: pick.ticket.registration.id });
--- a/src/node/routes/frontServer.ts
+++ b/src/node/routes/frontServer.ts
@@ -13,6 +13,8 @@
 /** Added to the configured idle time, so that a request does not cross the close of an idle connection. */
 const idleExtraMs = 1_000;
 const defaultIdleMs = 60_000;
+/** `: ` behind a name, and the line break behind a value. */
+const separatorBytes = 2;
 
 export interface ClientRequest {
     readonly method: string;
@@ -72,7 +74,7 @@
 };
 
 const countHeaderBytes = (headers: types.RawHeaders): number =>
-    headers.reduce((sum, text, index) => sum + text.length + (index % 2 === 0 ? 2 : 2), 0);
+    headers.reduce((sum, text) => sum + text.length + separatorBytes, 0);
 
 /**
  * Creates the server.
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -10,7 +10,6 @@
 import * as connectionPool from "./connectionPool.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
-import * as types from "./Types.js";
 
 const openTimeoutMs = 250;
 /** A VM that has not given its first beat by then is passed over. */
@@ -35,7 +34,6 @@
     /** Tells the hub of a VM that may go before it. */
     sendMet(peer: routes.Peer): void;
     sendHello(): void;
-    sendReports(reports: readonly types.SharedReport[]): void;
     sendCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
@@ -264,7 +262,6 @@
                 sendSign(link);
             }
         },
-        sendReports: reports => link?.channel.send("load.reports", { reports }),
         sendCrashes: reports => link?.channel.send("crash.reports", { reports }),
         dispose: () => {
             isDisposed = true;
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -102,7 +102,6 @@
         logger: silentLogger.createSilentLogger(),
         isReady: () => true,
         computeRequestRate: () => 0,
-        handleReports: () => undefined,
         handleCrashes: () => undefined,
     });
     await member.start();
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -31,7 +31,6 @@
     countKnown(): number;
     /** Tells the peers at once that this VM's readiness has changed. */
     sendHello(): void;
-    sendReports(reports: readonly types.SharedReport[]): void;
     sendCrash(report: peerChannel.CrashReport): void;
 }
 
@@ -44,7 +43,6 @@
     readonly logger: shared.Logger;
     isReady(): boolean;
     computeRequestRate(): number;
-    handleReports(reports: readonly types.SharedReport[]): void;
     handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
@@ -110,7 +108,6 @@
                 snapshots.forEach(snapshot => state.applySnapshot(snapshot, false)),
             );
             channel.on("state.changes", ({ changes }) => void state.applyChanges(changes));
-            channel.on("load.reports", ({ reports }) => options.handleReports(reports));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
         isStoreFresh: () => follower.isRunning() && follower.computeAgeMs() < ownFreshMs,
@@ -148,7 +145,6 @@
 
     return {
         start: async () => {
-            hub?.onDidReceiveReports(options.handleReports);
             hub?.onDidReceiveCrashes(options.handleCrashes);
             await hub?.listen();
             link.start();
@@ -158,10 +154,6 @@
         listPeers,
         countKnown: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
-        sendReports: reports => {
-            link.sendReports(reports);
-            hub?.pushReports(reports);
-        },
         sendCrash: report => {
             link.sendCrashes([report]);
             hub?.pushCrashes([report]);
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -6,7 +6,6 @@
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
-import * as types from "./Types.js";
 
 /** A peer that does not read loses its connection before it costs memory. */
 const maxBufferedBytes = 4 * 1024 * 1024;
@@ -35,7 +34,6 @@
     readonly "hub.beat": HubBeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.changes": { readonly changes: readonly routes.StateChange[] };
-    readonly "load.reports": { readonly reports: readonly types.SharedReport[] };
     readonly "crash.reports": { readonly reports: readonly CrashReport[] };
 }
 
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -9,7 +9,6 @@
 import * as shared from "../../common/Types.js";
 import * as connectionPool from "./connectionPool.js";
 import * as peerChannel from "./peerChannel.js";
-import * as types from "./Types.js";
 
 /** Also the time after which a VM that lost its power is noticed, times `missedBeats`. */
 export const beatIntervalMs = 400;
@@ -22,9 +21,7 @@
     /** Sends the connected VMs away, as this VM is no hub any more. */
     closeSpokes(): void;
     pushChanges(changes: readonly routes.StateChange[]): void;
-    pushReports(reports: readonly types.SharedReport[]): void;
     pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
-    readonly onDidReceiveReports: shared.Event<readonly types.SharedReport[]>;
     readonly onDidReceiveCrashes: shared.Event<readonly peerChannel.CrashReport[]>;
 }
 
@@ -67,7 +64,6 @@
     const spokes = new Set<Spoke>();
     /** Peers at the last beat. */
     let known: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
-    const reportEmitter = events.createEmitter<readonly types.SharedReport[]>();
     const crashEmitter = events.createEmitter<readonly peerChannel.CrashReport[]>();
 
     const isHeard = (spoke: Spoke): boolean =>
@@ -145,10 +141,6 @@
         spoke.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A beat only shows that the VM is alive, which the channel has noted.
         spoke.channel.on("peer.beat", () => undefined);
-        spoke.channel.on("load.reports", params => {
-            reportEmitter.fire(params.reports);
-            push("load.reports", params, spoke);
-        });
         spoke.channel.on("crash.reports", params => {
             crashEmitter.fire(params.reports);
             push("crash.reports", params, spoke);
@@ -183,9 +175,7 @@
         listPeers,
         closeSpokes: () => spokes.forEach(spoke => spoke.channel.dispose()),
         pushChanges: changes => push("state.changes", { changes }),
-        pushReports: reports => push("load.reports", { reports }),
         pushCrashes: reports => push("crash.reports", { reports }),
-        onDidReceiveReports: reportEmitter.event,
         onDidReceiveCrashes: crashEmitter.event,
         dispose: () => {
             timer.dispose();
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -15,7 +15,7 @@
     readonly dialect: types.HttpDialect;
     readonly exchange: exchange.ExchangeOptions;
     getTable(): routeTable.RouteTable | undefined;
-    /** Whether the configuration may still be in force. */
+    /** Called once for each request that was routed or found no route. */
     recordAnswer(answer: RequestOutcome): void;
 }
 
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -84,7 +84,6 @@
         logger,
         isReady,
         computeRequestRate: requestRate.compute,
-        handleReports: reports => reports.forEach(applyReport),
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
     let zoneSlots: frontChoice.ZoneSlots = new Map();
@@ -142,9 +141,6 @@
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
     const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe });
 
-    const applyReport = (report: types.SharedReport): void =>
-        book.applyReport(report.target, report.load, scheduler.now() - report.ageMs);
-
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -30,8 +30,6 @@
     readonly result: Promise<AttemptResult>;
     /** Closes the connection, so that the target drops the request. */
     abort(): void;
-    /** Whether bytes were handed to a connection. */
-    isSent(): boolean;
 }
 
 export interface AttemptOptions {
@@ -119,7 +117,6 @@
                     connection?.dispose();
                 }
             },
-            isSent: () => isSent,
         };
     };
 
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -70,7 +70,7 @@
 export const createConfiguration = (version: number): routes.RouteConfiguration => ({
     version,
     routes: [createRoute()],
-    services: [{ name: service, healthPath: "/health", maxConnections: 100, coldPerSecond: 10 }],
+    services: [{ name: service, healthPath: "/health", coldPerSecond: 10 }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
 });
 
