Do not send a request whose client left while it was read

The abort came before the exchange listened for it, and the request was sent. Ruled out: bytes on the way and connections being opened. The new test fails without the check and passes with it.

--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -44,7 +44,12 @@
 /** Runs one request against targets that behave as scripted, in the order of the attempts. */
 const run = (
     steps: readonly Step[],
-    options: { readonly route?: Partial<routes.Route>; readonly budget?: number; readonly targets?: number } = {},
+    options: {
+        readonly route?: Partial<routes.Route>;
+        readonly budget?: number;
+        readonly targets?: number;
+        readonly hasLeft?: boolean;
+    } = {},
 ) => {
     const scheduler = virtualScheduler.createVirtualScheduler(1_000);
     const left = [...steps];
@@ -65,6 +70,9 @@
     book.onDidFree(service => line.offer(service));
     const crashes = crashRegistry.createCrashRegistry({ scheduler, limit: 3, maxEntries: 10, retentionMs: 60_000 });
     const client = new AbortController();
+    if (options.hasLeft === true) {
+        client.abort();
+    }
     let answer: exchange.FinalAnswer | undefined;
     let answeredAtMs = 0;
     const crashed: string[] = [];
@@ -202,6 +210,13 @@
     t.is(other.countAborted(), 0);
 });
 
+test("a request whose client left while it was read is not sent", async t => {
+    const world = run([ok(10)], { hasLeft: true });
+    await world.advance(2_000);
+    t.deepEqual(world.sent, []);
+    t.is(world.getAnswer()?.kind, "abandoned");
+});
+
 test("a request without a target is refused at once", async t => {
     const world = run([], { targets: 0 });
     await world.advance(100);
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -309,6 +309,10 @@
     return {
         start: () => {
             budget.recordCall(service);
+            if (request.signal.aborted) {
+                finish({ kind: "abandoned" });
+                return;
+            }
             request.signal.addEventListener("abort", handleAbandon, { once: true });
             timers.push(scheduler.schedule(computeLeftMs(), handleDeadline));
             if (isIdempotent && route.maxTargets > 1) {
--- a/src/node/routes/frontServer.test.ts
+++ b/src/node/routes/frontServer.test.ts
@@ -46,6 +46,12 @@
 
 const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
 
+const waitFor = async (isTrue: () => boolean): Promise<void> => {
+    while (!isTrue()) {
+        await wait(5);
+    }
+};
+
 const formatRequest = (path: string, more = ""): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n${more}\r\n`;
 
 test("answers come in the order of the requests, whichever is ready first", async t => {
@@ -55,7 +61,7 @@
     });
     const client = connect();
     client.socket.write(formatRequest("/slow") + formatRequest("/fast"));
-    await wait(250);
+    await waitFor(() => client.read().includes("/fast"));
     const text = client.read();
     t.true(text.indexOf("/slow") >= 0 && text.indexOf("/slow") < text.indexOf("/fast"));
     front.dispose();
@@ -67,7 +73,7 @@
     client.socket.write(
         "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
     );
-    await wait(100);
+    await waitFor(() => client.read().includes("abcde"));
     t.true(client.read().endsWith("abcde"));
     front.dispose();
 });
@@ -100,27 +106,31 @@
 test("a client that leaves aborts its requests", async t => {
     let abort: (() => void) | undefined;
     const aborted = new Promise<void>(resolve => (abort = resolve));
+    let handled = 0;
     const { front, connect } = await startFront(request => {
+        handled++;
         request.signal.addEventListener("abort", () => abort?.());
         return new Promise(() => undefined);
     });
     const client = connect();
     client.socket.write(formatRequest("/"));
-    await wait(50);
+    await waitFor(() => handled === 1);
     client.socket.end();
     await t.notThrowsAsync(aborted);
     front.dispose();
 });
 
 test("a server that leaves finishes what it has, and closes only connections that wait for nothing", async t => {
+    let handled = 0;
     const { front, connect } = await startFront(async () => {
+        handled++;
         await wait(150);
         return createAnswer("done");
     });
     const idle = connect();
     const busy = connect();
     busy.socket.write(formatRequest("/"));
-    await wait(50);
+    await waitFor(() => handled === 1 && front.countConnections() === 2);
     front.startLeaving();
     front.closeIdle();
     await idle.ended;
--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -89,8 +89,9 @@
     const { acquire, sockets } = await startTarget([formatAnswer("1", "one")]);
     const connection = await acquire();
     await connection.send(request("1"));
+    const ended = new Promise(resolve => sockets[0]?.once("close", resolve));
     sockets[0]?.write(formatAnswer("1", "again"));
-    await new Promise(resolve => setTimeout(resolve, 50));
+    await ended;
     t.false(connection.isReusable(scheduler.now()));
 });
 
