--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -7,6 +7,9 @@
 /** Weight of an attempt in the estimate of a target's pace and failures. */
 const paceWeight = 0.1;
 const failureWeight = 0.3;
+/** Bounds of the estimated pace; a single odd answer must not exclude a target for long. */
+const slowestPace = 3;
+const quickestPace = 0.3;
 /** Failures are forgotten at this rate, so that a target that recovered is tried again. */
 const failureLifetimeMs = 2_000;
 /** Counts of others age fast: an answer takes about a tenth of a second. */
@@ -176,5 +179,5 @@
         return;
     }
     entry.pace += paceWeight * (multiple / Math.max(1, entry.slowdown) - entry.pace);
-    entry.pace = Math.min(3, Math.max(0.3, entry.pace));
+    entry.pace = Math.min(slowestPace, Math.max(quickestPace, entry.pace));
 };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -15,6 +15,7 @@
 import * as waitLine from "../../common/routes/waitLine.js";
 import * as shared from "../../common/Types.js";
 import * as connectionPool from "./connectionPool.js";
+import * as frontDuties from "./frontDuties.js";
 import * as frontServer from "./frontServer.js";
 import * as lookupServer from "./lookupServer.js";
 import * as membership from "./membership.js";
@@ -34,11 +35,6 @@
 /** Time before the end of the grace period at which the process ends. */
 const graceMarginMs = 500;
 const leaveCheckMs = 100;
-/** Peers tell of themselves every 400 ms. */
-const frontsLifetimeMs = 100;
-/** A VM with fewer requests per second does not probe: fresh reports are worth nothing to it. */
-const fewestRequestsToProbe = 5;
-
 export interface RouteDaemon {
     start(): Promise<void>;
     /** Takes over the bounds of changed settings; addresses and names stay as they are until a restart. */
@@ -87,17 +83,15 @@
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
     let zoneSlots: frontChoice.ZoneSlots = new Map();
-    let fronts: readonly routes.Peer[] = [];
-    let frontsAtMs = -Infinity;
-    /** The fronts are asked for several times a request; sorting all peers each time would take a tenth of a core. */
-    const listFronts = (): readonly routes.Peer[] => {
-        if (scheduler.now() - frontsAtMs >= frontsLifetimeMs) {
-            frontsAtMs = scheduler.now();
-            fronts = frontChoice.listFronts(members.listPeers(), zoneSlots);
-        }
-        return fronts;
-    };
-    const countSenders = (): number => Math.max(1, listFronts().length);
+    const duties = frontDuties.createFrontDuties({
+        vm: settings.vm,
+        clock: scheduler,
+        isConnected: members.isConnected,
+        listPeers: members.listPeers,
+        countKnown: members.countKnown,
+        getZoneSlots: () => zoneSlots,
+        computeRequestRate: requestRate.compute,
+    });
 
     const book = targetBook.createTargetBook({
         scheduler,
@@ -105,7 +99,7 @@
         zone: settings.zone,
         isZoneOut: zone => state.isZoneOut(zone),
         getService: name => services.get(name),
-        countSenders,
+        countSenders: duties.countSenders,
     });
     const line = waitLine.createWaitLine<targetBook.Pick>(scheduler);
     const crashes = crashRegistry.createCrashRegistry({
@@ -117,29 +111,15 @@
     const budget = retryBudget.createRetryBudget({
         scheduler,
         getPolicy: () => {
-            const extra = bounds.retryExtra * computeExtraShare();
+            const extra = bounds.retryExtra * duties.computeExtraShare();
             const perSecond = (extra * 1_000) / bounds.retryWindowMs;
             // A full bucket and the refill of a window together stay within the extra of the window.
             return { share: bounds.retryShare * retryUse, floor: { perSecond: perSecond / 2, burst: extra / 2 } };
         },
     });
-    /** VMs that clients are sent to get half of the extra retries, all others together a part of the rest. */
-    const computeExtraShare = (): number =>
-        members.isConnected() && isFront() ? 0.5 / countSenders() : 0.3 / members.countKnown();
-
-    /** Whether clients are sent to this VM. */
-    const isFront = (): boolean => listFronts().some(peer => peer.vm === settings.vm);
-    /** Fronts probe the targets of their zone; the first front also those of zones without one. */
-    const mayProbe = (zone: shared.ZoneName): boolean => {
-        if (requestRate.compute() < fewestRequestsToProbe) {
-            return false;
-        }
-        const prober = listFronts().find(peer => peer.zone === zone) ?? listFronts()[0];
-        return prober?.vm === settings.vm;
-    };
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
-    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe });
+    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: duties.mayProbe });
 
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
@@ -190,7 +170,7 @@
     };
 
     const pickFronts = (question: types.LookupQuestion): readonly shared.Address[] => {
-        const picked = frontChoice.pickFronts(listFronts(), question.zone);
+        const picked = frontChoice.pickFronts(duties.listFronts(), question.zone);
         return picked.map(peer => peer.frontAddress);
     };
 
