--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -2,6 +2,7 @@
  * The command line.
  */
 import * as commander from "commander";
+import * as errorText from "../common/errors/errorText.js";
 import * as errors from "../common/errors/errors.js";
 import * as ids from "../common/ids.js";
 import * as types from "../common/Types.js";
@@ -216,7 +217,7 @@
         if (error instanceof commander.CommanderError) {
             return error.exitCode === 0 ? exitCodes.exitDone : exitCodes.exitFailed;
         }
-        context.writeError(`${error instanceof Error ? error.message : String(error)}\n`);
+        context.writeError(`${errorText.toErrorText(error)}\n`);
         return exitCodes.exitFailed;
     }
 };
--- a/src/cli/sourceFiles.ts
+++ b/src/cli/sourceFiles.ts
@@ -4,6 +4,7 @@
 import * as fs from "node:fs/promises";
 import * as path from "node:path";
 import * as configFiles from "../common/config/configFiles.js";
+import * as errorText from "../common/errors/errorText.js";
 import * as cli from "./Types.js";
 
 const yamlPattern = /\.ya?ml$/;
@@ -41,6 +42,6 @@
         );
         return { kind: "read", files };
     } catch (error) {
-        return { kind: "failed", cause: error instanceof Error ? error.message : String(error) };
+        return { kind: "failed", cause: errorText.toErrorText(error) };
     }
 };
--- a/src/common/config/yamlText.ts
+++ b/src/common/config/yamlText.ts
@@ -2,6 +2,7 @@
  * YAML text as a value, with faults by line.
  */
 import * as yaml from "yaml";
+import * as errorText from "../errors/errorText.js";
 import * as config from "./Types.js";
 
 export interface YamlResult {
@@ -33,7 +34,7 @@
         return { value: document.toJS(), faults: [] };
     } catch (error) {
         // An alias without anchor or with too many repetitions is found only here.
-        const message = error instanceof Error ? error.message : String(error);
+        const message = errorText.toErrorText(error);
         return { value: undefined, faults: [{ where: label, message }] };
     }
 };
--- a/src/common/routes/routeTable.ts
+++ b/src/common/routes/routeTable.ts
@@ -5,6 +5,8 @@
 import * as types from "./Types.js";
 
 export interface RouteTable {
+    /** Version of the configuration that the table was made from. */
+    readonly version: number;
     /**
      * Finds the route with the longest prefix.
      *
@@ -44,10 +46,11 @@
 /**
  * Creates the table of a configuration.
  *
- * @param routes - all routes
+ * @param configuration - its version and all routes
  * @returns the table
  */
-export const createRouteTable = (routes: readonly types.Route[]): RouteTable => {
+export const createRouteTable = (configuration: Pick<types.RouteConfiguration, "version" | "routes">): RouteTable => {
+    const { version, routes } = configuration;
     const byHost = new Map<string, types.Route[]>();
     for (const route of routes) {
         const list = byHost.get(route.host) ?? [];
@@ -62,6 +65,7 @@
         splits.set(route, createSplit(route.services));
     }
     return {
+        version,
         find: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
         pickService: route => splits.get(route)?.(),
     };
--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -9,11 +9,14 @@
 import * as waitLine from "./waitLine.js";
 
 test("the route with the longest prefix of the host is found", t => {
-    const table = routeTable.createRouteTable([
-        fixture.createRoute({ name: "short", prefix: "/a/" }),
-        fixture.createRoute({ name: "long", prefix: "/a/b/" }),
-        fixture.createRoute({ name: "other", host: "other.org", prefix: "/a/b/c/" }),
-    ]);
+    const table = routeTable.createRouteTable({
+        version: 1,
+        routes: [
+            fixture.createRoute({ name: "short", prefix: "/a/" }),
+            fixture.createRoute({ name: "long", prefix: "/a/b/" }),
+            fixture.createRoute({ name: "other", host: "other.org", prefix: "/a/b/c/" }),
+        ],
+    });
     t.is(table.find("example.org", "/a/b/c/d")?.name, "long");
     t.is(table.find("example.org", "/a/x")?.name, "short");
     t.is(table.find("example.org", "/ab"), undefined);
@@ -26,7 +29,7 @@
         { service: other, weight: 10 },
     ];
     const route = fixture.createRoute({ services });
-    const table = routeTable.createRouteTable([route]);
+    const table = routeTable.createRouteTable({ version: 1, routes: [route] });
     const picks = Array.from({ length: 200 }, () => table.pickService(route));
     t.is(picks.filter(service => service === other).length, 20);
 });
--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -1,13 +1,17 @@
 import test from "ava";
 import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as ids from "../ids.js";
 import * as sharedState from "./sharedState.js";
 
 const listIds = (state: sharedState.SharedState): string[] => [...state.listTargets()].map(target => target.id);
 
+const createState = (scheduler = virtualScheduler.createVirtualScheduler()): sharedState.SharedState =>
+    sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
+
 test("an older row never replaces a newer one, in whatever order they come", t => {
-    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const state = createState();
     const draining = fixture.createRegistration("a", { state: "draining" });
     state.applyChanges([fixture.createTargetChange(5, draining)]);
     state.applyChanges([fixture.createTargetChange(4, fixture.createRegistration("a"))]);
@@ -15,14 +19,14 @@
 });
 
 test("a configuration with a lower version does not revert the one in force", t => {
-    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const state = createState();
     state.applyChanges([{ kind: "configuration", version: 5, configuration: fixture.createConfiguration(9) }]);
     state.applyChanges([{ kind: "configuration", version: 6, configuration: fixture.createConfiguration(8) }]);
     t.is(state.getConfiguration()?.version, 9);
 });
 
 test("a snapshot removes the rows that it lacks, but none that are newer than it", t => {
-    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const state = createState();
     state.applyChanges([
         fixture.createTargetChange(3, fixture.createRegistration("old")),
         fixture.createTargetChange(9, fixture.createRegistration("new")),
@@ -36,14 +40,14 @@
 });
 
 test("a row that is written again without a change has no effect", t => {
-    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const state = createState();
     state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
     t.deepEqual(state.applyChanges([fixture.createTargetChange(2, fixture.createRegistration("a"))]), []);
 });
 
 test("a target whose row lapsed stays in use for a short time, and longer if it registers again", async t => {
     const scheduler = virtualScheduler.createVirtualScheduler();
-    const state = sharedState.createSharedState(scheduler);
+    const state = createState(scheduler);
     const lapse = (version: number, id: string) =>
         ({ kind: "target", version, id: ids.toTargetId(id), registration: undefined, isLapse: true }) as const;
     state.applyChanges([
@@ -59,23 +63,32 @@
 });
 
 test("a removal that is no lapse ends the use of a target at once", t => {
-    const state = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const state = createState();
     state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
     state.applyChanges([fixture.createTargetChange(2, undefined, ids.toTargetId("a"))]);
     t.deepEqual(listIds(state), []);
 });
 
 test("a peer that joins gets all rows that are there", t => {
-    const source = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const source = createState();
     source.applyChanges([
         { kind: "configuration", version: 1, configuration: fixture.createConfiguration(3) },
         { kind: "zone", version: 2, zone: fixture.zone, isOut: true },
         fixture.createTargetChange(3, fixture.createRegistration("a")),
         fixture.createTargetChange(4, undefined, ids.toTargetId("b")),
     ]);
-    const joined = sharedState.createSharedState(virtualScheduler.createVirtualScheduler());
+    const joined = createState();
     source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
     t.deepEqual(listIds(joined), ["a"]);
     t.is(joined.getConfiguration()?.version, 3);
     t.true(joined.isZoneOut(fixture.zone));
 });
+
+test("a row confirmed at a newer version is not replaced by a change in between that comes late", t => {
+    const state = createState();
+    const ready = fixture.createRegistration("a");
+    state.applyChanges([fixture.createTargetChange(5, ready)]);
+    state.applyChanges([fixture.createTargetChange(9, ready)]);
+    state.applyChanges([fixture.createTargetChange(7, { ...ready, state: "draining" })]);
+    t.is([...state.listTargets()][0]?.state, "ready");
+});
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -86,10 +86,14 @@
 /**
  * Creates an empty state.
  *
- * @param scheduler - clock and timers
+ * @param options - clock, timers and the log of what changes
  * @returns the state
  */
-export const createSharedState = (scheduler: shared.Scheduler): SharedState => {
+export const createSharedState = (options: {
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+}): SharedState => {
+    const { scheduler, logger } = options;
     const rows = new Map<string, types.StateChange>();
     /** Targets in use: registered, or lapsed a short time ago. */
     const targets = new Map<shared.TargetId, types.Registration>();
@@ -105,6 +109,7 @@
             targets.set(change.id, change.registration);
         } else if (change.isLapse === true && targets.has(change.id)) {
             const expire = (): void => {
+                logger.info("state: target gone, as its row did not return", { target: change.id });
                 lapses.delete(change.id);
                 targets.delete(change.id);
                 targetsEmitter.fire();
@@ -117,7 +122,12 @@
 
     const isNews = (change: types.StateChange): boolean => {
         const known = rows.get(toRowKey(change));
-        if (known !== undefined && (known.version >= change.version || isSameContent(known, change))) {
+        if (known !== undefined && known.version >= change.version) {
+            return false;
+        }
+        if (known !== undefined && isSameContent(known, change)) {
+            // Confirmed at the newer version: what was written in between is outdated, even if it comes later.
+            rows.set(toRowKey(change), change);
             return false;
         }
         if (change.kind !== "configuration") {
@@ -126,7 +136,44 @@
         return change.configuration !== undefined && change.configuration.version > (configuration?.version ?? -1);
     };
 
+    const logChange = (change: types.StateChange): void => {
+        const { version } = change;
+        switch (change.kind) {
+            case "configuration":
+                break;
+            case "zone":
+                logger.info(change.isOut ? "state: zone out" : "state: zone back", { zone: change.zone, version });
+                break;
+            case "target":
+                logTarget(change);
+                break;
+        }
+    };
+
+    const logTarget = (change: types.StateChange & { kind: "target" }): void => {
+        const { id, version, registration } = change;
+        const known = targets.get(id);
+        if (registration === undefined) {
+            if (known !== undefined) {
+                logger.info(change.isLapse === true ? "state: row lapsed" : "state: target gone", {
+                    target: id,
+                    version,
+                });
+            }
+            return;
+        }
+        const { service, zone, address, startedAtMs } = registration;
+        const isCold = registration.coldLeftMs > 0;
+        const isKnown =
+            known?.state === registration.state && known.startedAtMs === startedAtMs && known.coldLeftMs > 0 === isCold;
+        if (!isKnown) {
+            const fields = { target: id, version, service, zone, address, startedAtMs };
+            logger.info(`state: target ${registration.state}`, { ...fields, cold: isCold });
+        }
+    };
+
     const applyOne = (change: types.StateChange): void => {
+        logChange(change);
         rows.set(toRowKey(change), change);
         if (change.kind === "configuration" && change.configuration !== undefined) {
             configuration = change.configuration;
--- a/src/common/routes/targetBook.test.ts
+++ b/src/common/routes/targetBook.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as ids from "../ids.js";
 import * as random from "../random.js";
@@ -13,6 +14,7 @@
     const book = targetBook.createTargetBook({
         scheduler,
         random: random.createRandom(7),
+        logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
         isZoneOut: zone => zonesOut.has(zone),
         getService: () => fixture.createConfiguration(1).services[0],
--- a/src/common/routes/targetBook.ts
+++ b/src/common/routes/targetBook.ts
@@ -3,14 +3,10 @@
  */
 import * as events from "../events.js";
 import * as shared from "../Types.js";
-import * as slowdowns from "./slowdown.js";
+import * as latencyEstimates from "./latencyEstimates.js";
 import * as targetEntry from "./targetEntry.js";
 import * as types from "./Types.js";
 
-/** Weight of an answer in the usual latency of a route. */
-const usualWeight = 0.05;
-/** Usual latency of a route before any answer, as a share of its objective. */
-const firstUsualShare = 0.3;
 /** The estimate grows by this share up to a full target, so that equal targets are used evenly. */
 const loadFactor = 0.1;
 /** Counts of others are estimates that fade; half a slot counts as a free one. */
@@ -35,11 +31,23 @@
     readonly exclude: ReadonlySet<shared.TargetId>;
 }
 
+/** What a target was picked by. */
+export interface PickInputs {
+    /** Latency to expect, in milliseconds. */
+    readonly expectedMs: number;
+    /** Requests in flight at the target, as far as known. */
+    readonly inFlight: number;
+    readonly slowdown: number;
+    /** Age of the target's last report, in milliseconds; infinite without one. */
+    readonly reportAgeMs: number;
+    /** Targets of the service that were considered. */
+    readonly candidates: number;
+}
+
 /** One attempt, from its choice to its end. */
 export interface Ticket {
     readonly registration: types.Registration;
-    /** Latency to expect, in milliseconds. */
-    readonly expectedMs: number;
+    readonly inputs: PickInputs;
     /** Must be called once, when the attempt has ended. */
     finish(outcome: types.AttemptOutcome, report: types.LoadReport | undefined): void;
 }
@@ -54,6 +62,7 @@
 export interface TargetBookOptions {
     readonly scheduler: shared.Clock;
     readonly random: shared.Random;
+    readonly logger: shared.Logger;
     readonly zone: shared.ZoneName;
     isZoneOut(zone: shared.ZoneName): boolean;
     getService(name: shared.ServiceName): types.RoutedService | undefined;
@@ -83,24 +92,12 @@
  * @returns the book
  */
 export const createTargetBook = (options: TargetBookOptions): TargetBook => {
-    const { scheduler, random } = options;
+    const { scheduler, random, logger } = options;
+    const estimates = latencyEstimates.createLatencyEstimates();
     const entries = new Map<shared.TargetId, targetEntry.TargetEntry>();
     const byService = new Map<shared.ServiceName, targetEntry.TargetEntry[]>();
-    const means = new Map<shared.ServiceName, slowdowns.MeanSlowdown>();
-    const usualMs = new Map<string, number>();
-    /** Mean size of a route's answers. */
-    const answerBytes = new Map<string, number>();
     const freeEmitter = events.createEmitter<shared.ServiceName>();
 
-    const getMean = (service: shared.ServiceName): slowdowns.MeanSlowdown => {
-        const mean = means.get(service) ?? slowdowns.createMeanSlowdown();
-        means.set(service, mean);
-        return mean;
-    };
-
-    const getUsualMs = (route: types.Route): number =>
-        usualMs.get(route.name) ?? Math.max(1, route.objectiveMs * firstUsualShare);
-
     const isCold = (entry: targetEntry.TargetEntry, nowMs: number): boolean => nowMs < entry.coldUntilMs;
 
     /** The bound holds over all VMs; each takes an equal part, as no VM can see the sends of the others in time. */
@@ -120,12 +117,11 @@
         entry: targetEntry.TargetEntry,
         inFlight: number,
         route: types.Route,
+        slowdown: number,
         nowMs: number,
     ): number => {
-        const mean = getMean(entry.registration.service).get();
-        const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
         const load = (inFlight + 1) / entry.registration.slots;
-        const work = getUsualMs(route) * entry.pace * slowdown * (isCold(entry, nowMs) ? coldFactor : 1);
+        const work = estimates.getUsualMs(route) * entry.pace * slowdown * (isCold(entry, nowMs) ? coldFactor : 1);
         return work * (1 + loadFactor * load) * (load >= 1 ? lastSlotFactor : 1);
     };
 
@@ -137,7 +133,7 @@
     ): number => {
         const { route } = request;
         const isNear = entry.registration.zone === options.zone;
-        const kilobytes = (request.bodyBytes + (answerBytes.get(route.name) ?? 0)) / 1_000;
+        const kilobytes = (request.bodyBytes + estimates.getAnswerBytes(route)) / 1_000;
         const zoneMs = isNear ? 0 : otherZoneMs + kilobytes * otherZoneMsPerKilobyte;
         const failureMs = targetEntry.computeFailureShare(entry, nowMs) * failureCost * route.objectiveMs;
         return (expectedMs + zoneMs + failureMs) * (1 + jitterShare * random.nextFloat());
@@ -151,12 +147,13 @@
         report: types.LoadReport | undefined,
     ): void => {
         const nowMs = scheduler.now();
+        const wasEjected = entry.ejectedUntilMs > nowMs;
         entry.flights.delete(flight);
         if (report !== undefined) {
             // The target counts the request that it is answering as running.
             targetEntry.recordReport(entry, report, entry.flights.size + 1, nowMs);
             if (report.slowdown !== undefined) {
-                getMean(entry.registration.service).record(report.slowdown);
+                estimates.getMean(entry.registration.service).record(report.slowdown);
             }
         }
         switch (outcome.kind) {
@@ -166,7 +163,7 @@
                     break;
                 }
                 targetEntry.recordSuccess(entry, flight, nowMs);
-                recordAnswer(entry, route, outcome.latencyMs, outcome.answerBytes);
+                estimates.recordAnswer(entry, route, outcome.latencyMs, outcome.answerBytes);
                 break;
             case "unreachable":
             case "broken":
@@ -177,30 +174,24 @@
             case "cancelled":
                 break;
         }
+        if (!wasEjected && entry.ejectedUntilMs > nowMs) {
+            logger.warn("target: set aside after failures", {
+                target: entry.registration.id,
+                failures: entry.failuresInARow,
+                forMs: entry.ejectedUntilMs - nowMs,
+            });
+        }
         freeEmitter.fire(entry.registration.service);
     };
 
-    const recordAnswer = (
-        entry: targetEntry.TargetEntry,
-        route: types.Route,
-        latencyMs: number,
-        bytes: number,
-    ): void => {
-        const meanBytes = answerBytes.get(route.name) ?? bytes;
-        answerBytes.set(route.name, meanBytes + usualWeight * (bytes - meanBytes));
-        const slowdown = Math.max(1, entry.slowdown ?? getMean(entry.registration.service).get());
-        const usual = getUsualMs(route);
-        usualMs.set(route.name, usual + usualWeight * (latencyMs / slowdown / entry.pace - usual));
-    };
-
-    const createTicket = (entry: targetEntry.TargetEntry, route: types.Route, expectedMs: number): Ticket => {
+    const createTicket = (entry: targetEntry.TargetEntry, route: types.Route, inputs: PickInputs): Ticket => {
         const startedAtMs = scheduler.now();
-        const flight = { startedAtMs, usualMs: getUsualMs(route) };
+        const flight = { startedAtMs, usualMs: estimates.getUsualMs(route) };
         entry.flights.add(flight);
         entry.sends.push(startedAtMs);
         return {
             registration: entry.registration,
-            expectedMs,
+            inputs,
             finish: (outcome, report) => finishFlight(entry, flight, route, outcome, report),
         };
     };
@@ -214,23 +205,30 @@
             return { kind: "none" };
         }
         const healthy = usable.filter(entry => entry.ejectedUntilMs <= nowMs);
-        let best: targetEntry.TargetEntry | undefined;
+        const candidates = healthy.length > 0 ? healthy : usable;
+        const mean = estimates.getMean(request.service).get();
+        let best: { readonly entry: targetEntry.TargetEntry; readonly inputs: PickInputs } | undefined;
         let bestCost = Infinity;
-        let bestExpectedMs = 0;
-        for (const entry of healthy.length > 0 ? healthy : usable) {
+        for (const entry of candidates) {
             const inFlight = targetEntry.computeInFlight(entry, nowMs);
             if (!hasRoom(entry, inFlight, nowMs)) {
                 continue;
             }
-            const expectedMs = computeExpectedMs(entry, inFlight, request.route, nowMs);
+            const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
+            const expectedMs = computeExpectedMs(entry, inFlight, request.route, slowdown, nowMs);
             const cost = computeCost(entry, expectedMs, request, nowMs);
             if (cost < bestCost) {
-                [best, bestCost, bestExpectedMs] = [entry, cost, expectedMs];
+                bestCost = cost;
+                const reportAgeMs = nowMs - entry.reportedAtMs;
+                best = {
+                    entry,
+                    inputs: { expectedMs, inFlight, slowdown, reportAgeMs, candidates: candidates.length },
+                };
             }
         }
         return best === undefined
             ? { kind: "full" }
-            : { kind: "target", ticket: createTicket(best, request.route, bestExpectedMs) };
+            : { kind: "target", ticket: createTicket(best.entry, request.route, best.inputs) };
     };
 
     const updateEntry = (registration: types.Registration): void => {
@@ -280,7 +278,7 @@
             }
             targetEntry.recordReport(entry, report, entry.flights.size, atMs);
             if (report.slowdown !== undefined) {
-                getMean(entry.registration.service).record(report.slowdown);
+                estimates.getMean(entry.registration.service).record(report.slowdown);
             }
         },
         applyColdLeft: (id, coldLeftMs) => {
--- a/src/node/logging/logSink.test.ts
+++ b/src/node/logging/logSink.test.ts
@@ -43,3 +43,20 @@
     // The loop may cross from one second into the next.
     t.true((text.match(/picked/g)?.length ?? 0) <= 4);
 });
+
+test("warnings have a bound of their own, which other lines do not use up", t => {
+    let text = "";
+    const write = (chunk: string): void => void (text += chunk);
+    const bounds = { maxInfoPerSecond: 2, maxWarningsPerSecond: 5 };
+    const sink = logSink.createLogSink({ level: "info", format: "text", write, ...bounds });
+    for (let count = 0; count < 50; count++) {
+        sink.logger.info("route: picked");
+        sink.logger.warn("route: failed");
+    }
+    sink.dispose();
+    const failed = text.match(/failed/g)?.length ?? 0;
+    const picked = text.match(/picked/g)?.length ?? 0;
+    // The loop may cross from one second into the next.
+    t.true(failed >= 5 && failed <= 10);
+    t.is(sink.countDropped(), 100 - failed - picked);
+});
--- a/src/node/logging/logSink.ts
+++ b/src/node/logging/logSink.ts
@@ -59,7 +59,9 @@
 
     let second = 0;
     let infoLines = 0;
+    let warningLines = 0;
     let droppedLines = 0;
+    let reportedLines = 0;
 
     /** Counts a line against its second; false if it is one too many. */
     const admit = (level: string): boolean => {
@@ -67,12 +69,17 @@
         if (now !== second) {
             second = now;
             infoLines = 0;
-            if (droppedLines > 0) {
-                append(formatLine("warn", "log: lines dropped", { lines: droppedLines }));
-                droppedLines = 0;
+            warningLines = 0;
+            if (droppedLines > reportedLines) {
+                append(formatLine("warn", "log: lines dropped", { lines: droppedLines - reportedLines }));
+                reportedLines = droppedLines;
             }
         }
-        if (level === "warn" || level === "error" || ++infoLines <= (options.maxInfoPerSecond ?? Infinity)) {
+        const isAdmitted =
+            level === "warn" || level === "error"
+                ? ++warningLines <= (options.maxWarningsPerSecond ?? Infinity)
+                : ++infoLines <= (options.maxInfoPerSecond ?? Infinity);
+        if (isAdmitted) {
             return true;
         }
         droppedLines++;
@@ -97,5 +104,5 @@
     // loglevel keeps the level in a browser's storage unless the second argument is false.
     logger.setLevel(options.level, false);
 
-    return { logger, flush, dispose: () => lifetime.dispose() };
+    return { logger, flush, countDropped: () => droppedLines, dispose: () => lifetime.dispose() };
 };
--- a/src/node/peers/rpcClient.ts
+++ b/src/node/peers/rpcClient.ts
@@ -4,6 +4,7 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as undici from "undici";
 import * as shared from "../../common/Types.js";
+import * as errorText from "../../common/errors/errorText.js";
 import * as types from "./Types.js";
 
 interface Destination {
@@ -21,7 +22,7 @@
 const maxAnswerBytes = 16 * 1024 * 1024;
 
 const toMessage = (error: unknown): string => {
-    const message = error instanceof Error ? error.message : String(error);
+    const message = errorText.toErrorText(error);
     return message === "" ? "unknown cause" : message;
 };
 
--- a/src/node/platform/platformClient.ts
+++ b/src/node/platform/platformClient.ts
@@ -2,6 +2,7 @@
  * Client of the platform's services over HTTP. The protocol is in section 6 of the design.
  */
 import * as undici from "undici";
+import * as errorText from "../../common/errors/errorText.js";
 import * as types from "./Types.js";
 
 const requestTimeoutMs = 2_000;
@@ -22,8 +23,6 @@
 const isNotSent = (error: unknown): boolean =>
     error instanceof Error && "code" in error && typeof error.code === "string" && notSentCodes.has(error.code);
 
-const formatCause = (error: unknown): string => (error instanceof Error ? error.message : String(error));
-
 const formatListPath = (filter: types.VmFilter = {}): string => {
     const query = new URLSearchParams(Object.entries(filter) as [string, string][]).toString();
     return query === "" ? "/vms" : `/vms?${query}`;
@@ -60,7 +59,7 @@
             const text = await response.body.text();
             return { kind: "reply", reply: { status: response.statusCode, text } };
         } catch (error) {
-            return { kind: "failed", sent: !isNotSent(error), cause: formatCause(error) };
+            return { kind: "failed", sent: !isNotSent(error), cause: errorText.toErrorText(error) };
         }
     };
 
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -91,6 +91,8 @@
     readonly readinessAddress: types.Address | undefined;
     readonly lookupAddress: types.Address | undefined;
     readonly peerAddress: types.Address | undefined;
+    /** Where the metrics are served. */
+    readonly metricsAddress: types.Address | undefined;
     readonly seeds: readonly types.Address[];
     readonly store: types.Address;
     readonly bounds: RouteBounds;
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -8,6 +8,7 @@
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as exchange from "./exchange.js";
+import * as exchangeLog from "./exchangeLog.js";
 import * as targetSender from "./targetSender.js";
 
 type Step = { readonly afterMs: number; readonly result: targetSender.AttemptResult };
@@ -59,6 +60,7 @@
     const book = targetBook.createTargetBook({
         scheduler,
         random: random.createRandom(3),
+        logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
         isZoneOut: () => false,
         getService: () => undefined,
@@ -76,6 +78,8 @@
     let answer: exchange.FinalAnswer | undefined;
     let answeredAtMs = 0;
     const crashed: string[] = [];
+    const ends: exchangeLog.AttemptEnd[] = [];
+    let hedges = 0;
     const sender: Pick<targetSender.TargetSender, "start"> = {
         start: ({ registration }) => {
             sent.push(registration.id);
@@ -96,6 +100,7 @@
                 budget: { recordCall: () => undefined, takeRetry: () => budget-- > 0 },
                 crashes,
                 logger: silentLogger.createSilentLogger(),
+                metrics: { recordAttempt: end => void ends.push(end), recordHedge: () => void hedges++ },
                 reportCrash: (_, target) => crashed.push(target),
             },
             {
@@ -104,6 +109,7 @@
                 service: fixture.service,
                 deadlineAtMs: 2_000,
                 fingerprint: "f",
+                configurationVersion: 1,
                 signal: client.signal,
             },
         )
@@ -118,6 +124,8 @@
         getAnsweredAtMs: () => answeredAtMs,
         sent,
         crashed,
+        ends,
+        countHedges: () => hedges,
         countAborted: () => aborted,
     };
 };
@@ -173,6 +181,8 @@
     t.is(world.sent.length, 2);
     t.is(world.countAborted(), 1);
     t.true(world.getAnsweredAtMs() < 300);
+    t.is(world.countHedges(), 1);
+    t.deepEqual(world.ends, ["answered", "stopped"]);
 });
 
 test("without an answer the request fails at its deadline, not later", async t => {
@@ -181,6 +191,7 @@
     const answer = world.getAnswer();
     t.is(answer?.kind === "failed" ? answer.statusCode : undefined, 504);
     t.is(world.getAnsweredAtMs(), 1_000);
+    t.deepEqual(new Set(world.ends), new Set(["silent"]));
 });
 
 test("an answer without signature is no success", async t => {
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -8,6 +8,8 @@
 import * as routes from "../../common/routes/Types.js";
 import * as waitLine from "../../common/routes/waitLine.js";
 import * as shared from "../../common/Types.js";
+import * as exchangeLog from "./exchangeLog.js";
+import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
@@ -29,6 +31,8 @@
     /** Local monotonic time of the final answer at the latest. */
     readonly deadlineAtMs: number;
     readonly fingerprint: string;
+    /** Version of the configuration that the request was routed by. */
+    readonly configurationVersion: number;
     /** Aborted when the client has left. */
     readonly signal: AbortSignal;
 }
@@ -49,17 +53,11 @@
     readonly budget: routing.RetryBudget;
     readonly crashes: crashes.CrashRegistry;
     readonly logger: shared.Logger;
+    readonly metrics: exchangeLog.ExchangeMetrics;
     /** The request broke the connection to a target. */
     reportCrash(fingerprint: string, target: shared.TargetId): void;
 }
 
-interface Running {
-    readonly ticket: targetBook.Ticket;
-    readonly attempt: targetSender.Attempt;
-    readonly startedAtMs: number;
-    isOver: boolean;
-}
-
 /**
  * Runs a request.
  *
@@ -75,17 +73,23 @@
     request: ExchangeRequest,
     resolve: (answer: FinalAnswer) => void,
 ): { start(): void } => {
-    const { scheduler, book, sender, budget, logger } = options;
+    const { scheduler, book, budget } = options;
     const { route, service, outgoing } = request;
     const isIdempotent = route.kind === "idempotent";
+    const log = exchangeLog.createExchangeLog(options.logger, options.metrics, {
+        request: outgoing.id,
+        route: route.name,
+        service,
+        configuration: request.configurationVersion,
+    });
     const tried = new Set<shared.TargetId>();
-    const running = new Set<Running>();
     const pickRequest: targetBook.PickRequest = {
         service,
         route,
         bodyBytes: outgoing.body.length,
         exclude: tried,
     };
+    const startedAtMs = scheduler.now();
     const timers: shared.Disposable[] = [];
     const waiting = new AbortController();
     /** Attempts that ran or may have run. */
@@ -96,18 +100,10 @@
 
     const computeLeftMs = (): number => request.deadlineAtMs - scheduler.now();
 
-    const mayHaveRun = (): boolean => runs > 0;
-
-    const describe = (fields: shared.LogFields): shared.LogFields => ({
-        request: outgoing.id,
-        route: route.name,
-        service,
-        ...fields,
-    });
-
-    const log = (message: string, fields: shared.LogFields): void => logger.info(message, describe(fields));
+    const computeAgeMs = (entry: runningAttempts.RunningAttempt): number =>
+        Math.round(scheduler.now() - entry.startedAtMs);
 
-    const warn = (message: string, fields: shared.LogFields): void => logger.warn(message, describe(fields));
+    const mayHaveRun = (): boolean => runs > 0;
 
     const finish = (answer: FinalAnswer): void => {
         if (isDone) {
@@ -119,28 +115,16 @@
         waiting.abort();
         // After its client has left, a request that may not be repeated goes on: nobody could tell how far it came.
         if (answer.kind !== "abandoned" || isIdempotent) {
-            for (const other of [...running]) {
-                stopAttempt(other, { kind: "cancelled" });
-            }
+            running.stopAll("not needed");
         }
         resolve(answer);
     };
 
-    const stopAttempt = (entry: Running, outcome: routes.AttemptOutcome): void => {
-        if (entry.isOver) {
-            return;
-        }
-        entry.isOver = true;
-        running.delete(entry);
-        entry.attempt.abort();
-        entry.ticket.finish(outcome, undefined);
-    };
-
     const refuse = (reason: string): void => finish({ kind: "refused", reason, retryAfterMs });
 
     /** The answer when no further attempt is made. */
     const giveUp = (reason: string): void => {
-        if (running.size > 0) {
+        if (running.count() > 0) {
             return;
         }
         if (failure !== undefined) {
@@ -153,9 +137,7 @@
     };
 
     const handleDeadline = (): void => {
-        for (const entry of [...running]) {
-            stopAttempt(entry, { kind: "silent" });
-        }
+        running.stopAll("deadline");
         if (mayHaveRun()) {
             finish({ kind: "failed", reason: "deadline", statusCode: 504 });
         } else {
@@ -169,7 +151,7 @@
         !isDone && runs < route.maxTargets && computeLeftMs() > shortestAttemptMs && budget.takeRetry(service);
 
     const repeat = (reason: string): void => {
-        if (isDone || running.size > 0) {
+        if (isDone || running.count() > 0) {
             return;
         }
         if (mayRepeat()) {
@@ -179,71 +161,59 @@
         }
     };
 
-    const handleFailedRun = (entry: Running, reason: string): void => {
+    const handleFailedRun = (entry: runningAttempts.RunningAttempt, reason: string): void => {
+        log.logAttempt(entry.ticket, "failed", { reason, runs, latencyMs: computeAgeMs(entry) });
         if (isIdempotent) {
             repeat(reason);
         } else {
             failure ??= { kind: "failed", reason, statusCode: 502 };
             giveUp(reason);
         }
-        warn("exchange: attempt failed", { target: entry.ticket.registration.id, reason, runs });
     };
 
-    const handleRefusal = (entry: Running): void => {
+    const handleRefusal = (entry: runningAttempts.RunningAttempt, end: "refused" | "unreachable"): void => {
         runs--;
         refusals++;
-        warn("exchange: target refused", { target: entry.ticket.registration.id, refusals });
+        log.logAttempt(entry.ticket, end, { refusals, latencyMs: computeAgeMs(entry) });
+        const reason = end === "refused" ? "refused by targets" : "targets not reached";
         if (refusals < maxRefusals) {
-            repeat("refused by targets");
+            repeat(reason);
         } else {
-            giveUp("refused by targets");
+            giveUp(reason);
         }
     };
 
-    const handleAnswer = (entry: Running, answer: targetConnection.TargetAnswer): void => {
-        const nowMs = scheduler.now();
+    const handleAnswer = (entry: runningAttempts.RunningAttempt, answer: targetConnection.TargetAnswer): void => {
         const { head, statusCode } = answer;
         const finishTicket = (outcome: routes.AttemptOutcome): void => entry.ticket.finish(outcome, head.load);
         if (head.isRefusal || statusCode === 421) {
             finishTicket({ kind: "refused" });
-            handleRefusal(entry);
+            handleRefusal(entry, "refused");
             return;
         }
         options.crashes.recordAnswer(request.fingerprint);
         const isWhole = head.isSealed && !head.isEncoded;
         const isFailure = statusCode >= 500 || !isWhole;
-        const latencyMs = nowMs - entry.startedAtMs;
+        const latencyMs = scheduler.now() - entry.startedAtMs;
         finishTicket({ kind: "answered", latencyMs, isFailure, answerBytes: answer.body.length });
-        if (!isFailure) {
-            log("exchange: answered", {
-                target: entry.ticket.registration.id,
-                status: statusCode,
-                latencyMs: Math.round(nowMs - entry.startedAtMs),
-                expectedMs: Math.round(entry.ticket.expectedMs),
-                runs,
-            });
-            finish({ kind: "target", answer, target: entry.ticket.registration.id });
+        const final: FinalAnswer = { kind: "target", answer, target: entry.ticket.registration.id };
+        if (isFailure) {
+            failure = isWhole ? final : failure;
+            handleFailedRun(entry, isWhole ? `status ${statusCode}` : "answer without signature");
             return;
         }
-        if (isWhole) {
-            failure = { kind: "target", answer, target: entry.ticket.registration.id };
-        }
-        handleFailedRun(entry, isWhole ? `status ${statusCode}` : "answer without signature");
+        log.logAttempt(entry.ticket, "answered", { status: statusCode, runs, latencyMs: Math.round(latencyMs) });
+        finish(final);
     };
 
-    const handleResult = (entry: Running, result: targetSender.AttemptResult): void => {
-        if (entry.isOver) {
-            return;
-        }
-        entry.isOver = true;
-        running.delete(entry);
+    const handleResult = (entry: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
         switch (result.kind) {
             case "answer":
                 handleAnswer(entry, result.answer);
                 break;
             case "unreachable":
                 entry.ticket.finish({ kind: "unreachable" }, undefined);
-                handleRefusal(entry);
+                handleRefusal(entry, "unreachable");
                 break;
             case "broken":
                 entry.ticket.finish({ kind: "broken" }, undefined);
@@ -253,21 +223,27 @@
         }
     };
 
+    const running = runningAttempts.createRunningAttempts({
+        clock: scheduler,
+        log,
+        handleResult,
+        send: ticket =>
+            options.sender.start({
+                registration: ticket.registration,
+                request: outgoing,
+                leftMs: computeLeftMs,
+                mayRepeat: isIdempotent,
+            }),
+    });
+
     const startAttempt = (ticket: targetBook.Ticket): void => {
         tried.add(ticket.registration.id);
         runs++;
-        const attempt = sender.start({
-            registration: ticket.registration,
-            request: outgoing,
-            leftMs: computeLeftMs,
-            mayRepeat: isIdempotent,
-        });
-        const entry: Running = { ticket, attempt, startedAtMs: scheduler.now(), isOver: false };
-        running.add(entry);
-        void attempt.result.then(result => handleResult(entry, result));
+        running.start(ticket);
     };
 
     const sendNext = async (reason: string): Promise<void> => {
+        const askedAtMs = scheduler.now();
         const pick = await options.line.wait({
             service,
             priority: route.priority,
@@ -285,13 +261,13 @@
         } else if (pick?.kind === "target") {
             startAttempt(pick.ticket);
         } else {
-            warn("exchange: no slot", { reason, runs });
+            log.logNoSlot({ reason, runs, waitedMs: Math.round(scheduler.now() - askedAtMs) });
             giveUp("no free slot");
         }
     };
 
     const hedge = (): void => {
-        if (isDone || running.size !== 1 || runs >= route.maxTargets) {
+        if (isDone || running.count() !== 1 || runs >= route.maxTargets) {
             return;
         }
         const pick = book.pick(pickRequest);
@@ -302,7 +278,7 @@
             pick.ticket.finish({ kind: "cancelled" }, undefined);
             return;
         }
-        log("exchange: hedged", { target: pick.ticket.registration.id });
+        log.logHedge(pick.ticket, scheduler.now() - startedAtMs);
         startAttempt(pick.ticket);
     };
 
--- a/src/node/routes/frontDuties.test.ts
+++ b/src/node/routes/frontDuties.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import * as ids from "../../common/ids.js";
 import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as frontDuties from "./frontDuties.js";
 
@@ -13,6 +14,7 @@
     ];
     let listed = 0;
     const duties = frontDuties.createFrontDuties({
+        logger: silentLogger.createSilentLogger(),
         vm: ids.toVmId(vm),
         clock: scheduler,
         isConnected: () => true,
--- a/src/node/routes/frontDuties.ts
+++ b/src/node/routes/frontDuties.ts
@@ -26,6 +26,7 @@
 export interface FrontDutiesOptions {
     readonly vm: shared.VmId;
     readonly clock: shared.Clock;
+    readonly logger: shared.Logger;
     /** Whether this VM is connected to any peer. */
     isConnected(): boolean;
     listPeers(): readonly routes.Peer[];
@@ -35,6 +36,8 @@
     computeRequestRate(): number;
 }
 
+const formatVms = (peers: readonly routes.Peer[]): string => peers.map(peer => peer.vm).join(" ");
+
 /**
  * Creates the duties of a VM.
  *
@@ -45,11 +48,19 @@
     let fronts: readonly routes.Peer[] = [];
     let listedAtMs = -Infinity;
 
+    const setFronts = (next: readonly routes.Peer[]): void => {
+        const [before, after] = [formatVms(fronts), formatVms(next)];
+        fronts = next;
+        if (before !== after) {
+            options.logger.info("peer: clients are sent to other VMs", { before, after });
+        }
+    };
+
     /** The fronts are asked for several times a request; sorting all peers each time would take a tenth of a core. */
     const listFronts = (): readonly routes.Peer[] => {
         if (options.clock.now() - listedAtMs >= frontsLifetimeMs) {
             listedAtMs = options.clock.now();
-            fronts = frontChoice.listFronts(options.listPeers(), options.getZoneSlots());
+            setFronts(frontChoice.listFronts(options.listPeers(), options.getZoneSlots()));
         }
         return fronts;
     };
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -74,7 +74,7 @@
 ) => {
     const vm = ids.toVmId(name);
     const toAddress = (port: number): shared.Address => ids.toAddress(`127.0.0.1:${port}`);
-    const state = sharedState.createSharedState(scheduler);
+    const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     const member = membership.createMembership({
         settings: {
             vm,
@@ -83,6 +83,7 @@
             cores: options.cores ?? 1,
             frontAddress: toAddress(1),
             readinessAddress: undefined,
+            metricsAddress: undefined,
             lookupAddress: undefined,
             peerAddress: toAddress(options.port),
             seeds: options.seeds.map(toAddress),
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,6 +1,7 @@
 /**
  * This VM among its peers: registers it, follows a hub or the store, and passes on what it learns.
  */
+import * as errorText from "../../common/errors/errorText.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -25,6 +26,8 @@
     start(): Promise<void>;
     /** Whether this VM is connected to a hub, or others are connected to it. */
     isConnected(): boolean;
+    /** Age of this VM's own view of the store; infinite if it does not follow it. */
+    computeStoreAgeMs(): number;
     /** VMs that live as far as this VM knows, oldest first; at least this one. */
     listPeers(): readonly routes.Peer[];
     /** Number of VMs that may live, whether they can be reached or not. */
@@ -80,6 +83,8 @@
         handleChanges: changes => hub?.pushChanges(changes),
     });
 
+    const computeStoreAgeMs = (): number => (follower.isRunning() ? follower.computeAgeMs() : Infinity);
+
     const hub =
         settings.peerAddress === undefined
             ? undefined
@@ -88,7 +93,7 @@
                   scheduler,
                   logger,
                   getOwn,
-                  computeAgeMs: () => (follower.isRunning() ? follower.computeAgeMs() : Infinity),
+                  computeAgeMs: computeStoreAgeMs,
                   listKnown: () => listPeers(),
                   isHub: () => !link.isLinked(),
                   handlePeer: peer => {
@@ -137,7 +142,7 @@
             }
         } catch (error) {
             isRegistered = false;
-            const reason = error instanceof Error ? error.message : String(error);
+            const reason = errorText.toErrorText(error);
             logger.warn("peer: store not reached", { reason });
         }
         timer = scheduler.schedule(lookIntervalMs, () => void look());
@@ -151,6 +156,7 @@
             timer = scheduler.schedule(lonelyMs, () => void look());
         },
         isConnected: hasPeers,
+        computeStoreAgeMs,
         listPeers,
         countKnown: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
--- /dev/null
+++ b/src/node/routes/metrics.test.ts
@@ -0,0 +1,78 @@
+import * as net from "node:net";
+import test from "ava";
+import * as undici from "undici";
+import * as ids from "../../common/ids.js";
+import * as shared from "../../common/Types.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as metrics from "./metrics.js";
+import * as metricsServer from "./metricsServer.js";
+
+const createMetrics = (): metrics.RouteMetrics =>
+    metrics.createRouteMetrics({
+        getConfigurationVersion: () => 12,
+        computeStoreAgeMs: () => Infinity,
+        countTargets: () => 26,
+        countPeers: () => 3,
+        countFronts: () => 1,
+        countClientConnections: () => 4,
+        countTargetConnectionsOpened: () => 9,
+        countDroppedLogLines: () => 0,
+    });
+
+const listenOnFreePort = (): Promise<{ readonly server: net.Server; readonly address: shared.Address }> =>
+    new Promise(resolve => {
+        const server = net.createServer();
+        server.listen({ host: "127.0.0.1", port: 0 }, () => {
+            const { port } = server.address() as net.AddressInfo;
+            resolve({ server, address: ids.toAddress(`127.0.0.1:${port}`) });
+        });
+    });
+
+test("requests and attempts are counted by their end", async t => {
+    const measures = createMetrics();
+    measures.recordRequest("served", 120);
+    measures.recordRequest("refused", 5);
+    measures.recordAttempt("answered");
+    measures.recordHedge();
+    measures.recordProbe(false);
+    const text = await measures.format();
+    t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.1",end="served"\} 0/);
+    t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.15",end="served"\} 1/);
+    t.regex(text, /tarragonpath_request_duration_seconds_count\{end="refused"\} 1/);
+    t.regex(text, /tarragonpath_attempts_total\{end="answered"\} 1/);
+    t.regex(text, /tarragonpath_hedges_total 1/);
+    t.regex(text, /tarragonpath_probes_total\{answered="false"\} 1/);
+    t.regex(text, /tarragonpath_configuration_version 12/);
+    t.regex(text, /tarragonpath_store_age_seconds \+Inf/);
+});
+
+test("values that are read do not add up over two questions", async t => {
+    const measures = createMetrics();
+    await measures.format();
+    t.regex(await measures.format(), /tarragonpath_target_connections_opened_total 9/);
+});
+
+test("metrics are served at their path", async t => {
+    const { server, address } = await listenOnFreePort();
+    await new Promise(resolve => server.close(resolve));
+    const logger = silentLogger.createSilentLogger();
+    const serving = metricsServer.listenForMetrics({ address, metrics: createMetrics(), logger });
+    const response = await undici.request(`http://${address}${metricsServer.metricsPath}`);
+    t.is(response.statusCode, 200);
+    t.regex(await response.body.text(), /# TYPE tarragonpath_targets gauge\n/);
+    const other = await undici.request(`http://${address}/other`);
+    t.is(other.statusCode, 404);
+    await other.body.dump();
+    serving.dispose();
+});
+
+test("a port in use is logged and costs nothing else", async t => {
+    const { server, address } = await listenOnFreePort();
+    const logged = new Promise<string>(resolve => {
+        const logger = { ...silentLogger.createSilentLogger(), error: resolve };
+        const serving = metricsServer.listenForMetrics({ address, metrics: createMetrics(), logger });
+        t.teardown(() => serving.dispose());
+    });
+    t.is(await logged, "metrics: not served");
+    server.close();
+});
--- /dev/null
+++ b/src/node/routes/metrics.ts
@@ -0,0 +1,130 @@
+/**
+ * Counters and latency histograms of the daemon, as text in the Prometheus format.
+ */
+import * as promClient from "prom-client";
+import * as exchangeLog from "./exchangeLog.js";
+
+/** Around the objectives of requests, 100 ms to 1 s; the longest deadlines end the row. */
+const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
+const prefix = "tarragonpath_";
+
+/** How a request ended for the client. */
+export type RequestEnd = "served" | "refused" | "failed" | "abandoned" | "no-route";
+
+/** What is read when the metrics are asked for. */
+export interface MetricSources {
+    /** Version of the configuration in force; undefined before the first. */
+    getConfigurationVersion(): number | undefined;
+    /** Age of this VM's own view of the store; infinite if it does not follow it. */
+    computeStoreAgeMs(): number;
+    countTargets(): number;
+    countPeers(): number;
+    countFronts(): number;
+    countClientConnections(): number;
+    countTargetConnectionsOpened(): number;
+    countDroppedLogLines(): number;
+}
+
+export interface RouteMetrics {
+    readonly contentType: string;
+    recordRequest(end: RequestEnd, latencyMs: number): void;
+    recordAttempt(end: exchangeLog.AttemptEnd): void;
+    recordHedge(): void;
+    recordProbe(isAnswered: boolean): void;
+    format(): Promise<string>;
+}
+
+const addGauges = (registry: promClient.Registry, sources: MetricSources): void => {
+    const add = (name: string, help: string, read: () => number): void => {
+        new promClient.Gauge({
+            name: `${prefix}${name}`,
+            help,
+            registers: [registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    };
+    add(
+        "configuration_version",
+        "Version of the configuration in force, 0 before the first.",
+        () => sources.getConfigurationVersion() ?? 0,
+    );
+    add(
+        "store_age_seconds",
+        "Age of this VM's own view of the store, +Inf on a VM that follows a hub.",
+        () => sources.computeStoreAgeMs() / 1_000,
+    );
+    add("targets", "Targets in use.", sources.countTargets);
+    add("peers", "Entry VMs that live, this one included.", sources.countPeers);
+    add("fronts", "Entry VMs that clients are sent to.", sources.countFronts);
+    add("client_connections", "Open connections of clients.", sources.countClientConnections);
+};
+
+const addCounter = (registry: promClient.Registry, name: string, help: string, read: () => number): void => {
+    new promClient.Counter({
+        name: `${prefix}${name}`,
+        help,
+        registers: [registry],
+        collect() {
+            this.reset();
+            this.inc(read());
+        },
+    });
+};
+
+/**
+ * Creates the metrics.
+ *
+ * @param sources - what is read when the metrics are asked for
+ * @returns the metrics, all zero
+ */
+export const createRouteMetrics = (sources: MetricSources): RouteMetrics => {
+    const registry = new promClient.Registry();
+    const registers = [registry];
+    const requests = new promClient.Histogram({
+        name: `${prefix}request_duration_seconds`,
+        help: "Time from a request's arrival to its final answer, by end.",
+        labelNames: ["end"],
+        buckets: latencyBucketsSeconds,
+        registers,
+    });
+    const attempts = new promClient.Counter({
+        name: `${prefix}attempts_total`,
+        help: "Attempts at targets, by end.",
+        labelNames: ["end"],
+        registers,
+    });
+    const hedges = new promClient.Counter({
+        name: `${prefix}hedges_total`,
+        help: "Second attempts that began before the first had ended.",
+        registers,
+    });
+    const probes = new promClient.Counter({
+        name: `${prefix}probes_total`,
+        help: "Questions to targets for their load, by whether they were answered.",
+        labelNames: ["answered"],
+        registers,
+    });
+    addGauges(registry, sources);
+    addCounter(
+        registry,
+        "target_connections_opened_total",
+        "Connections opened to targets.",
+        sources.countTargetConnectionsOpened,
+    );
+    addCounter(
+        registry,
+        "log_lines_dropped_total",
+        "Log lines beyond the bound of a second.",
+        sources.countDroppedLogLines,
+    );
+    return {
+        contentType: registry.contentType,
+        recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
+        recordAttempt: end => attempts.inc({ end }),
+        recordHedge: () => hedges.inc(),
+        recordProbe: isAnswered => probes.inc({ answered: String(isAnswered) }),
+        format: () => registry.metrics(),
+    };
+};
--- /dev/null
+++ b/src/node/routes/metricsServer.ts
@@ -0,0 +1,50 @@
+/**
+ * Serves the metrics to whoever collects them.
+ */
+import * as http from "node:http";
+import * as shared from "../../common/Types.js";
+import * as errorText from "../../common/errors/errorText.js";
+import * as connectionPool from "./connectionPool.js";
+import * as metrics from "./metrics.js";
+
+export const metricsPath = "/metrics";
+
+/**
+ * Starts to serve metrics. A port that cannot be opened costs the metrics, not the service.
+ *
+ * @param options - address and metrics
+ * @returns disposing it closes the server
+ */
+export const listenForMetrics = (options: {
+    readonly address: shared.Address;
+    readonly metrics: Pick<metrics.RouteMetrics, "contentType" | "format">;
+    readonly logger: shared.Logger;
+}): shared.Disposable => {
+    const { address, logger } = options;
+
+    const answer = async (response: http.ServerResponse): Promise<void> => {
+        const text = await options.metrics.format();
+        response.writeHead(200, { "Content-Type": options.metrics.contentType }).end(text);
+    };
+
+    const server = http.createServer((request, response) => {
+        request.resume();
+        if (request.url !== metricsPath) {
+            response.writeHead(404).end();
+            return;
+        }
+        answer(response).catch((error: unknown) => {
+            logger.error("metrics: not formatted", { reason: errorText.toErrorText(error) });
+            response.writeHead(500).end();
+        });
+    });
+    server.on("error", error => logger.error("metrics: not served", { address, reason: error.message }));
+    const [host, port] = connectionPool.splitAddress(address);
+    server.listen({ host, port });
+    return {
+        dispose: () => {
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+};
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -7,22 +7,19 @@
 import * as shared from "../../common/Types.js";
 import * as exchange from "./exchange.js";
 import * as frontServer from "./frontServer.js";
+import * as metrics from "./metrics.js";
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
+/** A VM that has just started has its configuration within about this time. */
+const unconfiguredRetryMs = 500;
 
 export interface RequestHandlerOptions {
     readonly dialect: types.HttpDialect;
     readonly exchange: exchange.ExchangeOptions;
     getTable(): routeTable.RouteTable | undefined;
     /** Called once for each request that was routed or found no route. */
-    recordAnswer(answer: RequestOutcome): void;
-}
-
-/** What the metrics count. */
-export interface RequestOutcome {
-    readonly kind: exchange.FinalAnswer["kind"] | "not-found";
-    readonly latencyMs: number;
+    recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
 }
 
 export interface RequestHandler {
@@ -30,6 +27,16 @@
     formatRefusal(headers: types.RawHeaders, statusCode: number, reason: string): frontServer.ClientAnswer;
 }
 
+/** A request with what was decided about it before it is sent. */
+interface RoutedRequest {
+    readonly request: frontServer.ClientRequest;
+    readonly id: string;
+    readonly patienceMs: number | undefined;
+    readonly route: routes.Route;
+    readonly service: shared.ServiceName;
+    readonly configurationVersion: number;
+}
+
 const splitUrl = (url: string): { readonly path: string; readonly query: string } => {
     const at = url.indexOf("?");
     return at < 0 ? { path: url, query: "" } : { path: url.slice(0, at), query: url.slice(at) };
@@ -78,12 +85,19 @@
         }
     };
 
-    const runRoute = async (
-        request: frontServer.ClientRequest,
-        head: types.RequestHead & { readonly id: string },
-        route: routes.Route,
-        service: shared.ServiceName,
-    ): Promise<exchange.FinalAnswer> => {
+    /** Refuses or rejects a request that is sent nowhere. */
+    const reject = (
+        id: string | undefined,
+        statusCode: number,
+        reason: string,
+        fields: shared.LogFields = {},
+    ): frontServer.ClientAnswer => {
+        logger.warn("exchange: rejected", { request: id, status: statusCode, reason, ...fields });
+        return formatOwn(id, statusCode, reason, statusCode === 503 ? unconfiguredRetryMs : undefined);
+    };
+
+    const runRoute = async (routed: RoutedRequest): Promise<exchange.FinalAnswer> => {
+        const { request, id, route, service } = routed;
         const { method, url, headers, body, signal } = request;
         const { path, query } = splitUrl(url);
         const fingerprint = fingerprints.computeFingerprint({
@@ -95,49 +109,61 @@
             bodyStart: body,
         });
         if (options.exchange.crashes.isBlocked(fingerprint)) {
-            logger.warn("exchange: refused, crashes targets", { request: head.id, route: route.name });
             return { kind: "failed", reason: "request crashes targets", statusCode: 502 };
         }
-        const allowedMs = Math.min(route.timeoutMs, head.patienceMs ?? Infinity);
+        const allowedMs = Math.min(route.timeoutMs, routed.patienceMs ?? Infinity);
         return exchange.runExchange(options.exchange, {
-            outgoing: { id: head.id, method, url, headers, body },
+            outgoing: { id, method, url, headers, body },
             route,
             service,
             deadlineAtMs: request.receivedAtMs + allowedMs,
             fingerprint,
+            configurationVersion: routed.configurationVersion,
             signal,
         });
     };
 
+    const logEnd = (routed: RoutedRequest, answer: exchange.FinalAnswer, latencyMs: number): void => {
+        if (answer.kind === "target") {
+            return;
+        }
+        logger.warn("exchange: not served", {
+            request: routed.id,
+            route: routed.route.name,
+            service: routed.service,
+            configuration: routed.configurationVersion,
+            kind: answer.kind,
+            reason: answer.kind === "abandoned" ? "client left" : answer.reason,
+            latencyMs: Math.round(latencyMs),
+            patienceMs: routed.patienceMs,
+        });
+    };
+
     const handle = async (request: frontServer.ClientRequest): Promise<frontServer.ClientAnswer | undefined> => {
-        const head = dialect.readRequest(request.headers);
+        const { id, host, patienceMs } = dialect.readRequest(request.headers);
         const table = options.getTable();
         if (table === undefined) {
-            return formatOwn(head.id, 503, "no configuration yet", 500);
+            return reject(id, 503, "no configuration yet");
         }
-        if (head.id === undefined) {
-            return formatOwn(undefined, 400, "no request id");
+        if (id === undefined) {
+            return reject(undefined, 400, "no request id", { host, url: request.url });
         }
-        const route = table.find(stripPort(head.host), splitUrl(request.url).path);
+        const route = table.find(stripPort(host), splitUrl(request.url).path);
         const service = route === undefined ? undefined : table.pickService(route);
         if (route === undefined || service === undefined) {
-            logger.info("exchange: no route", { request: head.id, host: head.host, url: request.url });
-            options.recordAnswer({ kind: "not-found", latencyMs: scheduler.now() - request.receivedAtMs });
-            return formatOwn(head.id, 404, "no route");
+            options.recordRequest("no-route", scheduler.now() - request.receivedAtMs);
+            return reject(id, 404, "no route", { host, url: request.url, configuration: table.version });
         }
-        const answer = await runRoute(request, { ...head, id: head.id }, route, service);
+        const routed = { request, id, patienceMs, route, service, configurationVersion: table.version };
+        const answer = await runRoute(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
-        if (answer.kind !== "target") {
-            const reason = answer.kind === "abandoned" ? "client left" : answer.reason;
-            logger.warn("exchange: not served", { request: head.id, kind: answer.kind, reason, latencyMs });
-        }
-        options.recordAnswer({ kind: answer.kind, latencyMs });
-        return formatFinal(head.id, answer);
+        logEnd(routed, answer, latencyMs);
+        options.recordRequest(answer.kind === "target" ? "served" : answer.kind, latencyMs);
+        return formatFinal(id, answer);
     };
 
     return {
         handle,
-        formatRefusal: (headers, statusCode, reason) =>
-            formatOwn(dialect.readRequest(headers).id, statusCode, reason, statusCode === 503 ? 500 : undefined),
+        formatRefusal: (headers, statusCode, reason) => reject(dialect.readRequest(headers).id, statusCode, reason),
     };
 };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -19,6 +19,8 @@
 import * as frontServer from "./frontServer.js";
 import * as lookupServer from "./lookupServer.js";
 import * as membership from "./membership.js";
+import * as metrics from "./metrics.js";
+import * as metricsServer from "./metricsServer.js";
 import * as requestHandler from "./requestHandler.js";
 import * as targetProber from "./targetProber.js";
 import * as targetSender from "./targetSender.js";
@@ -50,6 +52,7 @@
     readonly store: types.StateStore;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    countDroppedLogLines(): number;
 }
 
 /**
@@ -62,7 +65,7 @@
     const { settings, scheduler, logger, store } = options;
     let { bounds } = settings;
     const incarnation = ids.toIncarnationId(crypto.randomUUID());
-    const state = sharedState.createSharedState(scheduler);
+    const state = sharedState.createSharedState({ scheduler, logger });
     const services = new Map<shared.ServiceName, routes.RoutedService>();
     let table: routeTable.RouteTable | undefined;
     let isLeaving = false;
@@ -84,6 +87,7 @@
     });
     let zoneSlots: frontChoice.ZoneSlots = new Map();
     const duties = frontDuties.createFrontDuties({
+        logger,
         vm: settings.vm,
         clock: scheduler,
         isConnected: members.isConnected,
@@ -96,6 +100,7 @@
     const book = targetBook.createTargetBook({
         scheduler,
         random: random.createRandom(crypto.randomInt(2 ** 31)),
+        logger,
         zone: settings.zone,
         isZoneOut: zone => state.isZoneOut(zone),
         getService: name => services.get(name),
@@ -119,7 +124,24 @@
     });
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
     const sender = targetSender.createTargetSender({ pool, dialect: options.http, scheduler });
-    const prober = targetProber.createTargetProber({ scheduler, book, sender, services, mayProbe: duties.mayProbe });
+    const measures = metrics.createRouteMetrics({
+        getConfigurationVersion: () => table?.version,
+        computeStoreAgeMs: members.computeStoreAgeMs,
+        countTargets: () => [...state.listTargets()].length,
+        countPeers: () => members.listPeers().length,
+        countFronts: () => duties.listFronts().length,
+        countClientConnections: () => front?.countConnections() ?? 0,
+        countTargetConnectionsOpened: pool.countOpened,
+        countDroppedLogLines: options.countDroppedLogLines,
+    });
+    const prober = targetProber.createTargetProber({
+        scheduler,
+        book,
+        sender,
+        services,
+        metrics: measures,
+        mayProbe: duties.mayProbe,
+    });
 
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
@@ -131,13 +153,17 @@
             budget,
             crashes,
             logger,
+            metrics: measures,
             reportCrash: (fingerprint, target) => {
                 crashes.recordCrash(fingerprint, target);
                 members.sendCrash({ fingerprint, target });
             },
         },
         getTable: () => table,
-        recordAnswer: () => requestRate.record(),
+        recordRequest: (end, latencyMs) => {
+            requestRate.record();
+            measures.recordRequest(end, latencyMs);
+        },
     });
 
     const front =
@@ -153,7 +179,7 @@
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
         logger.info("config: applied", { version: configuration.version, routes: configuration.routes.length });
-        table = routeTable.createRouteTable(configuration.routes);
+        table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
     };
@@ -202,6 +228,9 @@
             await front?.listen();
             await members.start();
             prober.start();
+            if (settings.metricsAddress !== undefined) {
+                metricsServer.listenForMetrics({ address: settings.metricsAddress, metrics: measures, logger });
+            }
             logger.info("life: started", { vm: settings.vm, incarnation, zone: settings.zone });
         },
         reload: changed => {
--- /dev/null
+++ b/src/node/routes/runningAttempts.ts
@@ -0,0 +1,70 @@
+/**
+ * The attempts of one request that are in flight.
+ */
+import * as targetBook from "../../common/routes/targetBook.js";
+import * as shared from "../../common/Types.js";
+import * as exchangeLog from "./exchangeLog.js";
+import * as targetSender from "./targetSender.js";
+
+/** Why attempts are stopped: the time is up, or nobody needs their answer any more. */
+export type StopReason = "deadline" | "not needed";
+
+export interface RunningAttempt {
+    readonly ticket: targetBook.Ticket;
+    readonly startedAtMs: number;
+}
+
+export interface RunningAttempts {
+    count(): number;
+    start(ticket: targetBook.Ticket): void;
+    stopAll(reason: StopReason): void;
+}
+
+interface Entry extends RunningAttempt {
+    readonly attempt: targetSender.Attempt;
+    isOver: boolean;
+}
+
+/**
+ * Creates an empty set of attempts.
+ *
+ * @param options - how to send, and what to do with results
+ * @returns the attempts
+ */
+export const createRunningAttempts = (options: {
+    readonly clock: shared.Clock;
+    readonly log: exchangeLog.ExchangeLog;
+    send(ticket: targetBook.Ticket): targetSender.Attempt;
+    /** Called once for each attempt that was not stopped. */
+    handleResult(attempt: RunningAttempt, result: targetSender.AttemptResult): void;
+}): RunningAttempts => {
+    const { clock, log } = options;
+    const entries = new Set<Entry>();
+
+    const handleResult = (entry: Entry, result: targetSender.AttemptResult): void => {
+        if (!entry.isOver) {
+            entry.isOver = true;
+            entries.delete(entry);
+            options.handleResult(entry, result);
+        }
+    };
+
+    const stop = (entry: Entry, reason: StopReason): void => {
+        entry.isOver = true;
+        entries.delete(entry);
+        entry.attempt.abort();
+        entry.ticket.finish(reason === "deadline" ? { kind: "silent" } : { kind: "cancelled" }, undefined);
+        const afterMs = Math.round(clock.now() - entry.startedAtMs);
+        log.logAttempt(entry.ticket, reason === "deadline" ? "silent" : "stopped", { reason, afterMs });
+    };
+
+    return {
+        count: () => entries.size,
+        start: ticket => {
+            const entry: Entry = { ticket, attempt: options.send(ticket), startedAtMs: clock.now(), isOver: false };
+            entries.add(entry);
+            void entry.attempt.result.then(result => handleResult(entry, result));
+        },
+        stopAll: reason => [...entries].forEach(entry => stop(entry, reason)),
+    };
+};
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -11,7 +11,7 @@
 /** A store whose changes of targets are scripted; an error fails the call. */
 const createWorld = (script: (types.TableChanges | Error)[], first: readonly routes.Registration[] = []) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
-    const state = sharedState.createSharedState(scheduler);
+    const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     let snapshots = 0;
     const store: types.StateStore = {
         fetchSnapshot: table => {
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the store's tables and applies what changes to the shared state.
  */
+import * as errorText from "../../common/errors/errorText.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -119,7 +120,7 @@
 
     const handleFailure = (table: TableState, error: unknown): number => {
         if (table.failedAtMs <= table.succeededAtMs) {
-            const reason = error instanceof Error ? error.message : String(error);
+            const reason = errorText.toErrorText(error);
             logger.warn("state: store not reached", { table: table.table, reason });
         }
         table.failedAtMs = scheduler.now();
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -4,6 +4,7 @@
 import * as targetBook from "../../common/routes/targetBook.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as metrics from "./metrics.js";
 import * as targetSender from "./targetSender.js";
 
 const probeTimeoutMs = 500;
@@ -25,6 +26,7 @@
     readonly scheduler: shared.Scheduler;
     readonly book: targetBook.TargetBook;
     readonly sender: targetSender.TargetSender;
+    readonly metrics: Pick<metrics.RouteMetrics, "recordProbe">;
     readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
     /** Whether this VM probes the targets of a zone. */
     mayProbe(zone: shared.ZoneName): boolean;
@@ -39,6 +41,7 @@
         }
         book.recordProbe(registration.id);
         const head = await sender.probe(registration, path, probeTimeoutMs);
+        options.metrics.recordProbe(head !== undefined);
         if (head === undefined || (head.target !== undefined && head.target !== registration.id)) {
             return;
         }
