explain follows a request over the daemons' logs

The command asked the entry VMs only, which the daemon on the platform does not answer. With log files, or standard input, it prints the request's lines by VM and, marked, what changed about its targets and its VM in the three seconds before.

--- a/src/cli/Types.ts
+++ b/src/cli/Types.ts
@@ -23,6 +23,8 @@
     runEntry(settings: settings.EntrySettings): Promise<void>;
     /** Reads all YAML files below a directory. */
     readFiles(directory: string): Promise<ReadFilesResult>;
+    /** Reads a log line by line; `-` stands for standard input. */
+    readLogLines(path: string): AsyncIterable<string>;
     writeOut(text: string): void;
     writeError(text: string): void;
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
 import * as runEntry from "../node/entry/runEntry.js";
 import * as rpcClient from "../node/peers/rpcClient.js";
 import * as platformClient from "../node/platform/platformClient.js";
+import * as logLines from "./logLines.js";
 import * as program from "./program.js";
 import * as sourceFiles from "./sourceFiles.js";
 import * as systemScheduler from "../node/systemScheduler.js";
@@ -35,6 +36,7 @@
     createRpc: rpcClient.createRpcClient,
     createToken: () => crypto.randomUUID(),
     runEntry: runEntry.runEntry,
+    readLogLines: logLines.readLogLines,
     readFiles: sourceFiles.readSourceFiles,
     writeOut: text => process.stdout.write(text),
     writeError: text => process.stderr.write(text),
--- a/src/cli/program.test.ts
+++ b/src/cli/program.test.ts
@@ -17,6 +17,12 @@
     "compose.yaml": "services: {}\n",
 });
 
+// Not a stream: the virtual time of these tests passes without turns of the event loop.
+const generateLines = async function* (text: string): AsyncGenerator<string> {
+    await Promise.resolve();
+    yield* text.split("\n");
+};
+
 const createWorld = (...modes: fakes.FakeMode[]) => {
     const platform = memoryPlatform.createMemoryPlatform();
     const scheduler = virtualScheduler.createVirtualScheduler();
@@ -25,7 +31,12 @@
     const urls: string[] = [];
     platform.setVms(vms.map(vm => vm.listed));
     let tokens = 0;
-    const run = async (args: string, files = createFiles(), env: Record<string, string> = {}) => {
+    const run = async (
+        args: string,
+        files = createFiles(),
+        env: Record<string, string> = {},
+        logs: Record<string, string> = {},
+    ) => {
         let out = "";
         let error = "";
         let exitCode: number | undefined;
@@ -49,6 +60,7 @@
                     const read = Object.entries(files).map(([name, text]) => ({ path: name, text }));
                     return Promise.resolve({ kind: "read", files: read });
                 },
+                readLogLines: name => generateLines(logs[name] ?? ""),
                 writeOut: text => (out += text),
                 writeError: text => (error += text),
             })
@@ -203,6 +215,41 @@
     t.is((await run("explain other")).exitCode, 6);
 });
 
+const formatLine = (vm: string, second: number, part: string, fields: Record<string, unknown>): string =>
+    `   ${second}.1186 ${vm} ${JSON.stringify({ time: new Date(second * 1_000).toISOString(), part, level: "info", ...fields })}`;
+
+test("explain follows a request over the logs of several VMs, with what happened to its targets before", async t => {
+    const { run, urls } = createWorld("adopting");
+    const log = [
+        formatLine("vm-1", 1, "target", { message: "set aside after failures", target: "b" }),
+        formatLine("vm-1", 8, "target", { message: "set aside after failures", target: "a" }),
+        formatLine("vm-1", 9, "exchange", { message: "attempt", request: "other", target: "a" }),
+        formatLine("vm-1", 9, "target", { message: "set aside after failures", target: "c" }),
+        formatLine("vm-1", 10, "exchange", { message: "attempt", request: "r1", target: "a", end: "failed" }),
+        "   12.0000 vm-1 (node) a line of another kind {",
+        formatLine("vm-1", 11, "exchange", { message: "not served", request: "r1", reason: "deadline" }),
+    ].join("\n");
+    const logs = { one: log, two: formatLine("vm-2", 5, "exchange", { message: "attempt", request: "r1" }) };
+    const { out, exitCode } = await run("explain r1 one two", {}, {}, logs);
+    t.is(exitCode, 0);
+    t.is(
+        out,
+        [
+            "vm-1:",
+            "    -2000 ms ~ target: set aside after failures target=a",
+            "        0 ms   exchange: attempt target=a end=failed",
+            "     1000 ms   exchange: not served reason=deadline",
+            "vm-2:",
+            "        0 ms   exchange: attempt",
+            "",
+        ].join("\n"),
+    );
+    const json = JSON.parse((await run("explain r1 one --json", {}, {}, logs)).out) as { steps: unknown[] };
+    t.is(json.steps.length, 3);
+    t.like(await run("explain r2 one", {}, {}, logs), { exitCode: 6 });
+    t.is(urls.length, 0);
+});
+
 test("check reports faults without the platform and compares with the configuration in force on request", async t => {
     const { run, urls, platform } = createWorld("adopting");
     t.like(await run("check ."), { exitCode: 0, out: "No faults in 1 service file, with the topology.\n" });
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -13,6 +13,7 @@
 import * as entryCommand from "./entryCommand.js";
 import * as exitCodes from "./exitCodes.js";
 import * as explainCommand from "./explainCommand.js";
+import * as explainLogs from "./explainLogs.js";
 import * as statusCommand from "./statusCommand.js";
 import * as targetsCommand from "./targetsCommand.js";
 import * as cli from "./Types.js";
@@ -175,10 +176,14 @@
         .action((options: targetsCommand.TargetsOptions) =>
             run(() => runConnected(context, options, all => targetsCommand.runTargets(context, all, options))),
         );
-    addCommonOptions(program.command("explain <call>"))
-        .description("print what happened to a call, by its id")
-        .action((call: string, options: cli.CommonOptions) =>
-            run(() => runConnected(context, options, all => explainCommand.runExplain(context, all, call, options))),
+    addCommonOptions(program.command("explain <call> [logs...]"))
+        .description("print what happened to a call, by its id; from log files if any are named, - for standard input")
+        .action((call: string, logs: readonly string[], options: cli.CommonOptions) =>
+            run(() =>
+                logs.length > 0
+                    ? explainLogs.runExplainLogs(context, call, logs, options)
+                    : runConnected(context, options, all => explainCommand.runExplain(context, all, call, options)),
+            ),
         );
 };
 
