Notice within 1.3 s that the hub gets no answers from the store; follow the store while a new hub is looked for

A hub that is cut off right before a change made all its followers late. Now each table tells how long an answer is overdue: 0.5 s beyond the interval between two answers, 0.75 s for targets, so that the worst case is 1.25 s + 0.4 s + a read. A lost hub was also replaced only after all candidates had been tried in turn; the VM now reads the store itself after 0.2 s. Ruled out: shorter calls to the store (paid for), a shorter beat (bytes between zones). Test: a store that stops to answer is noticed within 1.3 s (the age alone needed 2.2 s).

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -14,8 +14,15 @@
 const openTimeoutMs = 250;
 /** A VM that has not given its first beat by then is passed over. */
 const firstBeatTimeoutMs = 300;
-/** A hub with an older view of the store does not count as fresh: a call waits for 1.5 s at the most. */
-const freshAgeMs = 2_200;
+/**
+ * A hub that the store owes an answer for longer has no fresh view. With the longest interval between two answers of the
+ * table of targets, 750 ms, and a beat, changes are read elsewhere within the 2 s that the platform allows.
+ */
+export const longestOverdueMs = 500;
+/** A VM that has lost its hub follows the store itself if no other hub is found by then. */
+const searchGraceMs = 200;
+/** A silent hub is noticed within this time after its last beat has run out. */
+const checkIntervalMs = 100;
 /** A VM without a hub looks for one this often. */
 const searchIntervalMs = 2_000;
 /** A VM that could not be reached is passed over for this time. */
@@ -56,7 +63,7 @@
     readonly address: shared.Address;
     readonly peers: Map<shared.VmId, routes.Peer>;
     isHub: boolean;
-    ageMs: number;
+    overdueMs: number;
     beatAtMs: number;
 }
 
@@ -74,12 +81,13 @@
     let isDisposed = false;
     let isSearching = false;
     let helloText = "";
+    let graceTimer: shared.Disposable | undefined;
     let timers: shared.Disposable[] = [];
 
     const isHeard = (entry: Link): boolean =>
         scheduler.now() - entry.beatAtMs < peerHub.beatIntervalMs * peerHub.missedBeats;
 
-    const isFresh = (entry: Link): boolean => entry.ageMs < freshAgeMs;
+    const isFresh = (entry: Link): boolean => entry.overdueMs < longestOverdueMs;
 
     const isUseful = (entry: Link): boolean =>
         entry.isHub && isHeard(entry) && (isFresh(entry) || !options.isStoreFresh());
@@ -119,7 +127,7 @@
 
     const handleBeat = (entry: Link, beat: peerChannel.HubBeat): void => {
         entry.isHub = beat.isHub;
-        entry.ageMs = beat.ageMs;
+        entry.overdueMs = beat.overdueMs;
         entry.beatAtMs = scheduler.now();
         for (const peer of beat.changed) {
             entry.peers.set(peer.vm, peer);
@@ -150,7 +158,7 @@
                 address,
                 peers: new Map(),
                 isHub: false,
-                ageMs: Infinity,
+                overdueMs: Infinity,
                 beatAtMs: scheduler.now(),
             };
             const timeout = scheduler.schedule(firstBeatTimeoutMs, () => resolve(undefined));
@@ -177,7 +185,7 @@
         }
         link = entry;
         helloText = "";
-        logger.info("peer: follows hub", { vm: peer.vm, address, ageMs: Math.round(entry.ageMs) });
+        logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(entry.overdueMs) });
         options.handleLinked();
         return true;
     };
@@ -189,6 +197,12 @@
             logger.warn("peer: hub lost", { address: lost.address, reason });
             avoided.set(lost.address, scheduler.now() + avoidMs);
             lost.channel.dispose();
+            graceTimer?.dispose();
+            graceTimer = scheduler.schedule(searchGraceMs, () => {
+                if (link === undefined && !isDisposed) {
+                    options.handleNeed(true);
+                }
+            });
         }
         void search();
     };
@@ -222,9 +236,14 @@
         entry.channel.send("peer.hello", { peer: own });
     };
 
-    const check = (): void => {
+    const sendOwnSign = (): void => {
         if (link !== undefined) {
             sendSign(link);
+        }
+    };
+
+    const check = (): void => {
+        if (link !== undefined) {
             options.handleNeed(!isFresh(link));
             if (!isUseful(link)) {
                 lose(isHeard(link) ? "old view of the store" : "silent");
@@ -244,7 +263,11 @@
 
     return {
         start: () => {
-            timers = [repeat(peerHub.beatIntervalMs, check), repeat(searchIntervalMs, () => void search())];
+            timers = [
+                repeat(peerHub.beatIntervalMs, sendOwnSign),
+                repeat(checkIntervalMs, check),
+                repeat(searchIntervalMs, () => void search()),
+            ];
         },
         isLinked: () => link !== undefined,
         listPeers: () => [...(link?.peers.values() ?? [])],
@@ -257,15 +280,12 @@
             }
         },
         sendMet: peer => link?.channel.send("peer.met", { peer }),
-        sendHello: () => {
-            if (link !== undefined) {
-                sendSign(link);
-            }
-        },
+        sendHello: sendOwnSign,
         sendCrashes: reports => link?.channel.send("crash.reports", { reports }),
         dispose: () => {
             isDisposed = true;
             timers.forEach(timer => timer.dispose());
+            graceTimer?.dispose();
             link?.channel.dispose();
         },
     };
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -18,8 +18,6 @@
 const lonelyMs = 1_500;
 /** Time between two looks for peers in the store. */
 const lookIntervalMs = 10_000;
-/** Longer than a call that waits for a change. */
-const ownFreshMs = 2_000;
 const noAddress = "" as shared.Address;
 
 export interface Membership extends shared.Disposable {
@@ -85,6 +83,8 @@
 
     const computeStoreAgeMs = (): number => (follower.isRunning() ? follower.computeAgeMs() : Infinity);
 
+    const computeOverdueMs = (): number => (follower.isRunning() ? follower.computeOverdueMs() : Infinity);
+
     const hub =
         settings.peerAddress === undefined
             ? undefined
@@ -93,7 +93,7 @@
                   scheduler,
                   logger,
                   getOwn,
-                  computeAgeMs: computeStoreAgeMs,
+                  computeOverdueMs,
                   listKnown: () => listPeers(),
                   isHub: () => !link.isLinked(),
                   handlePeer: peer => {
@@ -115,7 +115,7 @@
             channel.on("state.changes", ({ changes }) => void state.applyChanges(changes));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
-        isStoreFresh: () => follower.isRunning() && follower.computeAgeMs() < ownFreshMs,
+        isStoreFresh: () => computeOverdueMs() < hubLink.longestOverdueMs,
         handleLinked: () => hub?.closeSpokes(),
         handleNeed: needsStore => (needsStore ? follower.start() : follower.stop()),
     });
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -19,7 +19,8 @@
 export interface HubBeat extends peerOrder.PeerChanges {
     /** False if the VM follows a hub itself; it then only helps to find that one. */
     readonly isHub: boolean;
-    readonly ageMs: number;
+    /** How long the store owes the hub an answer. */
+    readonly overdueMs: number;
 }
 
 /** Notifications by method. */
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -30,8 +30,8 @@
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     getOwn(): routes.Peer;
-    /** Age of this VM's own view of the store; infinite if it does not follow the store. */
-    computeAgeMs(): number;
+    /** How long the store owes this VM an answer; infinite if this VM does not follow the store. */
+    computeOverdueMs(): number;
     /** A VM has told of itself. */
     handlePeer(peer: routes.Peer): void;
     /** All VMs that this VM knows to live, also by its own hub. */
@@ -41,8 +41,8 @@
     listSnapshots(): readonly routes.StateSnapshot[];
 }
 
-/** Stands for an age without bound, which JSON cannot express. */
-const longestAgeMs = 60_000;
+/** Stands for a time without bound, which JSON cannot express. */
+const longestOverdueMs = 60_000;
 const noChanges: peerOrder.PeerChanges = { changed: [], left: [] };
 
 interface Spoke {
@@ -96,8 +96,8 @@
     const sendBeat = (spoke: Spoke, changes: peerOrder.PeerChanges): void => {
         const told = spoke.wasTold ? changes : { changed: options.listKnown(), left: [] };
         spoke.wasTold = true;
-        const ageMs = Math.min(longestAgeMs, options.computeAgeMs());
-        spoke.channel.send("hub.beat", { isHub: options.isHub(), ageMs, ...told });
+        const overdueMs = Math.min(longestOverdueMs, options.computeOverdueMs());
+        spoke.channel.send("hub.beat", { isHub: options.isHub(), overdueMs, ...told });
     };
 
     /** A VM that follows another hub has nothing to pass on; it takes no part of the state of its own. */
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -5,6 +5,7 @@
 import * as fixture from "../../testing/routes/fixture.js";
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as hubLink from "./hubLink.js";
 import * as storeFollower from "./storeFollower.js";
 import * as types from "./Types.js";
 
@@ -13,6 +14,7 @@
     const scheduler = virtualScheduler.createVirtualScheduler();
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     let snapshots = 0;
+    let isSilent = false;
     const store: types.StateStore = {
         fetchSnapshot: table => {
             snapshots++;
@@ -20,16 +22,21 @@
             return Promise.resolve({ table, version: 1, changes });
         },
         fetchChanges: (table, after) => {
+            if (isSilent) {
+                return new Promise(() => undefined);
+            }
             const next = table === "targets" ? script.shift() : undefined;
             if (next instanceof Error) {
                 return Promise.reject(next);
             }
-            return new Promise(
-                resolve =>
-                    void scheduler.schedule(100, () =>
-                        resolve(next ?? { kind: "changes", version: after, changes: [] }),
-                    ),
-            );
+            return new Promise(resolve => {
+                const answer = (): void => {
+                    if (!isSilent) {
+                        resolve(next ?? { kind: "changes", version: after, changes: [] });
+                    }
+                };
+                scheduler.schedule(100, answer);
+            });
         },
         registerPeer: () => Promise.resolve(),
         fetchPeers: () => Promise.resolve([]),
@@ -44,9 +51,24 @@
         handleChanges: changes => told.push(...changes),
     });
     const listIds = (): string[] => [...state.listTargets()].map(target => target.id);
-    return { scheduler, follower, listIds, told, countSnapshots: () => snapshots };
+    const setSilent = (): void => void (isSilent = true);
+    return { scheduler, follower, listIds, told, setSilent, countSnapshots: () => snapshots };
 };
 
+test("a store that stops to answer is noticed within 1.3 s, and a quiet one is not overdue", async t => {
+    const world = createWorld([]);
+    world.follower.start();
+    for (let step = 0; step < 100; step++) {
+        await world.scheduler.advance(100);
+        t.true(world.follower.computeOverdueMs() < hubLink.longestOverdueMs);
+    }
+    world.setSilent();
+    await world.scheduler.advance(1_300);
+    t.true(world.follower.computeOverdueMs() >= hubLink.longestOverdueMs);
+    t.true(world.follower.computeAgeMs() < 2_200);
+    world.follower.dispose();
+});
+
 const removeTarget = (version: number, id: string): types.TableChanges => ({
     kind: "changes",
     version,
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -25,6 +25,8 @@
     stop(): void;
     /** Age of the oldest table's last successful call; infinite before the first. */
     computeAgeMs(): number;
+    /** How long an answer of the store is overdue, at the table that is the most so; infinite before the first. */
+    computeOverdueMs(): number;
     isRunning(): boolean;
 }
 
@@ -151,6 +153,10 @@
         );
     };
 
+    /** Without disturbance, one call waits out its time and the next one begins on time. */
+    const computeOverdueMs = (table: TableState): number =>
+        Math.max(0, scheduler.now() - table.succeededAtMs - table.intervalMs - table.waitMs);
+
     const stop = (): void => {
         if (isRunning) {
             logger.info("state: leaves the store to the hub");
@@ -178,6 +184,7 @@
         },
         stop,
         computeAgeMs: () => scheduler.now() - Math.min(...tables.map(table => table.succeededAtMs)),
+        computeOverdueMs: () => Math.max(...tables.map(computeOverdueMs)),
         isRunning: () => isRunning,
         dispose: stop,
     };
