Try the next target when one is not reached, without a retry; list entry VMs of tests in the order of the plan

Now opening ends after 250 ms, and up to three targets are tried in turn. Test failed first. Entry VMs were listed in the order in which their ports were free, so that the scenario killed entry-3 and started a second entry-2. Neither the token bucket nor the check's window is at fault. The list now keeps the order of the plan; its test failed first (the order, and a first mend that listed VMs twice).

--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -6,8 +6,8 @@
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
 
-/** A connection that is not open by then is given up; zones are a few milliseconds apart. */
-const openTimeoutMs = 500;
+/** A connection that is not open by then is given up: zones are a few milliseconds apart, and others can be tried. */
+const openTimeoutMs = 250;
 const sweepIntervalMs = 1_000;
 
 export interface PoolRequest {
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -40,6 +40,7 @@
 const ok = (afterMs: number): Step => ({ afterMs, result: createAnswer({}) });
 const refusal: Step = { afterMs: 5, result: createAnswer({ status: 503, isSealed: false, isRefusal: true }) };
 const broken: Step = { afterMs: 5, result: { kind: "broken", reason: "ECONNRESET" } };
+const unreachable: Step = { afterMs: 5, result: { kind: "unreachable" } };
 const never: Step = { afterMs: 1_000_000, result: { kind: "broken", reason: "never" } };
 
 /** Runs one request against targets that behave as scripted, in the order of the attempts. */
@@ -155,6 +156,15 @@
     t.true(world.getAnsweredAtMs() < 100);
 });
 
+test("a target that is not reached costs no retry, as nothing was sent", async t => {
+    const world = run([unreachable, unreachable, ok(10)], { route: { ...once, maxTargets: 1 }, budget: 0 });
+    await world.advance(2_000);
+    t.is(world.getAnswer()?.kind, "target");
+    const all = run([unreachable, unreachable, unreachable], { route: once, budget: 0 });
+    await all.advance(2_000);
+    t.is(all.getAnswer()?.kind, "refused");
+});
+
 test("a request that may have run is never refused", async t => {
     const world = run([broken, refusal, refusal], { route: { maxTargets: 2 }, budget: 0 });
     await world.advance(2_000);
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -21,6 +21,8 @@
 const retryAfterMs = 100;
 /** Targets that may refuse a request before the load balancer does. */
 const maxRefusals = 2;
+/** Targets that may turn out not to be reached; several at once are behind the same cut as a rule. */
+const maxUnreached = 3;
 /** Time that an attempt must have left to be worth starting. */
 const shortestAttemptMs = 10;
 
@@ -95,6 +97,7 @@
     /** Attempts that ran or may have run. */
     let runs = 0;
     let refusals = 0;
+    let unreached = 0;
     let isDone = false;
     let failure: FinalAnswer | undefined;
 
@@ -171,15 +174,27 @@
         }
     };
 
-    const handleRefusal = (entry: runningAttempts.RunningAttempt, end: "refused" | "unreachable"): void => {
+    const handleRefusal = (entry: runningAttempts.RunningAttempt): void => {
         runs--;
         refusals++;
-        log.logAttempt(entry.ticket, end, { refusals, latencyMs: computeAgeMs(entry) });
-        const reason = end === "refused" ? "refused by targets" : "targets not reached";
+        log.logAttempt(entry.ticket, "refused", { refusals, latencyMs: computeAgeMs(entry) });
         if (refusals < maxRefusals) {
-            repeat(reason);
+            repeat("refused by targets");
         } else {
-            giveUp(reason);
+            giveUp("refused by targets");
+        }
+    };
+
+    /** Nothing was sent, so that another target is no retry and costs no budget. */
+    const handleUnreached = (entry: runningAttempts.RunningAttempt): void => {
+        runs--;
+        unreached++;
+        log.logAttempt(entry.ticket, "unreachable", { unreached, latencyMs: computeAgeMs(entry) });
+        const mayTryNext = !isDone && running.count() === 0 && computeLeftMs() > shortestAttemptMs;
+        if (mayTryNext && unreached < maxUnreached) {
+            void sendNext("target not reached");
+        } else {
+            giveUp("targets not reached");
         }
     };
 
@@ -188,7 +203,7 @@
         const finishTicket = (outcome: routes.AttemptOutcome): void => entry.ticket.finish(outcome, head.load);
         if (head.isRefusal || statusCode === 421) {
             finishTicket({ kind: "refused" });
-            handleRefusal(entry, "refused");
+            handleRefusal(entry);
             return;
         }
         options.crashes.recordAnswer(request.fingerprint);
@@ -213,7 +228,7 @@
                 break;
             case "unreachable":
                 entry.ticket.finish({ kind: "unreachable" }, undefined);
-                handleRefusal(entry, "unreachable");
+                handleUnreached(entry);
                 break;
             case "broken":
                 entry.ticket.finish({ kind: "broken" }, undefined);
--- a/src/testing/system/system.test.ts
+++ b/src/testing/system/system.test.ts
@@ -31,3 +31,13 @@
     await running.close();
     await t.throwsAsync(undici.request(running.platformUrl));
 });
+
+test("the entry VMs are listed in the order of the plan, whichever of them starts first", async t => {
+    const plan = { ...deployments.fraserbank, entries: 3 };
+    const running = await system.startSystem({ plan, seed: 1 });
+    t.deepEqual(
+        running.entries.map(({ vm, zone }) => ({ vm, zone })),
+        deployments.listEntries(plan).map(({ vm, zone }) => ({ vm, zone })),
+    );
+    await running.close();
+});
--- a/src/testing/system/system.ts
+++ b/src/testing/system/system.ts
@@ -239,7 +239,10 @@
     );
     const addresses = Object.fromEntries(started.flatMap(part => Object.entries(part)));
     const configFolder = await writeConfigFiles(planned, addresses);
-    await Promise.all(deployments.listEntries(options.plan).map(({ vm, zone }) => startEntry(vm, zone)));
+    const planEntries = deployments.listEntries(options.plan);
+    const startedEntries = await Promise.all(planEntries.map(({ vm, zone }) => startEntry(vm, zone)));
+    // They start at the same time and are listed in the order of the plan, by which scenarios refer to them.
+    entries.splice(0, entries.length, ...startedEntries);
 
     return {
         platformUrl,
