Tell rates under 5 requests a second as none

Each VM answers a few requests that test its configuration, so that the rates of 113 VMs went up and down between 0 and a few and each change was told to all others, 300 bytes each.

--- a/src/common/routes/rate.ts
+++ b/src/common/routes/rate.ts
@@ -14,6 +14,8 @@
 
 /** Steps of a rounded rate; peers are told a new rate only when it has changed by about this factor. */
 const roundingFactor = 1.25;
+/** A VM with fewer requests does not matter to the choice of fronts; its rate would change all the time. */
+const smallestToldRate = 5;
 
 /**
  * Rounds a rate to one of a few steps.
@@ -22,7 +24,7 @@
  * @returns 0 or a power of the rounding factor
  */
 export const roundRate = (perSecond: number): number =>
-    perSecond < 1 ? 0 : roundingFactor ** Math.round(Math.log(perSecond) / Math.log(roundingFactor));
+    perSecond < smallestToldRate ? 0 : roundingFactor ** Math.round(Math.log(perSecond) / Math.log(roundingFactor));
 
 /**
  * Creates a rate of 0.
--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -84,6 +84,12 @@
     t.is(frontChoice.pickFronts(fronts, undefined).length, 2);
 });
 
+test("a VM that only answers a few requests tells the same rate all the time", t => {
+    const told = [0, 0.4, 1, 1.6, 2.5, 4.9].map(rate.roundRate);
+    t.deepEqual([...new Set(told)], [0]);
+    t.true(rate.roundRate(100) > 80 && rate.roundRate(100) < 125);
+});
+
 test("a rate settles at the number of events per second", async t => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const events = rate.createRate(scheduler);
