See that a client has left before its request is sent on by a process short of time

The handler now waits for two turns. Test failed first (a busy process, request and close waiting). Ruled out: requests that wait for a slot (aborted), attempts in flight (reset since earlier).

--- a/src/node/routes/frontServer.test.ts
+++ b/src/node/routes/frontServer.test.ts
@@ -120,6 +120,33 @@
     front.dispose();
 });
 
+test("a client that left while its request waited for a busy process is known to have left", async t => {
+    let isFirst = true;
+    let hasLeft: boolean | undefined;
+    const { front, connect } = await startFront(request => {
+        if (isFirst) {
+            isFirst = false;
+        } else {
+            hasLeft = request.signal.aborted;
+        }
+        return Promise.resolve(undefined);
+    });
+    const client = connect();
+    await new Promise(resolve => client.socket.once("connect", resolve));
+    client.socket.write(formatRequest("/first"));
+    await waitFor(() => !isFirst);
+    const late = connect();
+    await new Promise(resolve => late.socket.once("connect", resolve));
+    // Both the request and the end of the connection are there before the server reads either.
+    late.socket.write(formatRequest("/late"));
+    late.socket.destroy();
+    const untilMs = performance.now() + 50;
+    while (performance.now() < untilMs){;}
+    await waitFor(() => hasLeft !== undefined);
+    t.true(hasLeft);
+    front.dispose();
+});
+
 test("a server that leaves finishes what it has, and closes only connections that wait for nothing", async t => {
     let handled = 0;
     const { front, connect } = await startFront(async () => {
--- a/src/node/routes/frontServer.ts
+++ b/src/node/routes/frontServer.ts
@@ -3,6 +3,7 @@
  */
 import * as http from "node:http";
 import * as stream from "node:stream";
+import * as timers from "node:timers/promises";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as connectionPool from "./connectionPool.js";
@@ -73,6 +74,16 @@
     return request.complete ? { kind: "whole", body: Buffer.concat(chunks) } : { kind: "aborted" };
 };
 
+/**
+ * Lets the event loop read what has arrived already. In a process that is short of time, a client's request and its close
+ * wait in the socket together; the request must not be sent on before the close is seen. The loop reads a connection again
+ * only in its next turn, hence two of them.
+ */
+const waitForPendingReads = async (): Promise<void> => {
+    await timers.setImmediate();
+    await timers.setImmediate();
+};
+
 const countHeaderBytes = (headers: types.RawHeaders): number =>
     headers.reduce((sum, text) => sum + text.length + separatorBytes, 0);
 
@@ -122,6 +133,7 @@
                 fail(body.kind === "too-large" ? 413 : 400, body.kind);
                 return;
             }
+            await waitForPendingReads();
             const answer = await options.handle({
                 method: request.method ?? "GET",
                 url: request.url ?? "/",
