--- a/src/node/routes/frontServer.test.ts
+++ b/src/node/routes/frontServer.test.ts
@@ -141,7 +141,7 @@
     late.socket.write(formatRequest("/late"));
     late.socket.destroy();
     const untilMs = performance.now() + 50;
-    while (performance.now() < untilMs){;}
+    while (performance.now() < untilMs) {}
     await waitFor(() => hasLeft !== undefined);
     t.true(hasLeft);
     front.dispose();
