--- a/src/node/routes/frontServer.test.ts
+++ b/src/node/routes/frontServer.test.ts
@@ -140,8 +140,7 @@
     // Both the request and the end of the connection are there before the server reads either.
     late.socket.write(formatRequest("/late"));
     late.socket.destroy();
-    const untilMs = performance.now() + 50;
-    while (performance.now() < untilMs) {}
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 50);
     await waitFor(() => hasLeft !== undefined);
     t.true(hasLeft);
     front.dispose();
