--- a/src/cli/explainLogs.ts
+++ b/src/cli/explainLogs.ts
@@ -62,7 +62,9 @@
             const line = logLines.parseLogLine(text);
             if (line !== undefined && (line.fields["request"] === request || contextParts.has(line.part))) {
                 const vm = line.source === "" ? path : line.source;
-                byVm.set(vm, [...(byVm.get(vm) ?? []), line]);
+                const list = byVm.get(vm) ?? [];
+                list.push(line);
+                byVm.set(vm, list);
             }
         }
     }
