--- a/src/testing/failure/Types.ts
+++ b/src/testing/failure/Types.ts
@@ -87,4 +87,6 @@
     readonly notes: readonly string[];
     /** Last log lines by process. */
     readonly logs: Readonly<Record<string, readonly string[]>>;
+    /** Why the scenario did not come to its end; undefined if it did. */
+    readonly error: Error | undefined;
 }
--- a/src/testing/failure/addProof.ts
+++ b/src/testing/failure/addProof.ts
@@ -23,12 +23,14 @@
     const { name, seed, proves } = scenario;
     test.serial(`${name}: ${proves.join(", ")} hold`, async t => {
         const result = await runScenarios.runScenario(scenario, seed);
+        t.is(result.error, undefined, formatViolations(result));
         t.log(`${result.history.callers.length} caller events, ${result.history.targets.length} target events`);
         t.is(result.violations.length, 0, formatViolations(result));
     });
     for (const { unsafe, rules } of scenario.teeth) {
         test.serial(`${name}: without the mechanism (${unsafe}), the check finds ${rules.join(" or ")}`, async t => {
             const result = await runScenarios.runScenario(scenario, seed, [unsafe]);
+            t.is(result.error, undefined, formatViolations(result));
             t.true(
                 result.violations.some(violation => rules.includes(violation.rule)),
                 `no violation of ${rules.join(", ")} was found; found were:\n${formatViolations(result)}`,
--- a/src/testing/failure/main.ts
+++ b/src/testing/failure/main.ts
@@ -34,7 +34,8 @@
     const seed = Number(options.seed ?? scenario.seed);
     const unsafe = (options.unsafe ?? "").split(",").filter(item => item !== "") as switches.UnsafeSwitch[];
     const result = await runScenarios.runScenario(scenario, seed, unsafe);
-    if (result.violations.length > 0 || options.print === true) {
+    const isGood = result.violations.length === 0 && result.error === undefined;
+    if (!isGood || options.print === true) {
         printHistory(result);
     }
     const started = result.history.targets.filter(event => event.kind === "started").length;
@@ -46,8 +47,11 @@
     );
     print(`violations: ${result.violations.length}`);
     result.violations.slice(0, 10).forEach(violation => print(`  ${violation.rule}: ${violation.message}`));
+    if (result.error !== undefined) {
+        print(`not finished: ${result.error.message}`);
+    }
     // Links that were cut can keep the event loop alive; all processes have ended by now.
-    process.exit(result.violations.length === 0 ? 0 : 1);
+    process.exit(isGood ? 0 : 1);
 };
 
 await new commander.Command("failure")
--- a/src/testing/failure/runScenario.ts
+++ b/src/testing/failure/runScenario.ts
@@ -39,6 +39,8 @@
     }
 };
 
+const toError = (reason: unknown): Error => (reason instanceof Error ? reason : new Error(String(reason)));
+
 /**
  * Runs a scenario.
  *
@@ -71,7 +73,7 @@
     try {
         await publish(running);
         note("the configuration is published");
-        await scenario.run({
+        const run = scenario.run({
             system: running,
             seed,
             send: direct.send,
@@ -92,6 +94,7 @@
             waitFor,
             note,
         });
+        const error = await run.then(() => undefined, toError);
         const limits = deployments
             .createTargets(scenario.plan, seed)
             .map(({ spec }) => ({ target: spec.id, coldSlots: spec.coldSlots }));
@@ -103,7 +106,7 @@
                 entry.process.listLines().slice(-printedLogLines),
             ]),
         );
-        return { violations: [...found, ...violations], history: recorded, notes, logs };
+        return { violations: [...found, ...violations], history: recorded, notes, logs, error };
     } finally {
         await direct.close();
         await running.close();
