Wait for a quick target instead of starting at a slow one

Change: a request waits, up to a quarter of its objective as before, while a target that could answer in time is only full; the last offer takes any target. A hedge goes only to a target that could still answer in time.

Also logs an attempt without an answer in the entry daemon, and prints the logs of the requests named by a failed proof.

--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -123,6 +123,23 @@
     t.deepEqual(order, ["first", "second", "third expired"]);
 });
 
+test("the last offer is made when the time of the wait has passed", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const line = waitLine.createWaitLine<string>(scheduler);
+    const { signal } = new AbortController();
+    const offers: boolean[] = [];
+    const take = (isLast: boolean): string | undefined => {
+        offers.push(isLast);
+        return isLast ? "slow target" : undefined;
+    };
+    const waiting = line.wait({ service: fixture.service, priority: 0, longestWaitMs: 100, signal, take });
+    line.offer(fixture.service);
+    await scheduler.advance(100);
+    t.is(await waiting, "slow target");
+    t.deepEqual(offers, [false, false, true]);
+    t.is(line.count(fixture.service), 0);
+});
+
 test("the cost of an offer does not grow with the line", t => {
     const line = waitLine.createWaitLine<string>(virtualScheduler.createVirtualScheduler());
     let asked = 0;
--- a/src/common/routes/targetBook.test.ts
+++ b/src/common/routes/targetBook.test.ts
@@ -22,8 +22,14 @@
     });
     book.setTargets(registrations);
     const route = fixture.createRoute();
-    const pick = (exclude: readonly string[] = []): targetBook.Pick =>
-        book.pick({ service: fixture.service, route, bodyBytes: 0, exclude: new Set(exclude.map(ids.toTargetId)) });
+    const pick = (exclude: readonly string[] = [], wantedMs = Infinity): targetBook.Pick =>
+        book.pick({
+            service: fixture.service,
+            route,
+            bodyBytes: 0,
+            exclude: new Set(exclude.map(ids.toTargetId)),
+            wantedMs,
+        });
     const pickId = (exclude: readonly string[] = []): string => {
         const result = pick(exclude);
         return result.kind === "target" ? result.ticket.registration.id : result.kind;
@@ -70,6 +76,28 @@
     t.is(result.kind === "target" ? result.ticket.registration.id : "", "slow");
 });
 
+test("a slow target is not picked while a quick one is only full, unless the time to wait is over", t => {
+    const { book, scheduler, pick } = createWorld([
+        fixture.createRegistration("slow"),
+        fixture.createRegistration("quick"),
+    ]);
+    book.applyReport(ids.toTargetId("slow"), report(7), scheduler.now());
+    book.applyReport(ids.toTargetId("quick"), report(1), scheduler.now());
+    const wantedMs = fixture.createRoute().objectiveMs;
+    const first = pick([], wantedMs);
+    t.is(first.kind === "target" ? first.ticket.registration.id : "", "quick");
+    t.is(pick([], wantedMs).kind, "target");
+    t.is(pick([], wantedMs).kind, "full");
+    const last = pick();
+    t.is(last.kind === "target" ? last.ticket.registration.id : "", "slow");
+});
+
+test("a slow target is picked if no other could answer in time", t => {
+    const { book, scheduler, pick } = createWorld([fixture.createRegistration("slow")]);
+    book.applyReport(ids.toTargetId("slow"), report(7), scheduler.now());
+    t.is(pick([], fixture.createRoute().objectiveMs).kind, "target");
+});
+
 test("an attempt that is overdue shows that its target has turned slow", async t => {
     const { book, scheduler, pickId } = createWorld([
         fixture.createRegistration("a"),
--- a/src/common/routes/targetBook.ts
+++ b/src/common/routes/targetBook.ts
@@ -29,6 +29,11 @@
     readonly bodyBytes: number;
     /** Targets that this request was sent to already. */
     readonly exclude: ReadonlySet<shared.TargetId>;
+    /**
+     * Latency to wait for: a target that is expected to take longer is not picked while a quicker one is only full.
+     * Infinite: any target with room will do.
+     */
+    readonly wantedMs: number;
 }
 
 /** What a target was picked by. */
@@ -54,7 +59,7 @@
 
 export type Pick =
     | { readonly kind: "target"; readonly ticket: Ticket }
-    /** Targets exist, but none has a free slot. */
+    /** Targets exist, but none has a free slot, or those that have one are too slow. */
     | { readonly kind: "full" }
     /** The service has no target that may be sent to. */
     | { readonly kind: "none" };
@@ -209,13 +214,17 @@
         const mean = estimates.getMean(request.service).get();
         let best: { readonly entry: targetEntry.TargetEntry; readonly inputs: PickInputs } | undefined;
         let bestCost = Infinity;
+        let quickestFullMs = Infinity;
         for (const entry of candidates) {
             const inFlight = targetEntry.computeInFlight(entry, nowMs);
+            const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
+            const expectedMs = computeExpectedMs(entry, inFlight, request.route, slowdown, nowMs);
             if (!hasRoom(entry, inFlight, nowMs)) {
+                if (!isCold(entry, nowMs)) {
+                    quickestFullMs = Math.min(quickestFullMs, expectedMs);
+                }
                 continue;
             }
-            const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
-            const expectedMs = computeExpectedMs(entry, inFlight, request.route, slowdown, nowMs);
             const cost = computeCost(entry, expectedMs, request, nowMs);
             if (cost < bestCost) {
                 bestCost = cost;
@@ -226,7 +235,8 @@
                 };
             }
         }
-        return best === undefined
+        const isTooSlow = best !== undefined && best.inputs.expectedMs > request.wantedMs;
+        return best === undefined || (isTooSlow && quickestFullMs <= request.wantedMs)
             ? { kind: "full" }
             : { kind: "target", ticket: createTicket(best.entry, request.route, best.inputs) };
     };
@@ -280,6 +290,7 @@
             if (report.slowdown !== undefined) {
                 estimates.getMean(entry.registration.service).record(report.slowdown);
             }
+            freeEmitter.fire(entry.registration.service);
         },
         applyColdLeft: (id, coldLeftMs) => {
             const entry = entries.get(id);
--- a/src/common/routes/waitLine.ts
+++ b/src/common/routes/waitLine.ts
@@ -28,8 +28,12 @@
     readonly priority: number;
     readonly longestWaitMs: number;
     readonly signal: AbortSignal;
-    /** Takes a slot; undefined if none fits. */
-    take(): T | undefined;
+    /**
+     * Takes a slot; undefined if none fits.
+     *
+     * @param isLast - whether no other offer follows, as the time has passed
+     */
+    take(isLast: boolean): T | undefined;
 }
 
 interface Waiter<T> {
@@ -61,8 +65,9 @@
         wait: entry => {
             const line = getLine(entry.service);
             const isFirst = line.every(other => other.entry.priority > entry.priority);
-            const taken = isFirst ? entry.take() : undefined;
-            if (taken !== undefined || entry.longestWaitMs <= 0 || entry.signal.aborted) {
+            const mayWait = entry.longestWaitMs > 0 && !entry.signal.aborted;
+            const taken = isFirst ? entry.take(!mayWait) : undefined;
+            if (taken !== undefined || !mayWait) {
                 return Promise.resolve(taken);
             }
             return new Promise(resolve => {
@@ -77,7 +82,8 @@
                 };
                 const handleAbort = (): void => finish(undefined);
                 const waiter: Waiter<T> = { entry, finish };
-                const timer = scheduler.schedule(entry.longestWaitMs, handleAbort);
+                const handleTimeout = (): void => finish(entry.take(true));
+                const timer = scheduler.schedule(entry.longestWaitMs, handleTimeout);
                 entry.signal.addEventListener("abort", handleAbort, { once: true });
                 insert(line, waiter);
             });
@@ -85,7 +91,7 @@
         offer: service => {
             let misses = 0;
             for (const waiter of [...(lines.get(service) ?? [])]) {
-                const taken = waiter.entry.take();
+                const taken = waiter.entry.take(false);
                 if (taken !== undefined) {
                     waiter.finish(taken);
                 } else if (++misses >= maxMisses) {
--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -77,6 +77,7 @@
     const latencies = latencyTrackers.createLatencyTracker(scheduler);
     const stepOptions: front.StepOptions = {
         scheduler,
+        logger: options.logger,
         sender: options.sender,
         crashes: {
             isEmpty: () => options.unsafe.has("no-crash-count") || options.crashes.isEmpty(),
--- a/src/node/front/Types.ts
+++ b/src/node/front/Types.ts
@@ -88,6 +88,7 @@
 /** What the steps of a call need of the daemon. */
 export interface StepOptions {
     readonly scheduler: types.Scheduler;
+    readonly logger: types.Logger;
     readonly sender: forward.Sender;
     readonly crashes: CrashCounts;
     readonly traces: TraceStore;
--- a/src/node/front/targetStep.ts
+++ b/src/node/front/targetStep.ts
@@ -95,6 +95,12 @@
         signal: AbortSignal,
     ): Promise<types.StepResult> => {
         traces.record(call.head.id, `no answer from ${grant.target.id}: ${head.cause}`);
+        options.logger.warn("front: no answer from a target", {
+            call: call.head.id,
+            target: grant.target.id,
+            cause: head.cause,
+            aborted: head.aborted,
+        });
         const fault = call.body.getFault();
         if (fault !== undefined) {
             grant.release({ kind: "cancelled" });
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -85,12 +85,6 @@
         configuration: request.configurationVersion,
     });
     const tried = new Set<shared.TargetId>();
-    const pickRequest: targetBook.PickRequest = {
-        service,
-        route,
-        bodyBytes: outgoing.body.length,
-        exclude: tried,
-    };
     const startedAtMs = scheduler.now();
     const timers: shared.Disposable[] = [];
     const waiting = new AbortController();
@@ -103,6 +97,15 @@
 
     const computeLeftMs = (): number => request.deadlineAtMs - scheduler.now();
 
+    const pickTarget = (wantedMs: number): targetBook.Pick =>
+        book.pick({ service, route, bodyBytes: outgoing.body.length, exclude: tried, wantedMs });
+
+    /** What is left of the objective; a request that has missed it takes any target. */
+    const computeWantedMs = (): number => {
+        const leftMs = startedAtMs + route.objectiveMs - scheduler.now();
+        return leftMs > 0 ? leftMs : Infinity;
+    };
+
     const computeAgeMs = (entry: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - entry.startedAtMs);
 
@@ -264,8 +267,8 @@
             priority: route.priority,
             longestWaitMs: Math.min(computeLeftMs(), route.objectiveMs * waitShare),
             signal: waiting.signal,
-            take: () => {
-                const result = book.pick(pickRequest);
+            take: isLast => {
+                const result = pickTarget(isLast ? Infinity : computeWantedMs());
                 return result.kind === "target" ? result : undefined;
             },
         });
@@ -285,7 +288,7 @@
         if (isDone || running.count() !== 1 || runs >= route.maxTargets) {
             return;
         }
-        const pick = book.pick(pickRequest);
+        const pick = pickTarget(computeWantedMs());
         if (pick.kind !== "target") {
             return;
         }
--- a/src/testing/failure/addProof.ts
+++ b/src/testing/failure/addProof.ts
@@ -7,11 +7,20 @@
 
 const printedViolations = 5;
 
-const formatViolations = (result: types.ScenarioResult): string =>
-    result.violations
+const printedLogLines = 60;
+/** Ids of requests, as callers make them: a name, a number of the call and one of the attempt. */
+const requestIds = /\b[\w-]+-\d+\.\d+\b/g;
+
+const formatViolations = (result: types.ScenarioResult): string => {
+    const lines = result.violations
         .slice(0, printedViolations)
-        .map(violation => `${violation.rule}: ${violation.message}`)
-        .join("\n");
+        .map(violation => `${violation.rule}: ${violation.message}`);
+    const ids = lines.flatMap(line => line.match(requestIds) ?? []);
+    const logged = Object.entries(result.logs).flatMap(([name, log]) =>
+        log.filter(line => line.includes("life:") || ids.some(id => line.includes(id))).map(line => `${name}: ${line}`),
+    );
+    return [...lines, ...result.notes, ...logged.slice(0, printedLogLines)].join("\n");
+};
 
 /**
  * Adds the tests of a scenario to a test file.
