Look again soon for a hub that refused; do not send a withdrawn request

A refused connection shows that the machine is up, so it is tried again after 0.5 s, and a VM without a hub looks every second.

A request that may not be repeated was still sent after its client had left, if its connection was only being opened. It is withdrawn now: nothing was sent, so nothing can be lost. Tests of the sender and of the exchange.

--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -57,6 +57,7 @@
     const left = [...steps];
     const sent: string[] = [];
     let aborted = 0;
+    let withdrawn = 0;
     let budget = options.budget ?? 10;
     const book = targetBook.createTargetBook({
         scheduler,
@@ -88,7 +89,7 @@
             const result = new Promise<targetSender.AttemptResult>(
                 resolve => void scheduler.schedule(step.afterMs, () => resolve(step.result)),
             );
-            return { result, abort: () => void aborted++ };
+            return { result, abort: () => void aborted++, withdraw: () => void withdrawn++ };
         },
     };
     void exchange
@@ -128,6 +129,7 @@
         ends,
         countHedges: () => hedges,
         countAborted: () => aborted,
+        countWithdrawn: () => withdrawn,
     };
 };
 
@@ -229,6 +231,7 @@
     await other.advance(10);
     t.is(other.getAnswer()?.kind, "abandoned");
     t.is(other.countAborted(), 0);
+    t.is(other.countWithdrawn(), 1);
 });
 
 test("a request whose client left while it was read is not sent", async t => {
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -120,7 +120,9 @@
         request.signal.removeEventListener("abort", handleAbandon);
         waiting.abort();
         // After its client has left, a request that may not be repeated goes on: nobody could tell how far it came.
-        if (answer.kind !== "abandoned" || isIdempotent) {
+        if (answer.kind === "abandoned" && !isIdempotent) {
+            running.withdrawAll();
+        } else {
             running.stopAll("not needed");
         }
         resolve(answer);
@@ -233,6 +235,9 @@
                 entry.ticket.finish({ kind: "unreachable" }, undefined);
                 handleUnreached(entry);
                 break;
+            case "withdrawn":
+                entry.ticket.finish({ kind: "cancelled" }, undefined);
+                break;
             case "broken":
                 entry.ticket.finish({ kind: "broken" }, undefined);
                 options.reportCrash(request.fingerprint, entry.ticket.registration.id);
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -24,9 +24,11 @@
 /** A silent hub is noticed within this time after its last beat has run out. */
 const checkIntervalMs = 100;
 /** A VM without a hub looks for one this often. */
-const searchIntervalMs = 2_000;
-/** A VM that could not be reached is passed over for this time. */
+const searchIntervalMs = 1_000;
+/** A VM that could not be reached is passed over for this time, as each try takes `openTimeoutMs`. */
 const avoidMs = 5_000;
+/** A machine that refuses a connection is up, and its daemon starts or starts again within about a second. */
+const avoidRefusedMs = 500;
 
 export interface HubLink extends shared.Disposable {
     start(): void;
@@ -58,6 +60,13 @@
     handleNeed(needsStore: boolean): void;
 }
 
+type Opening =
+    | { readonly kind: "open"; readonly socket: net.Socket }
+    /** No answer from the machine. */
+    | { readonly kind: "silent" }
+    /** The machine is up, but nothing listens there. */
+    | { readonly kind: "refused" };
+
 interface Link {
     readonly channel: peerChannel.PeerChannel;
     readonly address: shared.Address;
@@ -110,21 +119,26 @@
         return [...before, ...seeds].find(address => !tried.has(address) && (avoided.get(address) ?? 0) <= nowMs);
     };
 
-    const openSocket = (address: shared.Address): Promise<net.Socket | undefined> =>
+    const openSocket = (address: shared.Address): Promise<Opening> =>
         new Promise(resolve => {
             const [host, port] = connectionPool.splitAddress(address);
             const socket = net.connect({ host, port });
-            const timeout = scheduler.schedule(openTimeoutMs, () => socket.destroy(new Error("timeout")));
+            const timeout = scheduler.schedule(openTimeoutMs, () => {
+                resolve({ kind: "silent" });
+                socket.destroy(new Error("timeout"));
+            });
             socket.once("connect", () => {
                 timeout.dispose();
-                resolve(socket);
+                resolve({ kind: "open", socket });
             });
             socket.once("error", () => {
                 timeout.dispose();
-                resolve(undefined);
+                resolve({ kind: "refused" });
             });
         });
 
+    const avoid = (address: shared.Address, forMs: number): void => void avoided.set(address, scheduler.now() + forMs);
+
     const handleBeat = (entry: Link, beat: peerChannel.HubBeat): void => {
         entry.isHub = beat.isHub;
         entry.overdueMs = beat.overdueMs;
@@ -172,14 +186,18 @@
         });
 
     const tryAddress = async (address: shared.Address): Promise<boolean> => {
-        const socket = await openSocket(address);
-        const entry = socket === undefined ? undefined : await join(socket, address);
+        const opening = await openSocket(address);
+        if (opening.kind !== "open") {
+            avoid(address, opening.kind === "refused" ? avoidRefusedMs : avoidMs);
+            return false;
+        }
+        const entry = await join(opening.socket, address);
         const peer = findPeer(address);
         const isHub = entry !== undefined && peer !== undefined && isBefore(peer) && isUseful(entry);
         if (!isHub || isDisposed) {
-            socket?.destroy();
+            opening.socket.destroy();
             if (entry === undefined) {
-                avoided.set(address, scheduler.now() + avoidMs);
+                avoid(address, avoidMs);
             }
             return false;
         }
@@ -195,7 +213,7 @@
         link = undefined;
         if (lost !== undefined) {
             logger.warn("peer: hub lost", { address: lost.address, reason });
-            avoided.set(lost.address, scheduler.now() + avoidMs);
+            avoid(lost.address, avoidMs);
             lost.channel.dispose();
             graceTimer?.dispose();
             graceTimer = scheduler.schedule(searchGraceMs, () => {
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -70,6 +70,8 @@
         readonly port: number;
         readonly seeds: readonly number[];
         readonly cores?: number;
+        /** False: it has the place of a VM that starts now, but does not listen yet. */
+        readonly isStarted?: boolean;
     },
 ) => {
     const vm = ids.toVmId(name);
@@ -105,7 +107,9 @@
         computeRequestRate: () => 0,
         handleCrashes: () => undefined,
     });
-    await member.start();
+    if (options.isStarted !== false) {
+        await member.start();
+    }
     return { vm, member, state, getVersion: () => state.getConfiguration()?.version };
 };
 
@@ -199,3 +203,14 @@
     t.true(await waitUntil(() => late.member.listPeers().length === 3 && hub?.member.listPeers().length === 3));
     [...vms, late].forEach(vm => vm.member.dispose());
 });
+
+test("a seed that listened late is followed within two seconds", async t => {
+    const store = createStore();
+    const [first = 0, second = 0] = await acquirePorts(2);
+    const late = await startVm("late", { store, port: first, seeds: [first], isStarted: false });
+    const early = await startVm("early", { store, port: second, seeds: [first] });
+    await new Promise(resolve => setTimeout(resolve, 300));
+    await late.member.start();
+    t.true(await waitUntil(() => early.member.listPeers().length === 2, 2_000));
+    [late, early].forEach(vm => vm.member.dispose());
+});
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -18,6 +18,8 @@
     count(): number;
     start(ticket: targetBook.Ticket): void;
     stopAll(reason: StopReason): void;
+    /** Lets attempts go on that were sent; the others send nothing. */
+    withdrawAll(): void;
 }
 
 interface Entry extends RunningAttempt {
@@ -66,5 +68,6 @@
             void entry.attempt.result.then(result => handleResult(entry, result));
         },
         stopAll: reason => [...entries].forEach(entry => stop(entry, reason)),
+        withdrawAll: () => entries.forEach(entry => entry.attempt.withdraw()),
     };
 };
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -21,8 +21,10 @@
 
 export type AttemptResult =
     | { readonly kind: "answer"; readonly answer: targetConnection.TargetAnswer }
-    /** Nothing was sent. */
+    /** Nothing was sent, as no connection was to be had. */
     | { readonly kind: "unreachable" }
+    /** Nothing was sent, as the attempt was stopped before its connection was open. */
+    | { readonly kind: "withdrawn" }
     /** The request may have run. */
     | { readonly kind: "broken"; readonly reason: string };
 
@@ -30,6 +32,8 @@
     readonly result: Promise<AttemptResult>;
     /** Closes the connection, so that the target drops the request. */
     abort(): void;
+    /** Sends nothing any more; without effect on a request that was sent. */
+    withdraw(): void;
 }
 
 export interface AttemptOptions {
@@ -87,7 +91,7 @@
     const start = (attempt: AttemptOptions): Attempt => {
         const { address } = attempt.registration;
         let connection: targetConnection.TargetConnection | undefined;
-        let isAborted = false;
+        let isWithdrawn = false;
         let isSent = false;
 
         const run = async (): Promise<AttemptResult> => {
@@ -98,9 +102,9 @@
             if (connection === undefined) {
                 return { kind: "unreachable" };
             }
-            if (isAborted) {
+            if (isWithdrawn) {
                 pool.release(connection);
-                return { kind: "unreachable" };
+                return { kind: "withdrawn" };
             }
             isSent = true;
             const { id, method } = attempt.request;
@@ -112,11 +116,14 @@
         return {
             result: run(),
             abort: () => {
-                isAborted = true;
+                isWithdrawn = true;
                 if (isSent) {
                     connection?.dispose();
                 }
             },
+            withdraw: () => {
+                isWithdrawn = true;
+            },
         };
     };
 
