--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -60,6 +60,16 @@
     handleNeed(needsStore: boolean): void;
 }
 
+/** Why a hub is left: its connection ended, it was not heard, or it has an old view of the store or is no hub any more. */
+type LossReason = "closed" | "silent" | "not useful";
+
+/** A VM that answers is asked again at the next search, which shows whether it has become useful. */
+const lossAvoidMs: Readonly<Record<LossReason, number>> = {
+    closed: avoidRefusedMs,
+    silent: avoidMs,
+    "not useful": 0,
+};
+
 type Opening =
     | { readonly kind: "open"; readonly socket: net.Socket }
     /** No answer from the machine. */
@@ -208,12 +218,12 @@
         return true;
     };
 
-    const lose = (reason: string): void => {
+    const lose = (reason: LossReason): void => {
         const lost = link;
         link = undefined;
         if (lost !== undefined) {
             logger.warn("peer: hub lost", { address: lost.address, reason });
-            avoid(lost.address, avoidMs);
+            avoid(lost.address, lossAvoidMs[reason]);
             lost.channel.dispose();
             graceTimer?.dispose();
             graceTimer = scheduler.schedule(searchGraceMs, () => {
@@ -264,7 +274,7 @@
         if (link !== undefined) {
             options.handleNeed(!isFresh(link));
             if (!isUseful(link)) {
-                lose(isHeard(link) ? "old view of the store" : "silent");
+                lose(isHeard(link) ? "not useful" : "silent");
             }
         }
     };
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -214,3 +214,32 @@
     t.true(await waitUntil(() => early.member.listPeers().length === 2, 2_000));
     [late, early].forEach(vm => vm.member.dispose());
 });
+
+test("a hub that had no answer from the store at first is followed soon after it has one", async t => {
+    const store = createStore();
+    const [first = 0, second = 0, third = 0] = await acquirePorts(3);
+    store.unreachable.add(ids.toVmId("slow"));
+    const slow = await startVm("slow", { store, port: first, seeds: [first] });
+    const quick = await startVm("quick", { store, port: second, seeds: [first, second] });
+    const other = await startVm("other", { store, port: third, seeds: [first, second] });
+    t.true(await waitUntil(() => quick.getVersion() === 1 && quick.member.listPeers().length === 2));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    store.unreachable.clear();
+    const all = [slow, quick, other];
+    t.true(await waitUntil(() => all.every(vm => vm.member.listPeers().length === 3), 3_000));
+    all.forEach(vm => vm.member.dispose());
+});
+
+test("when a hub joins another one, its VMs follow it there", async t => {
+    const store = createStore();
+    const [first = 0, second = 0, third = 0] = await acquirePorts(3);
+    const hub = await startVm("hub", { store, port: first, seeds: [first] });
+    const member = await startVm("member", { store, port: second, seeds: [first] });
+    t.true(await waitUntil(() => member.member.listPeers().length === 2));
+    const strong = await startVm("strong", { store, port: third, seeds: [first, third], cores: 2 });
+    const all = [hub, member, strong];
+    t.true(await waitUntil(() => all.every(vm => vm.member.listPeers().length === 3), 2_000));
+    await new Promise(resolve => setTimeout(resolve, 500));
+    t.true(all.every(vm => vm.member.listPeers().length === 3));
+    all.forEach(vm => vm.member.dispose());
+});
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -18,7 +18,7 @@
     listen(): Promise<void>;
     /** VMs that are connected and were heard lately. */
     listPeers(): readonly routes.Peer[];
-    /** Sends the connected VMs away, as this VM is no hub any more. */
+    /** Sends the connected VMs away, as this VM is no hub any more; it tells them whom it knows. */
     closeSpokes(): void;
     pushChanges(changes: readonly routes.StateChange[]): void;
     pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
@@ -173,7 +173,13 @@
                 server.listen({ host, port }, resolve);
             }),
         listPeers,
-        closeSpokes: () => spokes.forEach(spoke => spoke.channel.dispose()),
+        closeSpokes: () => {
+            const told: peerOrder.PeerChanges = { changed: options.listKnown(), left: [] };
+            for (const spoke of [...spokes]) {
+                sendBeat(spoke, told);
+                spoke.channel.dispose();
+            }
+        },
         pushChanges: changes => push("state.changes", { changes }),
         pushCrashes: reports => push("crash.reports", { reports }),
         onDidReceiveCrashes: crashEmitter.event,
