--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -11,6 +11,8 @@
     | { readonly kind: "delay"; readonly delayMs: number }
     /** Keeps connections open, but nothing passes; what was held passes later. */
     | { readonly kind: "freeze" }
+    /** What the inner side sends passes; what comes back is held and passes later. */
+    | { readonly kind: "one-way" }
     /** Resets all connections, and new ones at once. */
     | { readonly kind: "cut" };
 
@@ -22,6 +24,11 @@
     readonly close: () => Promise<void>;
 }
 
+interface HeldAction {
+    readonly isInward: boolean;
+    action(): void;
+}
+
 /** A reset while the end of the stream is being sent fails in libuv, and the open handle keeps the process running. */
 const closeAtOnce = (socket: net.Socket): void => {
     if (socket.writableEnded) {
@@ -41,11 +48,11 @@
     const { host, port } = httpServer.parseListen(target);
     const sockets = new Set<net.Socket>();
     let state: LinkState = { kind: "pass" };
-    let held: (() => void)[] = [];
+    let held: HeldAction[] = [];
     let bytes = 0;
 
     /** Runs an action in the order of the calls, when the link lets it pass. */
-    const schedulePass = (action: () => void): void => {
+    const schedulePass = (action: () => void, isInward: boolean): void => {
         switch (state.kind) {
             case "pass":
                 action();
@@ -53,15 +60,22 @@
             case "delay":
                 setTimeout(action, state.delayMs);
                 return;
+            case "one-way":
+                if (isInward) {
+                    action();
+                } else {
+                    held.push({ action, isInward });
+                }
+                return;
             case "freeze":
-                held.push(action);
+                held.push({ action, isInward });
                 return;
             case "cut":
                 return;
         }
     };
 
-    const addPipe = (from: net.Socket, to: net.Socket): void => {
+    const addPipe = (from: net.Socket, to: net.Socket, isInward: boolean): void => {
         from.on("data", (chunk: Buffer) => {
             bytes += chunk.length;
             from.pause();
@@ -72,13 +86,13 @@
                 } else {
                     to.once("drain", () => from.resume());
                 }
-            });
+            }, isInward);
         });
-        from.on("end", () => schedulePass(() => to.end()));
+        from.on("end", () => schedulePass(() => to.end(), isInward));
         from.on("error", () => to.destroy());
         from.on("close", () => {
             sockets.delete(from);
-            schedulePass(() => to.destroy());
+            schedulePass(() => to.destroy(), isInward);
         });
         sockets.add(from);
     };
@@ -89,8 +103,8 @@
             return;
         }
         const outer = net.connect({ host, port, allowHalfOpen: true, noDelay: true });
-        addPipe(inner, outer);
-        addPipe(outer, inner);
+        addPipe(inner, outer, true);
+        addPipe(outer, inner, false);
     });
     const address = await httpServer.waitForListening(server, "127.0.0.1:0");
 
@@ -105,7 +119,7 @@
             sockets.forEach(closeAtOnce);
             return;
         }
-        actions.forEach(action => schedulePass(action));
+        actions.forEach(({ action, isInward }) => schedulePass(action, isInward));
     };
 
     return {
