Shutdown proof waits until targets are known to be warm; one function splits addresses; remove Sender.forget

Ruled out: an early close of the sender, a lost connection, the drain timeout. The proof now waits for the first reports; no check is changed.

Sender.forget had no caller. splitAddress stood three times.

--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -30,6 +30,17 @@
     return port >= 1 && port <= 65535;
 };
 
+/**
+ * Splits an address.
+ *
+ * @param address - `ip:port`; an IPv6 address stands in brackets
+ * @returns the parts
+ */
+export const splitAddress = (address: string): { readonly host: string; readonly port: number } => {
+    const at = address.lastIndexOf(":");
+    return { host: address.slice(0, at).replace(/^\[|\]$/g, ""), port: Number(address.slice(at + 1)) };
+};
+
 /**
  * Tells whether a text is a SHA-256 digest.
  *
--- a/src/node/forward/Types.ts
+++ b/src/node/forward/Types.ts
@@ -72,7 +72,5 @@
     send(request: AttemptRequest): Attempt;
     /** Fires when the other side closed or reset a connection, as it does when its process ends. */
     readonly onDidDisconnect: types.Event<types.Address>;
-    /** Closes idle connections to an address, for example of a target that was removed. */
-    forget(address: types.Address): void;
     close(): Promise<void>;
 }
--- a/src/node/forward/sender.ts
+++ b/src/node/forward/sender.ts
@@ -105,14 +105,6 @@
             return driver.attempt;
         },
         onDidDisconnect: didDisconnect.event,
-        forget: (address: shared.Address) => {
-            for (const [key, pool] of pools) {
-                if (key.endsWith(` ${address}`)) {
-                    pools.delete(key);
-                    void pool.close();
-                }
-            }
-        },
         close: async () => {
             const closing = [...pools.values()].map(pool => pool.destroy());
             pools.clear();
--- a/src/node/http/gateway.ts
+++ b/src/node/http/gateway.ts
@@ -5,6 +5,7 @@
 import type * as net from "node:net";
 import type * as moleculer from "moleculer";
 import * as moleculerWeb from "moleculer-web";
+import * as ids from "../../common/ids.js";
 import * as errorTable from "../../common/errors/errorTable.js";
 import * as errorKinds from "../../common/errors/Types.js";
 import * as shared from "../../common/Types.js";
@@ -95,11 +96,6 @@
     closeConnections(): void;
 }
 
-const splitAddress = (address: shared.Address): { ip: string; port: number } => {
-    const at = address.lastIndexOf(":");
-    return { ip: address.slice(0, at).replace(/^\[|\]$/g, ""), port: Number(address.slice(at + 1)) };
-};
-
 /**
  * Creates the schema of a gateway service.
  *
@@ -107,7 +103,7 @@
  * @returns the schema for `broker.createService`, and the listener's end
  */
 export const createGateway = (options: GatewayOptions): Gateway => {
-    const { ip, port } = splitAddress(options.address);
+    const { host, port } = ids.splitAddress(options.address);
     let server: http.Server | undefined;
     let rejectFailure: (error: Error) => void;
     const failure = new Promise<never>((_resolve, reject) => (rejectFailure = reject));
@@ -130,7 +126,7 @@
         name: options.name,
         mixins: [moleculerWeb.default],
         settings: {
-            ip,
+            ip: host,
             port,
             log4XXResponses: false,
             logRequest: null,
--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -2,6 +2,7 @@
  * Connections to targets, kept open between requests.
  */
 import * as net from "node:net";
+import * as ids from "../../common/ids.js";
 import * as shared from "../../common/Types.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
@@ -51,7 +52,7 @@
 
     const open = (address: shared.Address): Promise<targetConnection.TargetConnection | undefined> =>
         new Promise(resolve => {
-            const [host, port] = splitAddress(address);
+            const { host, port } = ids.splitAddress(address);
             const socket = net.connect({ host, port });
             const timer = scheduler.schedule(openTimeoutMs, () => socket.destroy(new Error("timeout")));
             const fail = (): void => {
@@ -128,14 +129,3 @@
         },
     };
 };
-
-/**
- * Splits an address.
- *
- * @param address - `ip:port`
- * @returns host and port
- */
-export const splitAddress = (address: shared.Address): [string, number] => {
-    const at = address.lastIndexOf(":");
-    return [address.slice(0, at), Number(address.slice(at + 1))];
-};
--- a/src/node/routes/frontServer.test.ts
+++ b/src/node/routes/frontServer.test.ts
@@ -4,7 +4,6 @@
 import * as fixture from "../../testing/routes/fixture.js";
 import * as ports from "../../testing/system/ports.js";
 import * as systemScheduler from "../systemScheduler.js";
-import * as connectionPool from "./connectionPool.js";
 import * as frontServer from "./frontServer.js";
 
 const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
@@ -34,7 +33,7 @@
         readonly read: () => string;
         readonly ended: Promise<unknown>;
     } => {
-        const [host, port] = connectionPool.splitAddress(address);
+        const { host, port } = ids.splitAddress(address);
         const socket = net.connect({ host, port });
         let text = "";
         socket.on("data", chunk => (text += chunk.toString()));
--- a/src/node/routes/frontServer.ts
+++ b/src/node/routes/frontServer.ts
@@ -4,9 +4,9 @@
 import * as http from "node:http";
 import * as stream from "node:stream";
 import * as timers from "node:timers/promises";
+import * as ids from "../../common/ids.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
-import * as connectionPool from "./connectionPool.js";
 import * as types from "./Types.js";
 
 /** Largest header that the parser takes; the configured limit is smaller and may change. */
@@ -174,7 +174,7 @@
     return {
         listen: () =>
             new Promise((resolve, reject) => {
-                const [host, port] = connectionPool.splitAddress(options.address);
+                const { host, port } = ids.splitAddress(options.address);
                 server.once("error", reject);
                 server.listen({ host, port, backlog: 1024 }, resolve);
             }),
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -4,10 +4,10 @@
  * the hub still tells which VMs live.
  */
 import * as net from "node:net";
+import * as ids from "../../common/ids.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
-import * as connectionPool from "./connectionPool.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
 
@@ -131,7 +131,7 @@
 
     const openSocket = (address: shared.Address): Promise<Opening> =>
         new Promise(resolve => {
-            const [host, port] = connectionPool.splitAddress(address);
+            const { host, port } = ids.splitAddress(address);
             const socket = net.connect({ host, port });
             const timeout = scheduler.schedule(openTimeoutMs, () => {
                 resolve({ kind: "silent" });
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -2,8 +2,8 @@
  * Answers the platform's question whether this VM is ready, and the clients' question which VMs to use.
  */
 import * as http from "node:http";
+import * as ids from "../../common/ids.js";
 import * as shared from "../../common/Types.js";
-import * as connectionPool from "./connectionPool.js";
 import * as types from "./Types.js";
 
 /** Clients ask again after this time, which delays their next request by a round trip (docs/platform.md, "Fronts"). */
@@ -49,7 +49,7 @@
             response.writeHead(404).end();
         }
     });
-    const [host, port] = connectionPool.splitAddress(options.address);
+    const { host, port } = ids.splitAddress(options.address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
         server.listen({ host, port, backlog: 1024 }, () =>
--- a/src/node/routes/metricsServer.ts
+++ b/src/node/routes/metricsServer.ts
@@ -2,9 +2,9 @@
  * Serves the metrics to whoever collects them.
  */
 import * as http from "node:http";
+import * as ids from "../../common/ids.js";
 import * as shared from "../../common/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
-import * as connectionPool from "./connectionPool.js";
 import * as metrics from "./metrics.js";
 
 export const metricsPath = "/metrics";
@@ -39,7 +39,7 @@
         });
     });
     server.on("error", error => logger.error("metrics: not served", { address, reason: error.message }));
-    const [host, port] = connectionPool.splitAddress(address);
+    const { host, port } = ids.splitAddress(address);
     server.listen({ host, port });
     return {
         dispose: () => {
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -3,11 +3,11 @@
  * tells them which others are.
  */
 import * as net from "node:net";
+import * as ids from "../../common/ids.js";
 import * as events from "../../common/events.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
-import * as connectionPool from "./connectionPool.js";
 import * as peerChannel from "./peerChannel.js";
 
 /** Also the time after which a VM that lost its power is noticed, times `missedBeats`. */
@@ -168,7 +168,7 @@
     return {
         listen: () =>
             new Promise((resolve, reject) => {
-                const [host, port] = connectionPool.splitAddress(options.address);
+                const { host, port } = ids.splitAddress(options.address);
                 server.once("error", reject);
                 server.listen({ host, port }, resolve);
             }),
--- a/src/testing/e2e/rawClient.ts
+++ b/src/testing/e2e/rawClient.ts
@@ -2,7 +2,7 @@
  * A client that writes bytes as they are, for requests that no HTTP library would send.
  */
 import * as net from "node:net";
-import * as httpServer from "../http/httpServer.js";
+import * as ids from "../../common/ids.js";
 
 export interface RawAnswer {
     /** 0 if the connection ended without an answer. */
@@ -50,7 +50,7 @@
  * @returns the client
  */
 export const openRawClient = (address: string): RawClient => {
-    const socket = net.connect(httpServer.parseListen(address));
+    const socket = net.connect(ids.splitAddress(address));
     let text = "";
     let hasEnded = false;
     const waiters = new Set<() => void>();
--- a/src/testing/e2e/refusedUpload.test.ts
+++ b/src/testing/e2e/refusedUpload.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import * as ids from "../../common/ids.js";
 import * as net from "node:net";
 import * as undici from "undici";
 import * as httpServer from "../http/httpServer.js";
@@ -32,7 +33,7 @@
 /** Writes all requests at once on one connection and waits for as many answers. */
 const sendOnOneConnection = (address: string, requests: readonly string[]): Promise<string[]> =>
     new Promise((resolve, reject) => {
-        const socket = net.connect(httpServer.parseListen(address));
+        const socket = net.connect(ids.splitAddress(address));
         let text = "";
         socket.on("data", (chunk: Buffer) => {
             text += chunk.toString("latin1");
--- a/src/testing/failure/scenarios/shutdown.ts
+++ b/src/testing/failure/scenarios/shutdown.ts
@@ -87,6 +87,16 @@
     }
 };
 
+/**
+ * Waits until the entry VM knows that its targets of payouts are warm. Before its first report a target may be cold, and
+ * calls to it end with the cold lease, which is shorter than the long calls.
+ */
+const waitForWarm = (context: types.Context, entry: systemTypes.EntryVm, targets: number): Promise<void> =>
+    context.waitFor("the targets of payouts are warm", () => {
+        const warm = entry.process.listLines().filter(line => /target=payouts-\d+ from=unknown to=warm/.test(line));
+        return warm.length >= targets;
+    });
+
 export const shutdown: types.Scenario = {
     name: "shutdown",
     proves: ["G8", "G6"],
@@ -106,6 +116,7 @@
         const bookings = context.startTraffic({ workers: 9, createRequest: requests.createBooking });
         const uploads = context.startTraffic({ workers: 4, createRequest: createUpload });
         await bookings.waitForRuns(30);
+        await waitForWarm(context, leaving, payouts.length / context.system.entries.length);
         // The long calls (8 s) must outlast the few seconds after which the entry VM takes no more calls.
         await Promise.all(payouts.map(name => system.setTargetFaults(name, { slowFactor: 10 })));
         const prefix = await requests.findKeyPrefix(system.entries, leaving, "payouts");
--- a/src/testing/failure/scenarios/uploads.ts
+++ b/src/testing/failure/scenarios/uploads.ts
@@ -2,7 +2,7 @@
  * Uploads of tens of MB with a key are cut in the middle and sent again with the same key through other entry VMs.
  */
 import * as net from "node:net";
-import * as httpServer from "../../http/httpServer.js";
+import * as ids from "../../../common/ids.js";
 import * as systemTypes from "../../system/Types.js";
 import * as plans from "../plans.js";
 import * as requests from "../requests.js";
@@ -20,7 +20,7 @@
     key: string,
     isChunked: boolean,
 ): Promise<void> => {
-    const socket = net.connect(httpServer.parseListen(entry.listen));
+    const socket = net.connect(ids.splitAddress(entry.listen));
     socket.on("error", () => undefined);
     socket.resume();
     const length = isChunked ? "Transfer-Encoding: chunked" : `Content-Length: ${uploadBytes}`;
--- a/src/testing/http/httpServer.ts
+++ b/src/testing/http/httpServer.ts
@@ -21,17 +21,6 @@
     readonly onConnection?: (socket: net.Socket) => void;
 }
 
-/**
- * Splits an address into host and port.
- *
- * @param address - `ip:port`; port 0 is allowed
- * @returns the parts
- */
-export const parseListen = (address: string): { readonly host: string; readonly port: number } => {
-    const colon = address.lastIndexOf(":");
-    return { host: address.slice(0, colon).replace(/^\[|\]$/g, ""), port: Number(address.slice(colon + 1)) };
-};
-
 /**
  * Waits until a server listens.
  *
@@ -41,7 +30,7 @@
  */
 export const waitForListening = (server: net.Server, listen: string): Promise<types.Address> =>
     new Promise((resolve, reject) => {
-        const { host, port } = parseListen(listen);
+        const { host, port } = ids.splitAddress(listen);
         server.once("error", reject);
         server.listen({ host, port, backlog: 1024 }, () => {
             const bound = server.address() as net.AddressInfo;
--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -2,6 +2,7 @@
  * TCP relay that stands for a network link with faults.
  */
 import * as net from "node:net";
+import * as ids from "../../common/ids.js";
 import * as common from "../../common/Types.js";
 import * as httpServer from "../http/httpServer.js";
 
@@ -45,7 +46,7 @@
  * @returns the relay
  */
 export const startRelay = async (target: string): Promise<Relay> => {
-    const { host, port } = httpServer.parseListen(target);
+    const { host, port } = ids.splitAddress(target);
     const sockets = new Set<net.Socket>();
     let state: LinkState = { kind: "pass" };
     let held: HeldAction[] = [];
