Close the parts of the entry daemon within a bound, and end the process then

The part that hung is not known: the lines after 'stopped' did not exist. Ruled out: a call in flight (counted 0), the drain timeout (610 s after SIGTERM would have been logged).

--- a/src/node/entry/daemon.ts
+++ b/src/node/entry/daemon.ts
@@ -29,6 +29,7 @@
 import * as probers from "../probes/prober.js";
 import * as settingsTypes from "../settings/Types.js";
 import * as systemSchedulers from "../systemScheduler.js";
+import * as closing from "./closing.js";
 import * as callPaths from "./callPath.js";
 import * as entryGateways from "./entryGateways.js";
 import * as lifecycles from "./lifecycle.js";
@@ -250,10 +251,15 @@
         stop: async () => {
             await lifecycle.leave();
             lifetimes.dispose();
-            await Promise.all([sender.close(), rpcClient.close(), platform.close()]);
-            control.closeConnections();
-            front.closeConnections();
-            await broker.stop();
+            const parts: closing.ClosingStep[] = [
+                { name: "connections to targets and peers", close: sender.close },
+                { name: "calls to peers", close: rpcClient.close },
+                { name: "platform", close: platform.close },
+                { name: "control port", close: control.closeConnections },
+                { name: "callers' port", close: front.closeConnections },
+                { name: "broker", close: () => broker.stop() },
+            ];
+            await closing.closeParts(parts, scheduler, logs.logger);
         },
     };
 };
--- a/src/node/entry/runEntry.ts
+++ b/src/node/entry/runEntry.ts
@@ -42,4 +42,6 @@
     await stopped;
     await daemon.stop();
     logs.dispose();
+    // Ends the process if a connection or a timer that was left over would keep it running.
+    setTimeout(() => process.exit(), exitDelayMs).unref();
 };
