--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -17,6 +17,8 @@
     | { readonly kind: "store-link"; readonly vm: number; readonly state: relay.LinkState; readonly forMs: number }
     | { readonly kind: "target-link"; readonly target: number; readonly state: relay.LinkState; readonly forMs: number }
     | { readonly kind: "target"; readonly target: number; readonly mode: TargetMode; readonly forMs: number }
+    /** All targets of a service misbehave, so that repeats are of no use. */
+    | { readonly kind: "service"; readonly service: number; readonly mode: TargetMode; readonly forMs: number }
     /** The target ends without a word and starts again, cold, under a new id. */
     | { readonly kind: "crash"; readonly target: number; readonly forMs: number }
     /** The target reports that it drains, ends, and another one starts. */
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -10,6 +10,7 @@
     readonly vms: number;
     readonly targets: number;
     readonly zones: number;
+    readonly services: number;
     /** Time in which faults begin, in milliseconds. */
     readonly faultsMs: number;
 }
@@ -41,6 +42,8 @@
     { kind: "delay", delayMs },
 ];
 
+const targetModes: readonly types.TargetMode[] = ["slow", "failing", "reset", "truncated", "extra-answer", "full"];
+
 const drawSignal: Draw = (source, size) => ({
     kind: "signal",
     vm: source.nextInt(size.vms),
@@ -70,7 +73,13 @@
     (source, size) => ({
         kind: "target",
         target: source.nextInt(size.targets),
-        mode: pickOne(source, ["slow", "failing", "reset", "truncated", "extra-answer", "full"] as const),
+        mode: pickOne(source, targetModes),
+        forMs: drawTimeMs(source),
+    }),
+    (source, size) => ({
+        kind: "service",
+        service: source.nextInt(size.services),
+        mode: pickOne(source, targetModes),
         forMs: drawTimeMs(source),
     }),
     (source, size) => ({
