--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -41,8 +41,8 @@
     toMs: number;
     /** Undefined: all VMs. */
     readonly vm: number | undefined;
-    /** SIGTERM alone: the VM must still answer what it has read. */
-    readonly isPlanned: boolean;
+    /** Whether the VM must still answer what it has passed on, as after SIGTERM or without the store. */
+    readonly keepsAnswers: boolean;
 }
 
 export type CallerOutcome =
@@ -128,8 +128,6 @@
     readonly retryExtra: number;
     /** Requests in a second that a cold target bears at the most. */
     readonly coldPerSecond: number;
-    /** Time after its deadline at which a caller must have its answer. */
-    readonly answerSlackMs: number;
 }
 
 export type SoakRule =
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -12,7 +12,6 @@
     retryWindowMs: 10_000,
     retryExtra: 2,
     coldPerSecond: 5,
-    answerSlackMs: 500,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -112,13 +111,13 @@
     t.deepEqual(findRules({ ...history, orders: [leaving] }), ["drain"]);
     t.deepEqual(findRules({ ...history, orders: [zoneOut] }), ["zone-out"]);
     t.deepEqual(findRules({ ...history, orders: [moved] }), ["route"]);
-    const disturbances = [{ fromMs: 15_000, toMs: 16_000, vm: 0, isPlanned: false }];
+    const disturbances = [{ fromMs: 15_000, toMs: 16_000, vm: 0, keepsAnswers: false }];
     t.deepEqual(findRules({ ...history, orders: [leaving, moved], disturbances }), []);
 });
 
 test("a connection that was closed after the request ran is found unless the VM was hurt", t => {
     const history = { calls: [createCall("a", { outcome: { kind: "closed" } })], runs: [createRun("a")] };
-    const createDisturbance = (isPlanned: boolean) => ({ fromMs: 19_000, toMs: 21_000, vm: 0, isPlanned });
+    const createDisturbance = (keepsAnswers: boolean) => ({ fromMs: 19_000, toMs: 21_000, vm: 0, keepsAnswers });
     t.deepEqual(findRules(history), ["lost"]);
     t.deepEqual(findRules({ ...history, disturbances: [createDisturbance(true)] }), ["lost"]);
     t.deepEqual(findRules({ ...history, disturbances: [createDisturbance(false)] }), []);
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -144,7 +144,7 @@
         .filter(call => {
             const isHurt = history.disturbances.some(
                 entry =>
-                    !entry.isPlanned &&
+                    !entry.keepsAnswers &&
                     entry.vm === call.vm &&
                     entry.fromMs <= call.endedAtMs &&
                     entry.toMs >= call.sentAtMs - bounds.contactMs,
