Serve downloads, and routes of unknown kinds as non-idempotent

The kind download is decoded and idempotent. An unknown kind is served as non-idempotent with a warning and a counter; ruled out were 503 until the daemon is replaced, which serves nobody, and idempotent, which could run work twice.

Also: an idempotent request that may have run got 503 at the end of its attempts, which says that it has not run. It gets 502 now. The test that stated the old behaviour asserted the opposite and is replaced by one that is stricter.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -3,8 +3,11 @@
  */
 import * as types from "../Types.js";
 
-/** Whether a request may be retried; an upload is a large request that may run at most once. */
-export type RouteKind = "idempotent" | "non-idempotent" | "upload";
+/**
+ * Whether a request may be retried, and which of its bodies is large: an upload is a large request that may run at most
+ * once, a download is idempotent and has a large response.
+ */
+export type RouteKind = "idempotent" | "non-idempotent" | "upload" | "download";
 
 export interface WeightedService {
     readonly service: types.ServiceName;
@@ -43,11 +46,20 @@
     readonly idleTimeoutMs: number;
 }
 
+/** A value of a route that this version of the daemon does not know, and what the route uses in its place. */
+export interface UnknownRouteValue {
+    readonly route: string;
+    readonly field: "kind";
+    readonly value: string;
+    readonly usedValue: RouteKind;
+}
+
 export interface RouteConfiguration {
     readonly version: number;
     readonly routes: readonly Route[];
     readonly services: readonly RoutedService[];
     readonly limits: RequestLimits;
+    readonly unknownValues: readonly UnknownRouteValue[];
 }
 
 /** A target's own row in the table of targets. */
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -170,16 +170,24 @@
     t.is(all.getResponse()?.kind, "refused");
 });
 
-test("a non-idempotent request that may have run is never refused", async t => {
+test("a request that may have run is never refused, whether or not it is idempotent", async t => {
     const exchangeRun = run([broken, refusal, refusal], { route: { maxTargets: 2 }, budget: 0 });
     await exchangeRun.advance(2_000);
-    // An idempotent request may be refused even if it may have run, as it may run again.
-    t.is(exchangeRun.getResponse()?.kind, "refused");
+    t.is(exchangeRun.getResponse()?.kind, "failed");
     const unsafe = run([broken, refusal], { route: nonIdempotent });
     await unsafe.advance(2_000);
     t.is(unsafe.getResponse()?.kind, "failed");
 });
 
+test("a download is retried and hedged like any idempotent request", async t => {
+    const repeated = run([broken, ok(10)], { route: { kind: "download" } });
+    await repeated.advance(2_000);
+    t.is(repeated.getResponse()?.kind, "target");
+    const hedged = run([noResponse, ok(20)], { route: { kind: "download" } });
+    await hedged.advance(2_000);
+    t.is(hedged.countHedges(), 1);
+});
+
 test("an idempotent request is retried after a failure, within the retry budget", async t => {
     const repeated = run([broken, ok(10)]);
     await repeated.advance(2_000);
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -4,6 +4,7 @@
  */
 import * as crashes from "../../common/crashes/Types.js";
 import * as routing from "../../common/routing/Types.js";
+import * as routeKind from "../../common/routes/routeKind.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
@@ -77,7 +78,7 @@
 ): { start(): void } => {
     const { scheduler, targets, budget } = options;
     const { route, service, outgoing } = request;
-    const isIdempotent = route.kind === "idempotent";
+    const isIdempotent = routeKind.isIdempotent(route.kind);
     const log = exchangeLog.createExchangeLog(options.logger, options.metrics, {
         request: outgoing.id,
         route: route.name,
@@ -143,7 +144,7 @@
         }
         if (failure !== undefined) {
             finish(failure);
-        } else if (mayHaveRun() && !isIdempotent) {
+        } else if (mayHaveRun()) {
             finish({ kind: "failed", reason, statusCode: 502 });
         } else {
             refuse(reason);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -31,6 +31,8 @@
     recordAttempt(end: exchangeLog.AttemptEnd): void;
     recordHedge(): void;
     recordProbe(hasResponse: boolean): void;
+    /** Counts a value of a configuration that this version of the daemon does not know. */
+    recordUnknownValue(field: string): void;
     format(): Promise<string>;
 }
 
@@ -106,6 +108,12 @@
         labelNames: ["answered"],
         registers,
     });
+    const unknownValues = new promClient.Counter({
+        name: `${namePrefix}unknown_values_total`,
+        help: "Values in applied configurations that this version does not know, by field.",
+        labelNames: ["field"],
+        registers,
+    });
     addGauges(registry, sources);
     addCounter(
         registry,
@@ -125,6 +133,7 @@
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
         recordProbe: hasResponse => probes.inc({ answered: String(hasResponse) }),
+        recordUnknownValue: field => unknownValues.inc({ field }),
         format: () => registry.metrics(),
     };
 };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -183,6 +183,10 @@
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
         logger.info("config: applied", { version: configuration.version, routes: configuration.routes.length });
+        configuration.unknownValues.forEach(unknown => {
+            logger.warn("config: unknown value", { version: configuration.version, ...unknown });
+            routeMetrics.recordUnknownValue(unknown.field);
+        });
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -72,6 +72,7 @@
     routes: [createRoute()],
     services: [{ name: service, healthPath: "/health", coldPerSecond: 10 }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    unknownValues: [],
 });
 
 /**
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -1,6 +1,7 @@
 /**
  * Checks what callers and targets recorded against the guarantees in the platform's documentation.
  */
+import * as routeKind from "../../common/routes/routeKind.js";
 import * as types from "./Types.js";
 
 type Check = (history: types.SoakHistory, bounds: types.SoakBounds) => readonly types.SoakViolation[];
@@ -33,7 +34,7 @@
 const findDuplicateRuns: Check = ({ calls, runs }) => {
     const byId = groupBy(runs, run => run.id);
     return calls
-        .filter(call => call.kind !== "idempotent" && (byId.get(call.id)?.length ?? 0) > 1)
+        .filter(call => !routeKind.isIdempotent(call.kind) && (byId.get(call.id)?.length ?? 0) > 1)
         .map(call => ({
             rule: "twice",
             message: `${call.id} ran at ${byId
@@ -48,7 +49,7 @@
     return calls
         .filter(({ kind, outcome, id }) => {
             const isRefused = outcome?.kind === "answered" && !outcome.isSealed && notRunStatuses.has(outcome.status);
-            return isRefused && kind !== "idempotent" && ran.has(id);
+            return isRefused && !routeKind.isIdempotent(kind) && ran.has(id);
         })
         .map(call => ({ rule: "refused", message: `${call.id} ran although VM ${call.vm} refused it` }));
 };
