Stream large responses, and refuse malformed or endless bytes of targets

Cause: responses were held whole, up to 64 MB each, and parsed by a library that takes a chunk size or content length that is no number for the end of the body, so that a truncated body looked whole.

Change: a strict parser around the library with bounds on what is no body; a response of more than 64 KB is passed on at the client's pace, is cut off at the deadline, and a break is passed on as one: by a reset where the body has no length. A success without the request's id, or probes met by a late response, no longer count. Unsigned responses and failures are never streamed.

Found on the way: a reset that arrives together with the last bytes is reported as an ordinary end by libuv, so that a truncated body without a length counted as whole.

Ruled out: streaming from the first byte, as a held response can still be repeated after a break.

--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -79,6 +79,8 @@
     /** Replaces the set of targets. */
     setTargets(registrations: Iterable<types.Registration>): void;
     pick(request: PickRequest): PickResult;
+    /** Records that a target's response broke off after its head had been accepted. */
+    recordBrokenBody(id: shared.TargetId): void;
     /** Applies a report that was received by a probe or from a peer. */
     applyReport(id: shared.TargetId, report: types.LoadReport, atMs: number): void;
     /** Applies the remaining cold time that the target itself reports. */
@@ -285,6 +287,12 @@
             }
         },
         pick,
+        recordBrokenBody: id => {
+            const entry = entries.get(id);
+            if (entry !== undefined) {
+                targetEntry.recordFailure(entry, scheduler.now());
+            }
+        },
         applyReport: (id, report, atMs) => {
             const entry = entries.get(id);
             if (entry === undefined || atMs < entry.loadReportedAtMs) {
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -1,6 +1,7 @@
 /**
  * Interfaces between the route daemon and the platform.
  */
+import type * as stream from "node:stream";
 import * as routes from "../../common/routes/Types.js";
 import * as types from "../../common/Types.js";
 
@@ -37,6 +38,19 @@
     readonly isEncoded: boolean;
 }
 
+/** Body of a response that is forwarded to the client. */
+export type ResponseBody =
+    | { readonly kind: "whole"; readonly bytes: Buffer }
+    /** Passed on while it is received. The stream fails if the target's connection breaks. */
+    | {
+          readonly kind: "stream";
+          readonly stream: stream.Readable;
+          /** Length of the body; undefined if the target did not state it. */
+          readonly bodyBytes: number | undefined;
+          /** Whether all of it has been received from the target. */
+          isReceived(): boolean;
+      };
+
 /** Parses and formats the platform-specific HTTP headers. */
 export interface HttpDialect {
     parseRequestHead(headers: RawHeaders): RequestHead;
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -21,8 +21,9 @@
     kind: "response",
     response: {
         statusCode: fields.status ?? 200,
-        body: Buffer.from("body"),
+        body: { kind: "whole", bytes: Buffer.from("body") },
         isDelimited: true,
+        received: Promise.resolve(),
         head: {
             id: "r1",
             isSigned: fields.isSigned ?? true,
@@ -102,7 +103,11 @@
                 budget: { recordCall: () => undefined, takeRetry: () => budget-- > 0 },
                 crashes,
                 logger: silentLogger.createSilentLogger(),
-                metrics: { recordAttempt: end => void ends.push(end), recordHedge: () => void hedges++ },
+                metrics: {
+                    recordAttempt: end => void ends.push(end),
+                    recordHedge: () => void hedges++,
+                    recordStreamedBody: () => undefined,
+                },
                 recordCrash: (_, target) => crashed.push(target),
             },
             {
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -9,23 +9,19 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
+import * as exchangeTiming from "./exchangeTiming.js";
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
-/** Longest wait for a slot, as a share of the objective: a later refusal would cost the client its next attempt. */
-const maxQueueWaitShare = 0.25;
-/** An idempotent request is hedged after this share of its objective. */
-const hedgeDelayShare = 0.45;
 /** Retry-After of refusals; a slot becomes free about that often. */
 const retryAfterMs = 100;
 /** A request is refused after this many targets have refused it. */
 const maxRefusals = 2;
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
-/** No attempt is started with less time left until the deadline. */
-const minAttemptMs = 10;
 
 export interface ExchangeRequest {
     readonly outgoing: targetSender.OutgoingRequest;
@@ -87,6 +83,11 @@
     });
     const triedTargets = new Set<shared.TargetId>();
     const startedAtMs = scheduler.now();
+    const timing = exchangeTiming.createExchangeTiming({
+        clock: scheduler,
+        objectiveMs: route.objectiveMs,
+        deadlineAtMs: request.deadlineAtMs,
+    });
     const timers: shared.Disposable[] = [];
     const queueAbort = new AbortController();
     /** Number of attempts that ran or may have run. */
@@ -96,8 +97,6 @@
     let isDone = false;
     let failure: FinalResponse | undefined;
 
-    const computeRemainingMs = (): number => request.deadlineAtMs - scheduler.now();
-
     const pickTarget = (acceptableLatencyMs: number): targetPool.PickResult =>
         targets.pick({
             service,
@@ -107,12 +106,6 @@
             acceptableLatencyMs,
         });
 
-    /** Time left of the objective; infinite once it is missed, so that the request takes any target. */
-    const computeRemainingObjectiveMs = (): number => {
-        const remainingMs = startedAtMs + route.objectiveMs - scheduler.now();
-        return remainingMs > 0 ? remainingMs : Infinity;
-    };
-
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
@@ -163,7 +156,7 @@
     const handleClientAbort = (): void => finish({ kind: "abandoned" });
 
     const mayRepeat = (): boolean =>
-        !isDone && runs < route.maxTargets && computeRemainingMs() > minAttemptMs && budget.takeRetry(service);
+        !isDone && runs < route.maxTargets && timing.hasTimeForAttempt() && budget.takeRetry(service);
 
     const repeat = (reason: string): void => {
         if (isDone || running.count() > 0) {
@@ -205,7 +198,7 @@
             unreached: unreachableTargets,
             latencyMs: computeAgeMs(attempt),
         });
-        const mayTryNext = !isDone && running.count() === 0 && computeRemainingMs() > minAttemptMs;
+        const mayTryNext = !isDone && running.count() === 0 && timing.hasTimeForAttempt();
         if (mayTryNext && unreachableTargets < maxUnreachableTargets) {
             void sendNext("target not reached");
         } else {
@@ -229,15 +222,35 @@
         const isWhole = head.isSigned && !head.isEncoded;
         const isFailure = statusCode >= 500 || !isWhole;
         const latencyMs = scheduler.now() - attempt.startedAtMs;
-        finishReservation({ kind: "answered", latencyMs, isFailure, responseBytes: response.body.length });
+        const responseBytes = bodyForwarding.getBodyBytes(response.body);
+        finishReservation({ kind: "answered", latencyMs, isFailure, responseBytes });
         const final: FinalResponse = { kind: "target", response, target: attempt.reservation.registration.id };
         if (isFailure) {
             failure = isWhole ? final : failure;
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
             return;
         }
-        log.logAttempt(attempt.reservation, "answered", { status: statusCode, runs, latencyMs: Math.round(latencyMs) });
+        log.logAttempt(attempt.reservation, "answered", {
+            status: statusCode,
+            runs,
+            latencyMs: Math.round(latencyMs),
+            bytes: responseBytes,
+        });
         finish(final);
+        if (response.body.kind === "stream") {
+            bodyForwarding.watchBody({
+                scheduler,
+                body: response.body,
+                signal: request.signal,
+                deadlineAtMs: request.deadlineAtMs,
+                handleEnd: end => {
+                    log.logBody(attempt.reservation, end);
+                    if (end.kind === "broken") {
+                        targets.recordBrokenBody(attempt.reservation.registration.id);
+                    }
+                },
+            });
+        }
     };
 
     const handleResult = (attempt: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
@@ -268,7 +281,7 @@
             options.sender.start({
                 registration: reservation.registration,
                 request: outgoing,
-                getRemainingMs: computeRemainingMs,
+                getRemainingMs: timing.computeRemainingMs,
                 isIdempotent,
             }),
     });
@@ -284,10 +297,10 @@
         const pick = await options.queue.wait({
             service,
             priority: route.priority,
-            maxWaitMs: Math.min(computeRemainingMs(), route.objectiveMs * maxQueueWaitShare),
+            maxWaitMs: timing.computeMaxWaitMs(),
             signal: queueAbort.signal,
             take: isLast => {
-                const result = pickTarget(isLast ? Infinity : computeRemainingObjectiveMs());
+                const result = pickTarget(isLast ? Infinity : timing.computeRemainingObjectiveMs());
                 return result.kind === "target" ? result : undefined;
             },
         });
@@ -307,11 +320,11 @@
         if (isDone || running.count() !== 1 || runs >= route.maxTargets) {
             return;
         }
-        const pick = pickTarget(computeRemainingObjectiveMs());
+        const pick = pickTarget(timing.computeRemainingObjectiveMs());
         if (pick.kind !== "target") {
             return;
         }
-        if (computeRemainingMs() <= minAttemptMs || !budget.takeRetry(service)) {
+        if (!timing.hasTimeForAttempt() || !budget.takeRetry(service)) {
             pick.reservation.finish({ kind: "cancelled" }, undefined);
             return;
         }
@@ -327,9 +340,9 @@
                 return;
             }
             request.signal.addEventListener("abort", handleClientAbort, { once: true });
-            timers.push(scheduler.schedule(computeRemainingMs(), handleDeadline));
+            timers.push(scheduler.schedule(timing.computeRemainingMs(), handleDeadline));
             if (isIdempotent && route.maxTargets > 1) {
-                timers.push(scheduler.schedule(route.objectiveMs * hedgeDelayShare, hedge));
+                timers.push(scheduler.schedule(timing.hedgeDelayMs, hedge));
             }
             void sendNext("first attempt");
         },
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -1,6 +1,7 @@
 /**
  * Logs and counts the attempts of one request, each with the inputs by which its target was picked.
  */
+import * as bodyForwarding from "./bodyForwarding.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as shared from "../../common/Types.js";
 
@@ -18,12 +19,16 @@
 export interface ExchangeMetrics {
     recordAttempt(end: AttemptEnd): void;
     recordHedge(): void;
+    /** Counts a body that was passed on while it was received. */
+    recordStreamedBody(end: bodyForwarding.BodyEnd): void;
 }
 
 export interface ExchangeLog {
     /** Logs the end of an attempt, successful or not. */
     logAttempt(reservation: targetPool.Reservation, end: AttemptEnd, fields: shared.LogFields): void;
     logHedge(reservation: targetPool.Reservation, afterMs: number): void;
+    /** Logs the end of a body that was passed on while it was received. */
+    logBody(reservation: targetPool.Reservation, end: bodyForwarding.BodyEnd): void;
     /** Logs that no target had a free slot in time. */
     logNoSlot(fields: shared.LogFields): void;
 }
@@ -73,5 +78,22 @@
             ...formatPickInputs(reservation.inputs),
         });
     },
+    logBody: (reservation, end) => {
+        metrics.recordStreamedBody(end);
+        const { kind, bytes, durationMs } = end;
+        const line = {
+            ...identity,
+            target: reservation.registration.id,
+            end: kind,
+            reason: kind === "broken" ? end.reason : undefined,
+            bytes,
+            durationMs: Math.round(durationMs),
+        };
+        if (kind === "whole" || kind === "abandoned") {
+            logger.info("exchange: body ended", line);
+        } else {
+            logger.warn("exchange: body ended", line);
+        }
+    },
     logNoSlot: fields => logger.warn("exchange: no free slot", { ...identity, ...fields }),
 });
--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -11,7 +11,7 @@
 const createResponse = (text: string, isDelimited = true): frontendServer.ClientResponse => ({
     statusCode: 200,
     headers: ["x-own", "1"],
-    body: Buffer.from(text),
+    body: { kind: "whole", bytes: Buffer.from(text) },
     isDelimited,
 });
 
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -7,6 +7,7 @@
 import * as ids from "../../common/ids.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as responseStream from "./responseStream.js";
 import * as types from "./Types.js";
 
 /** Header size limit of the parser; the configured limit is smaller and may change at runtime. */
@@ -31,7 +32,7 @@
 export interface ClientResponse {
     readonly statusCode: number;
     readonly headers: types.RawHeaders;
-    readonly body: Buffer;
+    readonly body: types.ResponseBody;
     /** False if the end of the connection delimits the body, as it did at the target. */
     readonly isDelimited: boolean;
 }
@@ -98,25 +99,46 @@
     const openConnections = new Map<stream.Duplex, Set<AbortController>>();
     let isDraining = false;
 
-    const sendResponse = (
+    const writeHead = (
         serverResponse: http.ServerResponse,
         response: ClientResponse,
         closesConnection: boolean,
     ): void => {
-        if (serverResponse.destroyed || serverResponse.headersSent) {
-            return;
-        }
+        const { body } = response;
         const headers = [...response.headers];
-        if (response.isDelimited) {
-            headers.push("Content-Length", String(response.body.length));
-        } else {
+        const bodyBytes = body.kind === "whole" ? body.bytes.length : body.bodyBytes;
+        if (!response.isDelimited) {
             serverResponse.useChunkedEncodingByDefault = false;
+        } else if (bodyBytes !== undefined) {
+            headers.push("Content-Length", String(bodyBytes));
         }
         if (closesConnection || isDraining || !response.isDelimited) {
             headers.push("Connection", "close");
         }
         serverResponse.writeHead(response.statusCode, headers);
-        serverResponse.end(response.body);
+    };
+
+    /** Sends a response; resolves when it was handed over to the connection or has been cut off. */
+    const sendResponse = async (
+        serverResponse: http.ServerResponse,
+        response: ClientResponse,
+        closesConnection: boolean,
+    ): Promise<void> => {
+        const { body } = response;
+        if (serverResponse.destroyed || serverResponse.headersSent) {
+            if (body.kind === "stream") {
+                body.stream.destroy();
+            }
+            return;
+        }
+        writeHead(serverResponse, response, closesConnection);
+        switch (body.kind) {
+            case "whole":
+                serverResponse.end(body.bytes);
+                return;
+            case "stream":
+                await responseStream.sendStream(serverResponse, body.stream, response.isDelimited);
+        }
     };
 
     const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
@@ -125,16 +147,16 @@
         const activeRequests = openConnections.get(request.socket);
         activeRequests?.add(clientAbort);
         const limits = options.getLimits();
-        const fail = (statusCode: number, reason: string): void =>
+        const fail = (statusCode: number, reason: string): Promise<void> =>
             sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
         try {
             if (limits !== undefined && countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) {
-                fail(431, "header too large");
+                await fail(431, "header too large");
                 return;
             }
             const body = await readBody(request, limits?.maxBodyBytes ?? Infinity);
             if (body.kind !== "whole") {
-                fail(body.kind === "too-large" ? 413 : 400, body.kind);
+                await fail(body.kind === "too-large" ? 413 : 400, body.kind);
                 return;
             }
             await waitForPendingReads();
@@ -147,7 +169,7 @@
                 signal: clientAbort.signal,
             });
             if (response !== undefined) {
-                sendResponse(serverResponse, response, false);
+                await sendResponse(serverResponse, response, false);
             }
         } finally {
             activeRequests?.delete(clientAbort);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -2,6 +2,7 @@
  * Counters and latency histograms of the daemon, as text in the Prometheus format.
  */
 import * as promClient from "prom-client";
+import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
 
 /** Cover the latency objectives, 100 ms to 1 s; the last buckets are for the longest deadlines. */
@@ -30,6 +31,7 @@
     recordRequest(end: RequestEnd, latencyMs: number): void;
     recordAttempt(end: exchangeLog.AttemptEnd): void;
     recordHedge(): void;
+    recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
     recordUnknownValue(field: string): void;
@@ -102,6 +104,18 @@
         help: "Second attempts that began before the first had ended.",
         registers,
     });
+    const streamedBodies = new promClient.Histogram({
+        name: `${namePrefix}streamed_body_duration_seconds`,
+        help: "Time in which a response body was passed on while it was received, by end.",
+        labelNames: ["end"],
+        buckets: latencyBucketsSeconds,
+        registers,
+    });
+    const streamedBytes = new promClient.Counter({
+        name: `${namePrefix}streamed_bytes_total`,
+        help: "Bytes of response bodies that were passed on while they were received.",
+        registers,
+    });
     const probes = new promClient.Counter({
         name: `${namePrefix}probes_total`,
         help: "Questions to targets for their load, by whether they were answered.",
@@ -132,6 +146,10 @@
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
+        recordStreamedBody: end => {
+            streamedBodies.observe({ end: end.kind }, end.durationMs / 1_000);
+            streamedBytes.inc(end.bytes);
+        },
         recordProbe: hasResponse => probes.inc({ answered: String(hasResponse) }),
         recordUnknownValue: field => unknownValues.inc({ field }),
         format: () => registry.metrics(),
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -64,7 +64,8 @@
         if (retryAfterMs !== undefined) {
             headers.push(retryAfterHeader, String(retryAfterMs / 1_000));
         }
-        return { statusCode, headers, body: Buffer.from(`${reason}\n`), isDelimited: true };
+        const bytes = Buffer.from(`${reason}\n`);
+        return { statusCode, headers, body: { kind: "whole", bytes }, isDelimited: true };
     };
 
     const formatFinalResponse = (
--- /dev/null
+++ b/src/node/routes/responseParser.ts
@@ -0,0 +1,171 @@
+/**
+ * Parses responses of targets. The library accepts malformed lengths and chunk sizes, some of which make a truncated body
+ * look whole, and holds chunk sizes and trailers of any length; here these are errors.
+ */
+import * as httpParser from "http-parser-js";
+import * as errorText from "../../common/errors/errorText.js";
+
+/** Status line, headers, chunk sizes and trailers of all responses to one request, interim responses included. */
+const maxOverheadBytes = 64 * 1024;
+/** Additional overhead per byte of the body; a chunk of one byte has an overhead of 5 bytes. */
+const maxOverheadPerBodyByte = 8;
+const maxInterimResponses = 16;
+
+const contentLengthPattern = /^\d{1,15}$/;
+const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
+
+/** Head of a final response. */
+export interface ParsedHead {
+    readonly statusCode: number;
+    /** Names and values alternating. */
+    readonly headers: string[];
+    /** Whether the target keeps the connection open. */
+    readonly isKeepAlive: boolean;
+    /** False if the end of the connection delimits the body. */
+    readonly isDelimited: boolean;
+    /** Length of the body; undefined if the headers do not state it. */
+    readonly bodyBytes: number | undefined;
+}
+
+export interface ResponseHandlers {
+    /** Called with each final response's head. */
+    handleHead(head: ParsedHead): void;
+    handleBody(chunk: Buffer): void;
+    /**
+     * Called at the end of each final response that is delimited.
+     *
+     * @param hasMoreBytes - whether further bytes have already arrived
+     */
+    handleEnd(hasMoreBytes: boolean): void;
+}
+
+export interface ResponseParser {
+    /** Starts counting the overhead of a new request. */
+    startRequest(method: string): void;
+    /**
+     * Parses received bytes.
+     *
+     * @param chunk - the bytes
+     * @returns why the bytes are not a response; undefined if they are
+     */
+    parse(chunk: Buffer): string | undefined;
+}
+
+/** Members of the parser that its type does not declare; the version of the library is pinned for them. */
+interface ParserInternals {
+    readonly offset: number;
+    readonly end: number;
+    state: string;
+    body_bytes: number | null;
+    consumeLine(): string | undefined;
+    BODY_CHUNKHEAD(): void;
+}
+
+const listValues = (headers: readonly string[], name: string): string[] =>
+    headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name);
+
+/** Returns why the length of the body is malformed or ambiguous; undefined if it is not. */
+const checkFraming = (headers: readonly string[]): string | undefined => {
+    const lengths = listValues(headers, "content-length");
+    const encodings = listValues(headers, "transfer-encoding");
+    if (lengths.some(length => !contentLengthPattern.test(length))) {
+        return "malformed content length";
+    }
+    if (encodings.length > 1 || encodings.some(encoding => encoding.toLowerCase() !== "chunked")) {
+        return "unknown transfer encoding";
+    }
+    return lengths.length > 0 && encodings.length > 0 ? "content length beside a transfer encoding" : undefined;
+};
+
+const hasNoBody = (statusCode: number): boolean => statusCode === 204 || statusCode === 304;
+
+/**
+ * Creates the parser of a connection.
+ *
+ * @param handlers - called while bytes are parsed
+ * @returns the parser
+ */
+export const createResponseParser = (handlers: ResponseHandlers): ResponseParser => {
+    const parser = new httpParser.HTTPParser("RESPONSE");
+    const internals = parser as unknown as ParserInternals;
+    let isInterim = false;
+    let method = "GET";
+    let receivedBytes = 0;
+    let bodyBytes = 0;
+    let interimResponses = 0;
+
+    const handleHead = (info: httpParser.HeaderInfo): number => {
+        const { statusCode, headers } = info;
+        const fault = checkFraming(headers);
+        if (fault !== undefined) {
+            throw new Error(fault);
+        }
+        isInterim = statusCode < 200;
+        if (isInterim) {
+            if (++interimResponses > maxInterimResponses) {
+                throw new Error("too many interim responses");
+            }
+            return 0;
+        }
+        const [length] = listValues(headers, "content-length");
+        const isEmpty = method === "HEAD" || hasNoBody(statusCode);
+        const isDelimited = isEmpty || length !== undefined || listValues(headers, "transfer-encoding").length > 0;
+        handlers.handleHead({
+            statusCode,
+            headers,
+            isKeepAlive: info.shouldKeepAlive && isDelimited,
+            isDelimited,
+            bodyBytes: length === undefined ? undefined : Number(length),
+        });
+        return isEmpty ? 1 : 0;
+    };
+
+    parser[httpParser.HTTPParser.kOnHeaders] = () => undefined;
+    parser[httpParser.HTTPParser.kOnHeadersComplete] = handleHead;
+    parser[httpParser.HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
+        bodyBytes += length;
+        handlers.handleBody(chunk.subarray(offset, offset + length));
+    };
+    parser[httpParser.HTTPParser.kOnMessageComplete] = () => {
+        if (!isInterim) {
+            handlers.handleEnd(internals.offset < internals.end);
+        }
+    };
+    // The library takes a chunk size that is no number for the last chunk, so that a truncated body would look whole.
+    internals.BODY_CHUNKHEAD = () => {
+        const line = internals.consumeLine();
+        if (line === undefined) {
+            return;
+        }
+        if (!chunkSizePattern.test(line)) {
+            throw new Error("malformed chunk size");
+        }
+        internals.body_bytes = Number.parseInt(line, 16);
+        internals.state = internals.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
+    };
+
+    const hasTooMuchOverhead = (): boolean =>
+        receivedBytes - bodyBytes > maxOverheadBytes + maxOverheadPerBodyByte * bodyBytes;
+
+    return {
+        startRequest: requestMethod => {
+            method = requestMethod;
+            receivedBytes = 0;
+            bodyBytes = 0;
+            interimResponses = 0;
+        },
+        parse: chunk => {
+            receivedBytes += chunk.length;
+            try {
+                const result = parser.execute(chunk);
+                if (result instanceof Error) {
+                    return result.message;
+                }
+            } catch (error) {
+                // Errors of the handlers above leave the library as exceptions.
+                return errorText.toErrorText(error);
+            }
+            return hasTooMuchOverhead() ? "too many bytes that are no body" : undefined;
+        },
+    };
+};
--- /dev/null
+++ b/src/node/routes/responseStream.ts
@@ -0,0 +1,51 @@
+/**
+ * Passes on a response body to the client while it is received from the target.
+ */
+import type * as http from "node:http";
+import type * as stream from "node:stream";
+
+/**
+ * Cuts off a response in a way that the client cannot take for its end. A body without a length ends with an ordinary
+ * close, so that only a reset shows that it is incomplete.
+ */
+const cutOff = (response: http.ServerResponse, isDelimited: boolean): void => {
+    if (isDelimited) {
+        response.destroy();
+    } else {
+        response.socket?.resetAndDestroy();
+    }
+};
+
+/**
+ * Sends a body at the client's pace. If the body breaks, the client's connection is cut off; if the client leaves, the body
+ * is destroyed.
+ *
+ * @param response - the response, whose head was written
+ * @param body - the body
+ * @param isDelimited - false if the end of the connection delimits the body
+ * @returns resolves when the body was handed over or was cut off
+ */
+export const sendStream = (response: http.ServerResponse, body: stream.Readable, isDelimited: boolean): Promise<void> =>
+    new Promise(resolve => {
+        const handleBreak = (): void => {
+            cutOff(response, isDelimited);
+            resolve();
+        };
+        if (body.destroyed) {
+            handleBreak();
+            return;
+        }
+        body.once("error", handleBreak);
+        // A body that is destroyed without an error fires no "error".
+        body.once("close", () => {
+            if (!body.readableEnded) {
+                handleBreak();
+            }
+        });
+        response.once("finish", resolve);
+        response.once("close", () => {
+            body.destroy();
+            resolve();
+        });
+        body.pipe(response);
+    });
--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -61,7 +61,11 @@
     `HTTP/1.1 ${status}\r\nx-id: ${id}\r\nx-seal: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 
 const readBody = (result: targetConnection.SendResult): string =>
-    result.kind === "response" ? result.response.body.toString() : `broken: ${result.reason}`;
+    result.kind === "broken"
+        ? `broken: ${result.reason}`
+        : result.response.body.kind === "whole"
+          ? result.response.body.bytes.toString()
+          : "stream";
 
 test("a connection is reused for consecutive requests", async t => {
     const { acquire } = await startTarget([formatResponse("1", "one"), formatResponse("2", "two")]);
@@ -85,6 +89,21 @@
     t.false(connection.isReusable(scheduler.now()));
 });
 
+test("a late response is not taken for the response to a probe", async t => {
+    const probeResponse = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nprobe";
+    const { acquire } = await startTarget([formatResponse("0", "late") + probeResponse]);
+    const connection = await acquire();
+    t.is(readBody(await connection.send({ ...request(""), id: undefined })), "probe");
+    t.false(connection.isReusable(scheduler.now()));
+});
+
+test("bytes after a response that are not a whole response end the connection, too", async t => {
+    const { acquire } = await startTarget([`${formatResponse("1", "one")}HTTP/1.1 200 OK\r\nx-id`]);
+    const connection = await acquire();
+    t.is(readBody(await connection.send(request("1"))), "one");
+    t.false(connection.isReusable(scheduler.now()));
+});
+
 test("unexpected bytes on an idle connection close it", async t => {
     const { acquire, sockets } = await startTarget([formatResponse("1", "one")]);
     const connection = await acquire();
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -3,23 +3,31 @@
  * the connection is closed.
  */
 import * as net from "node:net";
-import * as httpParser from "http-parser-js";
+import * as stream from "node:stream";
 import * as shared from "../../common/Types.js";
+import * as responseParser from "./responseParser.js";
 import * as types from "./Types.js";
 
-/** Larger responses are not forwarded. */
-const maxResponseBytes = 64 * 1024 * 1024;
+/**
+ * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
+ * is passed on while it is received, and a break is passed on as such.
+ */
+const maxHeldBytes = 64 * 1024;
 /** Idle connections are closed this long before the target's timeout, so that no request is sent while it closes. */
 const idleTimeoutMarginMs = 1_000;
 /** For targets that do not send their idle timeout. */
 const defaultIdleTimeoutMs = 5_000;
+/** Responses from this status on are failures, which are repeated or replaced and thus never streamed. */
+const firstFailureStatus = 500;
 
 export interface TargetResponse {
     readonly statusCode: number;
     readonly head: types.ResponseHead;
-    readonly body: Buffer;
+    readonly body: types.ResponseBody;
     /** False if the body ended with the connection, so that a truncated body cannot be detected. */
     readonly isDelimited: boolean;
+    /** Resolves when the connection no longer receives this response; at once for a body that is held whole. */
+    readonly received: Promise<void>;
 }
 
 export type SendResult =
@@ -50,13 +58,20 @@
     readonly resolve: (result: SendResult) => void;
 }
 
+/** The response that is being received. */
 interface PartialResponse {
-    readonly statusCode: number;
+    readonly parsed: responseParser.ParsedHead;
     readonly head: types.ResponseHead;
     readonly chunks: Buffer[];
-    bytes: number;
-    readonly isKeepAlive: boolean;
-    readonly isDelimited: boolean;
+    heldBytes: number;
+    /** Set once the body is passed on while it is received. */
+    streamed: StreamedBody | undefined;
+}
+
+interface StreamedBody {
+    readonly stream: stream.Readable;
+    isReceived: boolean;
+    resolveReceived(): void;
 }
 
 export interface ConnectionOptions {
@@ -67,9 +82,10 @@
     onClose(): void;
 }
 
-/** Whether the headers delimit the body; otherwise the end of the connection does. */
-const hasBodyLength = (headers: readonly string[]): boolean =>
-    headers.some((name, index) => index % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(name));
+const isStreamable = (response: PartialResponse): boolean => {
+    const { head, parsed } = response;
+    return head.isSigned && !head.isEncoded && !head.isRefusal && parsed.statusCode < firstFailureStatus;
+};
 
 /**
  * Creates the client side of an open connection.
@@ -79,10 +95,9 @@
  */
 export const createTargetConnection = (options: ConnectionOptions): TargetConnection => {
     const { socket, clock, dialect } = options;
-    const parser = new httpParser.HTTPParser("RESPONSE");
     let pendingRequest: PendingRequest | undefined;
     let partialResponse: PartialResponse | undefined;
-    let hasUnexpectedResponse = false;
+    let hasUnexpectedBytes = false;
     let isClosed = false;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
@@ -99,77 +114,123 @@
             socket.resetAndDestroy();
         }
         const abortedRequest = pendingRequest;
+        const streamed = partialResponse?.streamed;
         pendingRequest = undefined;
+        partialResponse = undefined;
         options.onClose();
         abortedRequest?.resolve({ kind: "broken", reason });
+        streamed?.stream.destroy(new Error(reason));
+        streamed?.resolveReceived();
     };
 
-    const deliver = (response: PartialResponse): void => {
-        const completedRequest = pendingRequest;
+    /** Ends the pending request once its response is complete; the connection is kept only if it is in a known state. */
+    const finishRequest = (response: PartialResponse): void => {
         pendingRequest = undefined;
-        const isKeptOpen = response.isKeepAlive && !hasUnexpectedResponse && socket.writableLength === 0;
+        partialResponse = undefined;
         idleTimeoutMs = response.head.idleTimeoutMs ?? idleTimeoutMs;
-        if (!isKeptOpen) {
+        if (!response.parsed.isKeepAlive || hasUnexpectedBytes || socket.writableLength > 0) {
             close("not kept open");
         }
-        const { statusCode, head, chunks, isDelimited } = response;
-        completedRequest?.resolve({
+    };
+
+    const resolveRequest = (response: PartialResponse, body: types.ResponseBody, received: Promise<void>): void => {
+        const { parsed, head } = response;
+        pendingRequest?.resolve({
             kind: "response",
-            response: { statusCode, head, body: Buffer.concat(chunks), isDelimited },
+            response: { statusCode: parsed.statusCode, head, body, isDelimited: parsed.isDelimited, received },
         });
     };
 
-    const handleHeaders = (info: {
-        readonly statusCode: number;
-        readonly headers: string[];
-        readonly shouldKeepAlive: boolean;
-    }): number => {
-        if (info.statusCode < 200) {
-            return 0;
-        }
+    /** Starts to pass on the body while it is received; the consumer's pace is the target's from here on. */
+    const startStream = (response: PartialResponse): void => {
+        const readable = new stream.Readable({
+            read: () => void socket.resume(),
+            destroy: (error, done) => {
+                if (!streamed.isReceived) {
+                    close("response no longer needed");
+                }
+                done(error);
+            },
+        });
+        // The consumer listens later; without a listener an early error would end the process.
+        readable.on("error", () => undefined);
+        let resolveReceived = (): void => undefined;
+        const received = new Promise<void>(resolve => (resolveReceived = resolve));
+        const streamed: StreamedBody = { stream: readable, isReceived: false, resolveReceived };
+        response.streamed = streamed;
+        response.chunks.splice(0).forEach(chunk => readable.push(chunk));
+        const { bodyBytes } = response.parsed;
+        resolveRequest(
+            response,
+            { kind: "stream", stream: readable, bodyBytes, isReceived: () => streamed.isReceived },
+            received,
+        );
+    };
+
+    const handleHead = (parsed: responseParser.ParsedHead): void => {
         if (pendingRequest === undefined) {
-            hasUnexpectedResponse = true;
-            return 0;
-        }
-        const isDelimited = hasBodyLength(info.headers) || info.statusCode === 204 || info.statusCode === 304;
-        const head = dialect.parseResponseHead(info.statusCode, info.headers);
-        const isKeepAlive = info.shouldKeepAlive && isDelimited;
-        partialResponse = { statusCode: info.statusCode, head, chunks: [], bytes: 0, isKeepAlive, isDelimited };
-        return pendingRequest.request.method === "HEAD" ? 1 : 0;
+            hasUnexpectedBytes = true;
+            return;
+        }
+        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
+        const expectedId = pendingRequest.request.id;
+        if (head.id !== expectedId && head.id !== undefined) {
+            // A late response to an earlier request; the expected one follows it.
+            hasUnexpectedBytes = true;
+            return;
+        }
+        if (head.id !== expectedId) {
+            close("response without an id");
+            return;
+        }
+        partialResponse = { parsed, head, chunks: [], heldBytes: 0, streamed: undefined };
     };
 
-    const handleComplete = (): void => {
+    const handleBody = (chunk: Buffer): void => {
         const response = partialResponse;
-        partialResponse = undefined;
-        if (response === undefined || pendingRequest === undefined) {
+        if (response === undefined) {
             return;
         }
-        if (
-            pendingRequest.request.id !== undefined &&
-            response.head.id !== undefined &&
-            response.head.id !== pendingRequest.request.id
-        ) {
-            // A late response to an earlier request; the expected one follows it.
-            hasUnexpectedResponse = true;
+        if (response.streamed !== undefined) {
+            if (!response.streamed.stream.push(chunk)) {
+                socket.pause();
+            }
             return;
         }
-        deliver(response);
+        response.heldBytes += chunk.length;
+        response.chunks.push(chunk);
+        if (response.heldBytes <= maxHeldBytes) {
+            return;
+        }
+        if (isStreamable(response)) {
+            startStream(response);
+        } else {
+            close("response too large");
+        }
     };
 
-    parser[httpParser.HTTPParser.kOnHeaders] = () => undefined;
-    parser[httpParser.HTTPParser.kOnHeadersComplete] = handleHeaders;
-    parser[httpParser.HTTPParser.kOnBody] = (chunk: Buffer, offset: number, length: number) => {
-        if (partialResponse === undefined) {
+    const handleEndOfResponse = (hasMoreBytes: boolean): void => {
+        const response = partialResponse;
+        if (response === undefined || pendingRequest === undefined) {
             return;
         }
-        partialResponse.bytes += length;
-        if (partialResponse.bytes > maxResponseBytes) {
-            close("answer too large");
+        if (hasMoreBytes) {
+            hasUnexpectedBytes = true;
+        }
+        const { streamed } = response;
+        if (streamed === undefined) {
+            resolveRequest(response, { kind: "whole", bytes: Buffer.concat(response.chunks) }, Promise.resolve());
+            finishRequest(response);
             return;
         }
-        partialResponse.chunks.push(chunk.subarray(offset, offset + length));
+        streamed.isReceived = true;
+        streamed.stream.push(null);
+        socket.resume();
+        finishRequest(response);
+        streamed.resolveReceived();
     };
-    parser[httpParser.HTTPParser.kOnMessageComplete] = handleComplete;
+
+    const parser = responseParser.createResponseParser({ handleHead, handleBody, handleEnd: handleEndOfResponse });
 
     const handleData = (chunk: Buffer): void => {
         lastByteAtMs = clock.now();
@@ -177,24 +238,31 @@
             close("bytes without a request");
             return;
         }
-        const result = parser.execute(chunk);
-        if (result instanceof Error) {
-            close(`not an answer: ${result.message}`);
-        } else if (hasUnexpectedResponse && pendingRequest === undefined) {
+        const fault = parser.parse(chunk);
+        if (fault !== undefined) {
+            close(`not a response: ${fault}`);
+        } else if (hasUnexpectedBytes && pendingRequest === undefined) {
             close("bytes after a response");
         }
     };
 
-    const handleEnd = (): void => {
-        if (partialResponse?.isDelimited === false) {
-            handleComplete();
+    /**
+     * Whether the connection ended with a reset. A reset that arrives together with data is reported as an ordinary end
+     * (libuv), but a connection that was reset has no remote address any more. Node.js keeps an address that was read
+     * before, so this is the only place that reads it.
+     */
+    const wasReset = (): boolean => socket.remoteAddress === undefined;
+
+    const handleSocketEnd = (): void => {
+        if (partialResponse?.parsed.isDelimited === false && !wasReset()) {
+            handleEndOfResponse(false);
         }
         close("closed by the target");
     };
 
     socket.setNoDelay(true);
     socket.on("data", handleData);
-    socket.on("end", handleEnd);
+    socket.on("end", handleSocketEnd);
     socket.on("error", (error: NodeJS.ErrnoException) => close(error.code ?? error.message));
     socket.on("close", () => close("closed"));
 
@@ -206,6 +274,7 @@
                     return;
                 }
                 pendingRequest = { request, resolve };
+                parser.startRequest(request.method);
                 socket.cork();
                 for (const bytes of request.bytes) {
                     socket.write(bytes);
@@ -214,7 +283,7 @@
             }),
         isReusable: nowMs =>
             !isClosed &&
-            !hasUnexpectedResponse &&
+            !hasUnexpectedBytes &&
             pendingRequest === undefined &&
             nowMs - lastByteAtMs < idleTimeoutMs - idleTimeoutMarginMs,
         computeIdleMs: nowMs => nowMs - lastByteAtMs,
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -113,7 +113,12 @@
             isSent = true;
             const { id, method } = attempt.request;
             const result = await connection.send({ bytes: formatRequest(attempt), id, method });
-            pool.release(connection);
+            const released = connection;
+            if (result.kind === "response") {
+                void result.response.received.then(() => pool.release(released));
+            } else {
+                pool.release(released);
+            }
             return result;
         };
 
@@ -145,6 +150,7 @@
         const result = await connection.send({ bytes, id: undefined, method: "GET" });
         timer.dispose();
         pool.release(connection);
+        // The response to a probe is unsigned, so that its body is never streamed.
         return result.kind === "response" ? result.response.head : undefined;
     };
 
