Keep removed rows removed, forward all changes, and flush responses before closing

Each table now has a version up to which it is complete; unknown rows up to it are old. They are reported as soon as they are applied. - A planned stop closed connections whose response had been written but not flushed: twice over, by our own list of active requests and by http.Server.close, which counts a response as done once its end was called. A request is now active until its response is flushed, and only the listener is closed.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -99,6 +99,13 @@
 /** Tables of the store that the entry VMs follow. */
 export type StateTable = "operators" | "targets";
 
+/** Changes of a table that, together with those before them, are all changes up to a version. */
+export interface StateUpdate {
+    readonly table: StateTable;
+    readonly version: RowVersion;
+    readonly changes: readonly StateChange[];
+}
+
 /** All rows of a table at one version. */
 export interface StateSnapshot {
     readonly table: StateTable;
--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -92,3 +92,43 @@
     state.applyChanges([fixture.createTargetChange(7, { ...ready, state: "draining" })]);
     t.is([...state.listTargets()][0]?.state, "ready");
 });
+
+test("after a snapshot, an outdated source does not bring back a row that was removed before it", t => {
+    const outdated = createState();
+    outdated.applyChanges([
+        fixture.createTargetChange(3, fixture.createRegistration("left")),
+        { kind: "zone", version: 4, zone: fixture.zone, isOut: true },
+        fixture.createTargetChange(5, fixture.createRegistration("kept")),
+    ]);
+    // A VM that has just started knows nothing of the removals at versions 6 and 7.
+    const restarted = createState();
+    const kept = fixture.createTargetChange(5, fixture.createRegistration("kept"));
+    restarted.applySnapshot({ table: "targets", version: 8, changes: [kept] }, false);
+    restarted.applySnapshot({ table: "operators", version: 8, changes: [] }, false);
+    outdated.listSnapshots().forEach(snapshot => restarted.applySnapshot(snapshot, false));
+    t.deepEqual(listTargetIds(restarted), ["kept"]);
+    t.false(restarted.isZoneOut(fixture.zone));
+    restarted.applyChanges([fixture.createTargetChange(9, fixture.createRegistration("left"))]);
+    t.deepEqual(listTargetIds(restarted).sort(), ["kept", "left"]);
+});
+
+test("a snapshot of a source whose last changes came without a version up to which they are complete loses no row", t => {
+    const source = createState();
+    source.applySnapshot({ table: "targets", version: 5, changes: [] }, false);
+    source.applyChanges([fixture.createTargetChange(9, fixture.createRegistration("late"))]);
+    const joined = createState();
+    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
+    // Written between the two versions, and not known to the source yet.
+    joined.applyChanges([fixture.createTargetChange(7, fixture.createRegistration("between"))]);
+    t.deepEqual(listTargetIds(joined).sort(), ["between", "late"]);
+});
+
+test("an update moves the version up to which a table is complete", t => {
+    const source = createState();
+    source.applySnapshot({ table: "targets", version: 5, changes: [] }, false);
+    const added = fixture.createTargetChange(7, fixture.createRegistration("a"));
+    source.applyUpdate({ table: "targets", version: 9, changes: [added] });
+    t.is(source.listSnapshots().find(snapshot => snapshot.table === "targets")?.version, 9);
+    source.applyChanges([fixture.createTargetChange(8, fixture.createRegistration("outdated"))]);
+    t.deepEqual(listTargetIds(source), ["a"]);
+});
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -25,6 +25,13 @@
      * @returns the changes that had an effect
      */
     applyChanges(changes: readonly types.StateChange[]): readonly types.StateChange[];
+    /**
+     * Applies changes of a table that the sender has forwarded without a gap since its snapshot.
+     *
+     * @param update - the changes
+     * @returns the changes that had an effect
+     */
+    applyUpdate(update: types.StateUpdate): readonly types.StateChange[];
     /**
      * Applies a whole table and removes the rows that it does not contain.
      *
@@ -60,8 +67,7 @@
     }
 };
 
-const isInTable = (change: types.StateChange, table: types.StateTable): boolean =>
-    (change.kind === "target") === (table === "targets");
+const getTable = (change: types.StateChange): types.StateTable => (change.kind === "target" ? "targets" : "operators");
 
 /** Targets rewrite their rows as heartbeats; then only the version differs. */
 const isSameContent = (known: types.StateChange, change: types.StateChange): boolean =>
@@ -97,6 +103,8 @@
     const rows = new Map<string, types.StateChange>();
     /** Targets in use: registered, or with a row that expired a short time ago. */
     const targets = new Map<shared.TargetId, types.Registration>();
+    /** Versions up to which this VM knows all changes of a table. */
+    const completeVersions: Record<types.StateTable, types.RowVersion> = { operators: 0, targets: 0 };
     const expiryTimers = new Map<shared.TargetId, shared.Disposable>();
     const configurationEmitter = events.createEmitter<types.RouteConfiguration>();
     const targetsEmitter = events.createEmitter<void>();
@@ -123,7 +131,9 @@
     /** Returns whether a change is newer and has an effect; for unchanged content it only records the newer version. */
     const admitChange = (change: types.StateChange): boolean => {
         const known = rows.get(toRowKey(change));
-        if (known !== undefined && known.version >= change.version) {
+        // A row that is not known although its table is complete has been removed since.
+        const knownVersion = known?.version ?? completeVersions[getTable(change)];
+        if (knownVersion >= change.version) {
             return false;
         }
         if (known !== undefined && isSameContent(known, change)) {
@@ -205,7 +215,7 @@
         const present = new Set(snapshot.changes.map(toRowKey));
         const removals: types.StateChange[] = [];
         for (const [key, row] of rows) {
-            const isUnaffected = present.has(key) || isRemoval(row) || !isInTable(row, snapshot.table);
+            const isUnaffected = present.has(key) || isRemoval(row) || getTable(row) !== snapshot.table;
             const removal = isUnaffected ? undefined : toRemoval(row, snapshot.version, isStoreUnstable);
             if (removal !== undefined) {
                 removals.push(removal);
@@ -214,13 +224,17 @@
         return removals;
     };
 
-    const toSnapshot = (table: types.StateTable): types.StateSnapshot => {
-        const all = [...rows.values()].filter(change => isInTable(change, table));
-        return {
-            table,
-            version: all.reduce((newest, change) => Math.max(newest, change.version), 0),
-            changes: all.filter(change => !isRemoval(change)),
-        };
+    /** Later changes may be known, too, but others before them may not. */
+    const toSnapshot = (table: types.StateTable): types.StateSnapshot => ({
+        table,
+        version: completeVersions[table],
+        changes: [...rows.values()].filter(change => getTable(change) === table && !isRemoval(change)),
+    });
+
+    const applyUpdate = ({ table, version, changes }: types.StateUpdate): readonly types.StateChange[] => {
+        const applied = applyChanges(changes);
+        completeVersions[table] = Math.max(completeVersions[table], version);
+        return applied;
     };
 
     return {
@@ -232,8 +246,12 @@
         listTargets: () => targets.values(),
         listSnapshots: () => [toSnapshot("operators"), toSnapshot("targets")],
         applyChanges,
+        applyUpdate,
         applySnapshot: (snapshot, isStoreUnstable) =>
-            applyChanges([...snapshot.changes, ...listRemovals(snapshot, isStoreUnstable)]),
+            applyUpdate({
+                ...snapshot,
+                changes: [...snapshot.changes, ...listRemovals(snapshot, isStoreUnstable)],
+            }),
         onDidChangeConfiguration: configurationEmitter.event,
         onDidChangeTargets: targetsEmitter.event,
     };
--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -164,3 +164,22 @@
     t.true(busy.read().endsWith("done"));
     t.is(server.countConnections(), 0);
 });
+
+test("a response that its client still reads is not cut off when idle connections are closed", async t => {
+    const bodyBytes = 32 * 1024 * 1024;
+    const { server, connect } = await startServer(() => Promise.resolve(createResponse("x".repeat(bodyBytes))));
+    const client = connect();
+    client.socket.write(formatRequest("/"));
+    await waitFor(() => client.read().length > 0);
+    client.socket.pause();
+    await wait(100);
+    server.startDraining();
+    server.closeIdle();
+    client.socket.resume();
+    await Promise.race([client.ended, waitFor(() => client.read().length > bodyBytes)]);
+    t.true(client.read().length > bodyBytes);
+    await wait(20);
+    server.closeIdle();
+    await client.ended;
+    server.dispose();
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -2,12 +2,13 @@
  * The HTTP server for clients.
  */
 import * as http from "node:http";
+import * as net from "node:net";
 import * as stream from "node:stream";
 import * as timers from "node:timers/promises";
 import * as ids from "../../common/ids.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
-import * as responseStream from "./responseStream.js";
+import * as responseBodies from "./responseBodies.js";
 import * as types from "./Types.js";
 
 /** Header size limit of the parser; the configured limit is smaller and may change at runtime. */
@@ -134,10 +135,10 @@
         writeHead(serverResponse, response, closesConnection);
         switch (body.kind) {
             case "whole":
-                serverResponse.end(body.bytes);
+                await responseBodies.sendBytes(serverResponse, body.bytes);
                 return;
             case "stream":
-                await responseStream.sendStream(serverResponse, body.stream, response.isDelimited);
+                await responseBodies.sendStream(serverResponse, body.stream, response.isDelimited);
         }
     };
 
@@ -208,7 +209,8 @@
             isDraining = true;
         },
         closeIdle: () => {
-            server.close();
+            // `http.Server.close` would also destroy connections whose last response has not been flushed yet.
+            net.Server.prototype.close.call(server);
             for (const [socket, activeRequests] of openConnections) {
                 if (activeRequests.size === 0) {
                     socket.destroy();
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -77,7 +77,7 @@
         state,
         scheduler,
         logger,
-        handleChanges: changes => hub?.pushChanges(changes),
+        handleUpdate: update => hub?.pushUpdate(update),
     });
 
     const computeStoreAgeMs = (): number => (ownStoreFollower.isRunning() ? ownStoreFollower.computeAgeMs() : Infinity);
@@ -109,10 +109,15 @@
         seeds: settings.seeds,
         getOwnPeer,
         addMessageHandlers: channel => {
-            channel.on("state.snapshots", ({ snapshots }) =>
-                snapshots.forEach(snapshot => state.applySnapshot(snapshot, false)),
+            let hasSnapshots = false;
+            channel.on("state.snapshots", ({ snapshots }) => {
+                hasSnapshots = true;
+                snapshots.forEach(snapshot => state.applySnapshot(snapshot, false));
+            });
+            // Without the snapshots before them, changes do not make a table complete.
+            channel.on("state.update", update =>
+                hasSnapshots ? void state.applyUpdate(update) : void state.applyChanges(update.changes),
             );
-            channel.on("state.changes", ({ changes }) => void state.applyChanges(changes));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -34,7 +34,7 @@
     /** Heartbeat of a hub: how outdated its view of the store is, and which VMs have joined, changed or left. */
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
-    readonly "state.changes": { readonly changes: readonly routes.StateChange[] };
+    readonly "state.update": routes.StateUpdate;
     readonly "crash.reports": { readonly reports: readonly CrashReport[] };
 }
 
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -20,7 +20,7 @@
     listPeers(): readonly routes.Peer[];
     /** Disconnects the followers, as this VM is no longer a hub, after sending them the peers that it knows. */
     closeFollowers(): void;
-    pushChanges(changes: readonly routes.StateChange[]): void;
+    pushUpdate(update: routes.StateUpdate): void;
     pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
     readonly onDidReceiveCrashes: shared.Event<readonly peerChannel.CrashReport[]>;
 }
@@ -181,7 +181,7 @@
                 follower.channel.dispose();
             }
         },
-        pushChanges: changes => push("state.changes", { changes }),
+        pushUpdate: update => push("state.update", update),
         pushCrashes: reports => push("crash.reports", { reports }),
         onDidReceiveCrashes: crashEmitter.event,
         dispose: () => {
--- a/src/node/routes/responseStream.ts
+++ b/src/node/routes/responseBodies.ts
@@ -1,5 +1,5 @@
 /**
- * Passes on a response body to the client while it is received from the target.
+ * Sends the bodies of responses to clients.
  */
 import type * as http from "node:http";
 import type * as stream from "node:stream";
@@ -16,6 +16,20 @@
     }
 };
 
+/**
+ * Sends a body that is held whole.
+ *
+ * @param response - the response, whose head was written
+ * @param bytes - the body
+ * @returns resolves when the body was handed over to the operating system, or the client left
+ */
+export const sendBytes = (response: http.ServerResponse, bytes: Buffer): Promise<void> =>
+    new Promise(resolve => {
+        response.once("finish", resolve);
+        response.once("close", resolve);
+        response.end(bytes);
+    });
+
 /**
  * Sends a body at the client's pace. If the body breaks, the client's connection is cut off; if the client leaves, the body
  * is destroyed.
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -52,11 +52,11 @@
         state,
         scheduler,
         logger: silentLogger.createSilentLogger(),
-        handleChanges: changes => published.push(...changes),
+        handleUpdate: update => published.push(...update.changes),
     });
     const listIds = (): string[] => [...state.listTargets()].map(target => target.id);
     const setSilent = (): void => void (isSilent = true);
-    return { scheduler, follower, listIds, published, setSilent, countSnapshots: () => snapshots };
+    return { scheduler, follower, script, listIds, published, setSilent, countSnapshots: () => snapshots };
 };
 
 test("a store that stops responding is detected within 1.3 s, and a store without changes is not overdue", async t => {
@@ -120,3 +120,18 @@
     t.is(setup.countSnapshots(), before);
     t.false(setup.follower.isRunning());
 });
+
+test("changes that arrive after a stop are reported, too, as a restart would not find them new", async t => {
+    const setup = createTestFollower(
+        [],
+        ["a", "b"].map(id => fixture.createRegistration(id)),
+    );
+    setup.follower.start();
+    await setup.scheduler.advance(10);
+    setup.script.push(removeTarget(5, "a"));
+    await setup.scheduler.advance(520);
+    setup.follower.stop();
+    await setup.scheduler.advance(1_000);
+    t.deepEqual(setup.listIds(), ["b"]);
+    t.is(setup.published.at(-1)?.version, 5);
+});
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -35,7 +35,8 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
-    handleChanges(changes: readonly routes.StateChange[]): void;
+    /** Called with the changes that had an effect, also with those that arrive after a stop. */
+    handleUpdate(update: routes.StateUpdate): void;
 }
 
 interface TableState {
@@ -92,37 +93,49 @@
 
     const hasRecentFailure = (table: TableState): boolean => scheduler.now() - table.failedAtMs < possibleExpiryMs;
 
-    const fetchTableSnapshot = async (table: TableState): Promise<readonly routes.StateChange[]> => {
+    /**
+     * Reports changes as soon as they have been applied: followers would never get them otherwise, as the snapshot after a
+     * restart does not find them new.
+     */
+    const reportUpdate = (update: routes.StateUpdate): void => {
+        if (update.changes.length > 0) {
+            options.handleUpdate(update);
+        }
+    };
+
+    const fetchTableSnapshot = async (table: TableState): Promise<void> => {
         const snapshot = await store.fetchSnapshot(table.table, callTimeoutMs);
         table.cursor = snapshot.version;
-        return state.applySnapshot(snapshot, hasRecentFailure(table));
+        reportUpdate({ ...snapshot, changes: state.applySnapshot(snapshot, hasRecentFailure(table)) });
     };
 
-    const fetchTableChanges = async (
-        table: TableState,
-        after: routes.RowVersion,
-    ): Promise<readonly routes.StateChange[]> => {
+    const fetchTableChanges = async (table: TableState, after: routes.RowVersion): Promise<void> => {
         const result = await store.fetchChanges(table.table, after, table.waitMs, table.waitMs + callTimeoutMs);
         switch (result.kind) {
-            case "changes":
+            case "changes": {
+                const update = {
+                    table: table.table,
+                    version: result.version,
+                    changes: markExpiredRows(table, result.changes),
+                };
                 table.cursor = result.version;
-                return state.applyChanges(markExpiredRows(table, result.changes));
+                reportUpdate({ ...update, changes: state.applyUpdate(update) });
+                break;
+            }
             case "history-lost":
                 logger.warn("state: history lost", { table: table.table, after });
-                return fetchTableSnapshot(table);
+                await fetchTableSnapshot(table);
+                break;
         }
     };
 
-    const handleSuccess = (table: TableState, changes: readonly routes.StateChange[]): number => {
+    const handleSuccess = (table: TableState): number => {
         const nowMs = scheduler.now();
         if (table.failedAtMs > table.succeededAtMs) {
             logger.info("state: store reachable", { table: table.table });
         }
         table.succeededAtMs = nowMs;
         table.backoffMs = initialBackoffMs;
-        if (changes.length > 0) {
-            options.handleChanges(changes);
-        }
         return Math.max(0, table.calledAtMs + table.intervalMs - nowMs);
     };
 
@@ -142,12 +155,11 @@
         let delayMs: number;
         try {
             const { cursor } = table;
-            const changes =
-                cursor === undefined ? await fetchTableSnapshot(table) : await fetchTableChanges(table, cursor);
+            await (cursor === undefined ? fetchTableSnapshot(table) : fetchTableChanges(table, cursor));
             if (ownRun !== run) {
                 return;
             }
-            delayMs = handleSuccess(table, changes);
+            delayMs = handleSuccess(table);
         } catch (error) {
             if (ownRun !== run) {
                 return;
