Do not hedge while requests of the service wait for a slot

Cause: under overload a hedge takes the slot that a waiting request would get, and the reserve of slots shrinks further. Ruled out: a bound by utilization, which each VM only estimates.

--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -126,6 +126,15 @@
         });
     return {
         advance: scheduler.advance,
+        /** Adds a request that waits for a slot and finds none suitable. */
+        addWaitingRequest: () =>
+            void queue.wait({
+                service: fixture.service,
+                priority: 0,
+                maxWaitMs: 10_000,
+                signal: new AbortController().signal,
+                take: () => undefined,
+            }),
         abortClient: () => client.abort(),
         getResponse: () => response,
         getRespondedAtMs: () => respondedAtMs,
@@ -184,6 +193,14 @@
     t.is(unsafe.getResponse()?.kind, "failed");
 });
 
+test("under overload, a request is not hedged while others wait for their first attempt", async t => {
+    const exchangeRun = run([noResponse, ok(20)]);
+    await exchangeRun.advance(10);
+    exchangeRun.addWaitingRequest();
+    await exchangeRun.advance(2_000);
+    t.is(exchangeRun.countHedges(), 0);
+});
+
 test("a download is retried and hedged like any idempotent request", async t => {
     const repeated = run([broken, ok(10)], { route: { kind: "download" } });
     await repeated.advance(2_000);
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -317,7 +317,9 @@
     };
 
     const hedge = (): void => {
-        if (isDone || running.count() !== 1 || runs >= route.maxTargets) {
+        // A slot that is free now belongs to the requests that wait for their first attempt.
+        const isSaturated = options.queue.count(service) > 0;
+        if (isDone || running.count() !== 1 || runs >= route.maxTargets || isSaturated) {
             return;
         }
         const pick = pickTarget(timing.computeRemainingObjectiveMs());
