--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -62,7 +62,12 @@
         if (body.kind === "stream") {
             const deadlineAtMs = scheduler.now() + allowedMs;
             const { signal } = request;
-            bodyForwarding.watchBody({ scheduler, body, signal, deadlineAtMs, handleEnd: end => ends.push(end) });
+            bodyForwarding.watchBody({
+                scheduler,
+                body,
+                limits: { signal, deadlineAtMs },
+                handleEnd: end => ends.push(end),
+            });
         }
         return { statusCode, headers: head.forwardedHeaders, body, isDelimited };
     };
--- a/src/node/routes/bodyForwarding.ts
+++ b/src/node/routes/bodyForwarding.ts
@@ -6,6 +6,14 @@
 
 type StreamBody = types.ResponseBody & { kind: "stream" };
 
+/** What ends a body before it is whole. */
+export interface BodyLimits {
+    /** Aborted when the client disconnects. */
+    readonly signal: AbortSignal;
+    /** On the local monotonic clock. */
+    readonly deadlineAtMs: number;
+}
+
 /** How the forwarding of a body ended. */
 export type BodyEnd = {
     readonly bytes: number;
@@ -37,13 +45,11 @@
 export const watchBody = (options: {
     readonly scheduler: shared.Scheduler;
     readonly body: StreamBody;
-    /** Aborted when the client disconnects. */
-    readonly signal: AbortSignal;
-    /** On the local monotonic clock. */
-    readonly deadlineAtMs: number;
+    readonly limits: BodyLimits;
     handleEnd(end: BodyEnd): void;
 }): void => {
-    const { scheduler, body, signal } = options;
+    const { scheduler, body } = options;
+    const { signal, deadlineAtMs } = options.limits;
     const startedAtMs = scheduler.now();
     let bytes = 0;
     let brokenReason: string | undefined;
@@ -69,7 +75,7 @@
         }
     };
     const handleAbort = (): void => void body.stream.destroy();
-    const timer = scheduler.schedule(Math.max(0, options.deadlineAtMs - startedAtMs), handleDeadline);
+    const timer = scheduler.schedule(Math.max(0, deadlineAtMs - startedAtMs), handleDeadline);
     signal.addEventListener("abort", handleAbort, { once: true });
     body.stream.on("data", (chunk: Buffer) => (bytes += chunk.length));
     // The consumer starts the flow; counting alone must not.
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -211,10 +211,8 @@
         response: targetConnection.TargetResponse,
     ): void => {
         const { head, statusCode } = response;
-        const finishReservation = (outcome: routes.AttemptOutcome): void =>
-            attempt.reservation.finish(outcome, head.load);
         if (head.isRefusal || statusCode === 421) {
-            finishReservation({ kind: "refused" });
+            attempt.reservation.finish({ kind: "refused" }, head.load);
             handleRefusal(attempt);
             return;
         }
@@ -223,7 +221,7 @@
         const isFailure = statusCode >= 500 || !isWhole;
         const latencyMs = scheduler.now() - attempt.startedAtMs;
         const responseBytes = bodyForwarding.getBodyBytes(response.body);
-        finishReservation({ kind: "answered", latencyMs, isFailure, responseBytes });
+        attempt.reservation.finish({ kind: "answered", latencyMs, isFailure, responseBytes }, head.load);
         const final: FinalResponse = { kind: "target", response, target: attempt.reservation.registration.id };
         if (isFailure) {
             failure = isWhole ? final : failure;
@@ -241,8 +239,7 @@
             bodyForwarding.watchBody({
                 scheduler,
                 body: response.body,
-                signal: request.signal,
-                deadlineAtMs: request.deadlineAtMs,
+                limits: request,
                 handleEnd: end => {
                     log.logBody(attempt.reservation, end);
                     if (end.kind === "broken") {
