Avoid targets that refuse although they have free slots

A refusal counts as a failure now, unless the report with it says that the target is full; a 421 takes the target out of the choice for 8 s or until its row changes, and its load is not recorded, as it is another target's.

Ruled out: taking a target out for good after a 421, as a single wrong response would lose it for good.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -132,6 +132,8 @@
       }
     /** The target refused the request before it started processing. */
     | { readonly kind: "refused" }
+    /** Another target responded at the address, and did not run the request. */
+    | { readonly kind: "misdirected" }
     /** No connection was established, or nothing was sent. */
     | { readonly kind: "unreachable" }
     /** The connection broke, or the bytes received are not a valid response. */
--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -18,6 +18,8 @@
 const ejectionThreshold = 3;
 const baseEjectionMs = 1_000;
 const maxEjectionMs = 8_000;
+/** Longer than the row of a target that has ended stays in the store. */
+const misdirectionMs = 8_000;
 /** An attempt that takes this multiple of its expected time indicates that the target has become slow. */
 const overdueFactor = 1.5;
 const sendWindowMs = 1_000;
@@ -45,6 +47,8 @@
     failureRateAtMs: number;
     consecutiveFailures: number;
     ejectedUntilMs: number;
+    /** Until when the target gets nothing, as another one has responded at its address. */
+    misdirectedUntilMs: number;
     /** Times of the requests sent in the last second. */
     readonly sendTimesMs: number[];
     probedAtMs: number;
@@ -70,6 +74,7 @@
     failureRateAtMs: nowMs,
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
+    misdirectedUntilMs: 0,
     sendTimesMs: [],
     probedAtMs: -Infinity,
 });
@@ -168,6 +173,31 @@
     }
 };
 
+/**
+ * Records a refusal. A target that refuses although it has free slots would look idle and attract all requests; one that
+ * is full is healthy.
+ *
+ * @param entry - the target
+ * @param report - the load that it reported with the refusal
+ * @param nowMs - local monotonic time
+ */
+export const recordRefusal = (entry: TargetEntry, report: types.LoadReport | undefined, nowMs: number): void => {
+    const isFull = report !== undefined && report.running + report.waiting >= report.slots;
+    if (!isFull) {
+        recordFailure(entry, nowMs);
+    }
+};
+
+/**
+ * Records that another target responded at the address.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ */
+export const recordMisdirection = (entry: TargetEntry, nowMs: number): void => {
+    entry.misdirectedUntilMs = nowMs + misdirectionMs;
+};
+
 /**
  * Records a successful attempt, which also ends an ejection.
  *
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -152,3 +152,55 @@
     t.is(pickId(), "good");
     t.is(pickId(["good"]), "bad");
 });
+
+/** Sends requests one after the other, all of which "bad" refuses and "good" serves; returns how many "bad" got. */
+const countRefused = async (
+    outcome: types.AttemptOutcome,
+    load: types.LoadReport | undefined,
+): Promise<{ readonly refused: number; readonly setup: ReturnType<typeof createSetup> }> => {
+    const setup = createSetup([fixture.createRegistration("bad"), fixture.createRegistration("good", { slots: 8 })]);
+    let refused = 0;
+    for (let count = 0; count < 40; count++) {
+        const result = setup.pick();
+        if (result.kind === "target" && result.reservation.registration.id === "bad") {
+            refused++;
+            result.reservation.finish(outcome, load);
+        } else if (result.kind === "target") {
+            const { reservation } = result;
+            setup.scheduler.schedule(100, () =>
+                reservation.finish({ kind: "answered", latencyMs: 100, isFailure: false, responseBytes: 1 }, undefined),
+            );
+        }
+        await setup.scheduler.advance(20);
+    }
+    return { refused, setup };
+};
+
+test("a target that refuses requests although it has free slots does not attract all requests", async t => {
+    const { refused } = await countRefused({ kind: "refused" }, report(1));
+    t.true(refused <= 4, `${refused} of 40`);
+});
+
+test("a target that is not the one of its row gets nothing for a while, or until its row changes", async t => {
+    const { refused, setup } = await countRefused({ kind: "misdirected" }, undefined);
+    t.is(refused, 1);
+    setup.pool.setTargets([fixture.createRegistration("bad", { startedAtMs: 2 })]);
+    t.is(setup.pickId(), "bad");
+});
+
+test("a refusal by a target that is full says nothing about its health", async t => {
+    const setup = createSetup([fixture.createRegistration("a")]);
+    for (let count = 0; count < 5; count++) {
+        const result = setup.pick();
+        if (result.kind === "target") {
+            result.reservation.finish({ kind: "refused" }, { running: 2, waiting: 3, slots: 2, slowdown: 1 });
+        }
+        await setup.scheduler.advance(1_000);
+    }
+    setup.pool.setTargets([
+        fixture.createRegistration("a"),
+        fixture.createRegistration("b", { zone: fixture.otherZone }),
+    ]);
+    await setup.scheduler.advance(1_000);
+    t.is(setup.pickId(), "a");
+});
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -160,7 +160,7 @@
         const nowMs = scheduler.now();
         const wasEjected = entry.ejectedUntilMs > nowMs;
         entry.inFlightAttempts.delete(attempt);
-        if (report !== undefined) {
+        if (report !== undefined && outcome.kind !== "misdirected") {
             // The target counts the request that it is responding to as running.
             targetEntry.recordReport(entry, report, entry.inFlightAttempts.size + 1, nowMs);
             if (report.slowdown !== undefined) {
@@ -182,6 +182,12 @@
                 targetEntry.recordFailure(entry, nowMs);
                 break;
             case "refused":
+                targetEntry.recordRefusal(entry, report, nowMs);
+                break;
+            case "misdirected":
+                targetEntry.recordMisdirection(entry, nowMs);
+                logger.warn("target: another one responded at its address", { target: entry.registration.id });
+                break;
             case "cancelled":
                 break;
         }
@@ -210,7 +216,8 @@
     const pick = (request: PickRequest): PickResult => {
         const nowMs = scheduler.now();
         const eligible = (byService.get(request.service) ?? []).filter(
-            entry => isEligible(entry) && !request.exclude.has(entry.registration.id),
+            entry =>
+                isEligible(entry) && entry.misdirectedUntilMs <= nowMs && !request.exclude.has(entry.registration.id),
         );
         if (eligible.length === 0) {
             return { kind: "none" };
@@ -256,6 +263,7 @@
         }
         if (known.registration !== registration) {
             known.registration = registration;
+            known.misdirectedUntilMs = 0;
             known.coldUntilMs = registration.coldLeftMs > 0 ? nowMs + registration.coldLeftMs : 0;
         }
     };
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -212,7 +212,7 @@
     ): void => {
         const { head, statusCode } = response;
         if (head.isRefusal || statusCode === 421) {
-            attempt.reservation.finish({ kind: "refused" }, head.load);
+            attempt.reservation.finish({ kind: statusCode === 421 ? "misdirected" : "refused" }, head.load);
             handleRefusal(attempt);
             return;
         }
