End a body whose client left before it began

Cause: found by reading the change. A request that is not idempotent goes on after its client has left; if its response was large, its body stayed paused, with the target's connection, until the deadline. Shown by a test that failed first.

--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -1,4 +1,5 @@
 import * as net from "node:net";
+import * as stream from "node:stream";
 import test from "ava";
 import * as ids from "../../common/ids.js";
 import * as httpServer from "../../testing/http/httpServer.js";
@@ -195,3 +196,19 @@
     t.is(path.ends[0]?.kind, "abandoned");
     path.server.dispose();
 });
+
+test.serial("a body whose client has left before it began is not kept until the deadline", async t => {
+    const client = new AbortController();
+    client.abort();
+    const readable = new stream.Readable({ read: () => undefined });
+    readable.push("x");
+    const ends: bodyForwarding.BodyEnd[] = [];
+    bodyForwarding.watchBody({
+        scheduler,
+        body: { kind: "stream", stream: readable, bodyBytes: undefined, isReceived: () => false },
+        limits: { signal: client.signal, deadlineAtMs: scheduler.now() + deadlineMs },
+        handleEnd: end => ends.push(end),
+    });
+    await waitMs(100);
+    t.is(ends[0]?.kind, "abandoned");
+});
--- a/src/node/routes/bodyForwarding.ts
+++ b/src/node/routes/bodyForwarding.ts
@@ -86,4 +86,7 @@
         signal.removeEventListener("abort", handleAbort);
         options.handleEnd(classifyEnd());
     });
+    if (signal.aborted) {
+        handleAbort();
+    }
 };
