--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -64,17 +64,31 @@
 const listValues = (headers: readonly string[], name: string): string[] =>
     headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name);
 
-/** Returns why the length of the body is malformed or ambiguous; undefined if it is not. */
-const checkFraming = (headers: readonly string[]): string | undefined => {
+/** How the headers delimit the body. */
+type Framing =
+    | { readonly kind: "length"; readonly bytes: number }
+    | { readonly kind: "chunked" }
+    /** The end of the connection delimits the body. */
+    | { readonly kind: "none" };
+
+/** Reads how the body is delimited; throws if its length is malformed or ambiguous. */
+const readFraming = (headers: readonly string[]): Framing => {
     const lengths = listValues(headers, "content-length");
     const encodings = listValues(headers, "transfer-encoding");
     if (lengths.some(length => !contentLengthPattern.test(length))) {
-        return "malformed content length";
+        throw new Error("malformed content length");
     }
     if (encodings.length > 1 || encodings.some(encoding => encoding.toLowerCase() !== "chunked")) {
-        return "unknown transfer encoding";
+        throw new Error("unknown transfer encoding");
+    }
+    const [length] = lengths;
+    if (length === undefined) {
+        return { kind: encodings.length > 0 ? "chunked" : "none" };
     }
-    return lengths.length > 0 && encodings.length > 0 ? "content length beside a transfer encoding" : undefined;
+    if (encodings.length > 0) {
+        throw new Error("content length beside a transfer encoding");
+    }
+    return { kind: "length", bytes: Number(length) };
 };
 
 const hasNoBody = (statusCode: number): boolean => statusCode === 204 || statusCode === 304;
@@ -96,10 +110,7 @@
 
     const handleHead = (info: httpParser.HeaderInfo): number => {
         const { statusCode, headers } = info;
-        const fault = checkFraming(headers);
-        if (fault !== undefined) {
-            throw new Error(fault);
-        }
+        const framing = readFraming(headers);
         isInterim = statusCode < 200;
         if (isInterim) {
             if (++interimResponses > maxInterimResponses) {
@@ -107,15 +118,14 @@
             }
             return 0;
         }
-        const [length] = listValues(headers, "content-length");
         const isEmpty = method === "HEAD" || hasNoBody(statusCode);
-        const isDelimited = isEmpty || length !== undefined || listValues(headers, "transfer-encoding").length > 0;
+        const isDelimited = isEmpty || framing.kind !== "none";
         handlers.handleHead({
             statusCode,
             headers,
             isKeepAlive: info.shouldKeepAlive && isDelimited,
             isDelimited,
-            bodyBytes: length === undefined ? undefined : Number(length),
+            bodyBytes: framing.kind === "length" ? framing.bytes : undefined,
         });
         return isEmpty ? 1 : 0;
     };
