--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -122,6 +122,13 @@
     readonly slowdown: number | undefined;
 }
 
+/** Limit on its requests from all VMs together that a target names in a response. */
+export type NamedLimit =
+    | { readonly kind: "none" }
+    | { readonly kind: "limited"; readonly perSecond: number }
+    /** Neither names nor ends a limit. */
+    | { readonly kind: "malformed"; readonly text: string };
+
 /** Outcome of an attempt at a target. */
 export type AttemptOutcome =
     | {
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -16,6 +16,7 @@
         random: random.createRandom(7),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
+        limits: fixture.createTargetLimits(),
         isZoneOut: zone => zonesOut.has(zone),
         getService: () => fixture.createConfiguration(1).services[0],
         countActiveVms: () => activeVmCount,
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -4,6 +4,7 @@
 import * as events from "../events.js";
 import * as shared from "../Types.js";
 import * as latencyEstimates from "./latencyEstimates.js";
+import * as targetLimits from "./targetLimits.js";
 import * as targetEntry from "./targetEntry.js";
 import * as types from "./Types.js";
 
@@ -47,6 +48,8 @@
     readonly reportAgeMs: number;
     /** Targets of the service that were considered. */
     readonly candidates: number;
+    /** Limit that the target has named; undefined without one. */
+    readonly limitPerSecond: number | undefined;
 }
 
 /** A slot reserved for one attempt. */
@@ -69,6 +72,7 @@
     readonly random: shared.Random;
     readonly logger: shared.Logger;
     readonly zone: shared.ZoneName;
+    readonly limits: targetLimits.TargetLimits;
     isZoneOut(zone: shared.ZoneName): boolean;
     getService(name: shared.ServiceName): types.RoutedService | undefined;
     /** Number of active VMs, which share the rate limit of cold targets. */
@@ -241,10 +245,16 @@
             const cost = computeCost(entry, expectedMs, request, nowMs);
             if (cost < bestCost) {
                 bestCost = cost;
-                const reportAgeMs = nowMs - entry.slowdownReportedAtMs;
                 best = {
                     entry,
-                    inputs: { expectedMs, inFlight, slowdown, reportAgeMs, candidates: candidates.length },
+                    inputs: {
+                        expectedMs,
+                        inFlight,
+                        slowdown,
+                        reportAgeMs: nowMs - entry.slowdownReportedAtMs,
+                        candidates: candidates.length,
+                        limitPerSecond: options.limits.getPerSecond(entry.registration),
+                    },
                 };
             }
         }
@@ -279,11 +289,12 @@
 
     return {
         setTargets: registrations => {
-            const present = new Set<shared.TargetId>();
+            const present = new Map<shared.TargetId, types.Registration>();
             for (const registration of registrations) {
-                present.add(registration.id);
+                present.set(registration.id, registration);
                 updateEntry(registration);
             }
+            options.limits.retainTargets(present);
             for (const id of entries.keys()) {
                 if (!present.has(id)) {
                     entries.delete(id);
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -39,6 +39,7 @@
     slowdown: Math.round(inputs.slowdown * 100) / 100,
     reportAgeMs: Number.isFinite(inputs.reportAgeMs) ? Math.round(inputs.reportAgeMs) : undefined,
     candidates: inputs.candidates,
+    limitPerSecond: inputs.limitPerSecond,
 });
 
 /**
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -12,6 +12,7 @@
         getConfigurationVersion: () => 12,
         computeStoreAgeMs: () => Infinity,
         countTargets: () => 26,
+        countLimitedTargets: () => 0,
         countPeers: () => 3,
         countActiveVms: () => 1,
         countClientConnections: () => 4,
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -19,6 +19,8 @@
     /** Age of this VM's own view of the store; infinite if this VM does not follow the store. */
     computeStoreAgeMs(): number;
     countTargets(): number;
+    /** Targets that have named a limit on their requests. */
+    countLimitedTargets(): number;
     countPeers(): number;
     countActiveVms(): number;
     countClientConnections(): number;
@@ -35,6 +37,8 @@
     recordProbe(hasResponse: boolean): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
     recordUnknownValue(field: string): void;
+    /** Counts a header of a target whose value is malformed. */
+    recordMalformedHeader(header: string): void;
     format(): Promise<string>;
 }
 
@@ -60,6 +64,7 @@
         () => sources.computeStoreAgeMs() / 1_000,
     );
     add("targets", "Targets in use.", sources.countTargets);
+    add("limited_targets", "Targets that have named a limit on their requests.", sources.countLimitedTargets);
     add("peers", "Entry VMs that live, this one included.", sources.countPeers);
     add("fronts", "Entry VMs that clients are sent to.", sources.countActiveVms);
     add("client_connections", "Open connections of clients.", sources.countClientConnections);
@@ -128,6 +133,12 @@
         labelNames: ["field"],
         registers,
     });
+    const malformedHeaders = new promClient.Counter({
+        name: `${namePrefix}malformed_headers_total`,
+        help: "Headers of targets whose value was ignored as malformed, by header.",
+        labelNames: ["header"],
+        registers,
+    });
     addGauges(registry, sources);
     addCounter(
         registry,
@@ -152,6 +163,7 @@
         },
         recordProbe: hasResponse => probes.inc({ answered: String(hasResponse) }),
         recordUnknownValue: field => unknownValues.inc({ field }),
+        recordMalformedHeader: header => malformedHeaders.inc({ header }),
         format: () => registry.metrics(),
     };
 };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -10,6 +10,7 @@
 import * as rate from "../../common/routes/rate.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
+import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
@@ -98,8 +99,13 @@
         computeRequestRate: requestRate.compute,
     });
 
+    const limits = targetLimits.createTargetLimits({
+        logger,
+        handleMalformed: () => routeMetrics.recordMalformedHeader("limit"),
+    });
     const targets = targetPool.createTargetPool({
         scheduler,
+        limits,
         random: random.createRandom(crypto.randomInt(2 ** 31)),
         logger,
         zone: settings.zone,
@@ -127,7 +133,12 @@
         },
     });
     const connections = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
-    const sender = targetSender.createTargetSender({ pool: connections, dialect: options.http, scheduler });
+    const sender = targetSender.createTargetSender({
+        pool: connections,
+        dialect: options.http,
+        scheduler,
+        handleHead: (registration, head) => limits.recordResponse(registration, head.limit),
+    });
     const routeMetrics = metrics.createRouteMetrics({
         getConfigurationVersion: () => table?.version,
         computeStoreAgeMs: members.computeStoreAgeMs,
@@ -136,6 +147,7 @@
         countActiveVms: () => role.listActiveVms().length,
         countClientConnections: () => frontend?.countConnections() ?? 0,
         countTargetConnectionsOpened: connections.countOpened,
+        countLimitedTargets: limits.count,
         countDroppedLogLines: options.countDroppedLogLines,
     });
     const prober = targetProber.createTargetProber({
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -41,6 +41,8 @@
     /** Id that the response must echo; undefined for probes. */
     readonly id: string | undefined;
     readonly method: string;
+    /** Called with the head of the response, also if the response breaks off later. */
+    handleHead?(statusCode: number, head: types.ResponseHead): void;
 }
 
 export interface TargetConnection extends shared.Disposable {
@@ -183,6 +185,7 @@
             close("response without an id");
             return;
         }
+        pendingRequest.request.handleHead?.(parsed.statusCode, head);
         partialResponse = { parsed, head, chunks: [], heldBytes: 0, streamed: undefined };
     };
 
--- a/src/node/routes/targetSender.test.ts
+++ b/src/node/routes/targetSender.test.ts
@@ -25,6 +25,7 @@
         pool: pool as connectionPool.ConnectionPool,
         dialect: fixture.testDialect,
         scheduler: virtualScheduler.createVirtualScheduler(),
+        handleHead: () => undefined,
     });
     const attempt = sender.start({
         registration: fixture.createRegistration("a"),
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -9,6 +9,8 @@
 
 /** A non-idempotent request uses a connection that was idle for at most this time, or a new one. */
 const maxNonIdempotentIdleMs = 2_000;
+/** Status with which a target rejects a request that was meant for another one. */
+const misdirectedStatus = 421;
 
 export interface OutgoingRequest {
     readonly id: string;
@@ -76,6 +78,8 @@
     readonly pool: connectionPool.ConnectionPool;
     readonly dialect: types.HttpDialect;
     readonly scheduler: shared.Scheduler;
+    /** Called with the head of each response of a target, also to probes and if the response breaks off later. */
+    handleHead(registration: routes.Registration, head: types.ResponseHead): void;
 }): TargetSender => {
     const { pool, dialect, scheduler } = options;
 
@@ -92,6 +96,21 @@
         return request.body.length > 0 ? [head, request.body] : [head];
     };
 
+    const sendRequest = (
+        connection: targetConnection.TargetConnection,
+        registration: routes.Registration,
+        request: targetConnection.ConnectionRequest,
+    ): Promise<targetConnection.SendResult> =>
+        connection.send({
+            ...request,
+            handleHead: (statusCode, head) => {
+                // Another target responds with 421, and says nothing about this one.
+                if (statusCode !== misdirectedStatus) {
+                    options.handleHead(registration, head);
+                }
+            },
+        });
+
     const start = (attempt: AttemptOptions): Attempt => {
         const { address } = attempt.registration;
         let connection: targetConnection.TargetConnection | undefined;
@@ -112,7 +131,8 @@
             }
             isSent = true;
             const { id, method } = attempt.request;
-            const result = await connection.send({ bytes: formatRequest(attempt), id, method });
+            const request = { bytes: formatRequest(attempt), id, method };
+            const result = await sendRequest(connection, attempt.registration, request);
             const released = connection;
             if (result.kind === "response") {
                 void result.response.received.then(() => pool.release(released));
@@ -147,7 +167,7 @@
         }
         const timer = scheduler.schedule(timeoutMs, () => connection.dispose());
         const bytes = [formatHead("GET", path, ["Host", registration.address])];
-        const result = await connection.send({ bytes, id: undefined, method: "GET" });
+        const result = await sendRequest(connection, registration, { bytes, id: undefined, method: "GET" });
         timer.dispose();
         pool.release(connection);
         // The response to a probe is unsigned, so that its body is never streamed.
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -2,8 +2,10 @@
  * Test data for routing by host and path.
  */
 import * as ids from "../../common/ids.js";
+import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as nodeRoutes from "../../node/routes/Types.js";
+import * as silentLogger from "../silentLogger.js";
 
 export const service = ids.toServiceName("bookings");
 export const zone = ids.toZoneName("west-a");
@@ -75,6 +77,17 @@
     unknownValues: [],
 });
 
+/**
+ * Creates limits of targets, initially none.
+ *
+ * @returns the limits
+ */
+export const createTargetLimits = (): targetLimits.TargetLimits =>
+    targetLimits.createTargetLimits({
+        logger: silentLogger.createSilentLogger(),
+        handleMalformed: () => undefined,
+    });
+
 /**
  * Creates a peer.
  *
@@ -122,6 +135,7 @@
             isSigned: map.has("x-seal"),
             isRefusal: map.has("x-refused") || statusCode === 421,
             load: undefined,
+            limit: map.has("x-limit") ? { kind: "limited", perSecond: Number(map.get("x-limit")) } : { kind: "none" },
             idleTimeoutMs: undefined,
             coldLeftMs: undefined,
             target: undefined,
