--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -5,7 +5,7 @@
 import * as relay from "../system/relay.js";
 
 /** Fault mode of a target, which affects some of its requests. */
-export type TargetMode = "slow" | "failing" | "reset" | "truncated" | "extra-answer" | "full";
+export type TargetMode = "slow" | "failing" | "reset" | "truncated" | "extra-answer" | "full" | "limited";
 
 /** Fault mode of the store, which affects all VMs. */
 export type StoreMode = "busy" | "silent" | "slow" | "lost-answers" | "no-history";
@@ -96,6 +96,13 @@
     readonly target: string;
     readonly service: string;
     readonly isCold: boolean;
+    readonly limit: TargetLimit | undefined;
+}
+
+/** Limit on its requests that a target names in its responses. */
+export interface TargetLimit {
+    readonly perSecond: number;
+    readonly sinceMs: number;
 }
 
 /** Change that the store has committed and the VMs must follow. */
@@ -128,6 +135,11 @@
     readonly retryExtra: number;
     /** Maximum number of requests to a cold target in one second. */
     readonly coldPerSecond: number;
+    readonly limitWindowMs: number;
+    /** Factor by which the requests in one window may exceed a target's limit. */
+    readonly limitOvershoot: number;
+    /** Requests allowed in each window beyond those. */
+    readonly limitExtra: number;
 }
 
 export type SoakRule =
@@ -143,6 +155,7 @@
     | "unanswered"
     | "budget"
     | "cold"
+    | "limit"
     | "recovery"
     | "process";
 
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -12,6 +12,9 @@
     retryWindowMs: 10_000,
     retryExtra: 2,
     coldPerSecond: 5,
+    limitWindowMs: 4_000,
+    limitOvershoot: 1.5,
+    limitExtra: 5,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -47,6 +50,7 @@
     target: "t1",
     service: "ledger",
     isCold: false,
+    limit: undefined,
     ...fields,
 });
 
@@ -150,3 +154,17 @@
     const calls = [createCall("a", { sentAtMs: 48_000, outcome: { kind: "unconnected" } })];
     t.deepEqual(findRules({ calls }), ["recovery"]);
 });
+
+test("more requests to a target than the limit that it named are reported, except those of disturbed VMs", t => {
+    const limit = { perSecond: 1, sinceMs: 17_000 };
+    const arrivals = Array.from({ length: 12 }, (_, index) =>
+        createArrival(`a${index}`, { atMs: 20_100 + index * 300, limit }),
+    );
+    const calls = arrivals.map(({ id }) => createCall(id, { outcome: createResponse(503, false) }));
+    t.deepEqual(findRules({ arrivals, calls }), ["limit"]);
+    t.deepEqual(findRules({ arrivals: arrivals.slice(1), calls }), []);
+    const early = arrivals.map(arrival => ({ ...arrival, limit: { ...limit, sinceMs: 17_200 } }));
+    t.deepEqual(findRules({ arrivals: early, calls }), []);
+    const disturbances = [{ fromMs: 19_000, toMs: 19_500, vm: 0, completesRequests: true }];
+    t.deepEqual(findRules({ arrivals, calls, disturbances }), []);
+});
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -209,6 +209,39 @@
     return violations;
 };
 
+/**
+ * Finds windows with more requests to a target than the limit that it named `contactMs` before the window or earlier.
+ * Requests through a VM that was disturbed a short time before do not count.
+ */
+const findLimitExcess: Check = (history, bounds) => {
+    const violations: types.SoakViolation[] = [];
+    const calls = new Map(history.calls.map(call => [call.id, call]));
+    const limited = history.arrivals.filter(
+        ({ limit, atMs }) => limit !== undefined && atMs > limit.sinceMs + bounds.contactMs,
+    );
+    for (const arrivals of groupBy(limited, ({ target, limit }) => `${target}/${limit?.sinceMs}`).values()) {
+        for (const { target, limit, atMs } of arrivals) {
+            const untilMs = atMs + bounds.limitWindowMs;
+            const counted = arrivals.filter(
+                other =>
+                    other.atMs >= atMs &&
+                    other.atMs < untilMs &&
+                    !isDisturbed(history, atMs - bounds.contactMs, untilMs, calls.get(other.id)?.vm),
+            );
+            const perWindow = ((limit?.perSecond ?? 0) * bounds.limitWindowMs) / 1_000;
+            const allowed = perWindow * bounds.limitOvershoot + bounds.limitExtra;
+            if (counted.length > allowed) {
+                violations.push({
+                    rule: "limit",
+                    message: `${target} got ${counted.length} requests in ${bounds.limitWindowMs} ms, ${allowed} allowed`,
+                });
+                break;
+            }
+        }
+    }
+    return violations;
+};
+
 const findMissingRecovery: Check = (history, bounds) => {
     const lateCalls = history.calls.filter(call => call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs);
     const served = lateCalls.filter(call => call.outcome?.kind === "answered" && call.outcome.status === 200);
@@ -233,6 +266,7 @@
     findUnansweredRequests,
     findRetryExcess,
     findColdExcess,
+    findLimitExcess,
     findMissingRecovery,
 ];
 
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -42,7 +42,15 @@
     { kind: "delay", delayMs: linkDelayMs },
 ];
 
-const targetModes: readonly types.TargetMode[] = ["slow", "failing", "reset", "truncated", "extra-answer", "full"];
+const targetModes: readonly types.TargetMode[] = [
+    "slow",
+    "failing",
+    "reset",
+    "truncated",
+    "extra-answer",
+    "full",
+    "limited",
+];
 
 const createSignalFault: CreateFault = (source, size) => ({
     kind: "signal",
