Keep the limit that a target names over all VMs together

Cause: no decision used the header; a limited target was picked by latency and slots like any other. Class: a bound on a sum of which each VM sees only its own part, as the bounds on retries and on cold targets. A limit that each VM keeps for itself would hold on one VM only, and an even split gives each of 144 VMs less than one request in a minute.

Change: ownedRates gives each rate one owner among the active VMs by rendezvous hashing, which uses the whole rate; a new owner waits for 1 s until all views have settled, an owner that was paused starts anew, and a minority of VMs uses its part. targetLimits knows the limits: a limit ends with a response to a request that was sent after it was last named; each change has a revision and reaches all VMs, those that join and those under a new hub. Only first attempts use what a limited target takes. If no target takes a request, it is refused at once, with the time until one does. Limited targets are probed by their owner, every 2 s at most.

--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -79,6 +79,15 @@
     probedAtMs: -Infinity,
 });
 
+/**
+ * Checks whether a target is cold.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ * @returns true while it is cold
+ */
+export const isCold = (entry: TargetEntry, nowMs: number): boolean => nowMs < entry.coldUntilMs;
+
 /**
  * Estimates the requests in flight at a target from all VMs.
  *
--- a/src/common/routes/targetLimits.ts
+++ b/src/common/routes/targetLimits.ts
@@ -1,78 +1,224 @@
 /**
- * Limits on their requests from all VMs together that targets name in their responses.
+ * Limits on their requests from all VMs together that targets name in their responses. All VMs know all limits, and one
+ * VM sends to each limited target.
  */
+import * as events from "../events.js";
 import * as shared from "../Types.js";
+import * as ownedRates from "./ownedRates.js";
 import * as types from "./Types.js";
 
-/** A limit that a target has named. */
-interface LimitEntry {
+/** A changed value is reported to the peers at most once in this time; only the target's owner needs the latest one. */
+const minReportIntervalMs = 1_000;
+/** Longest time after which callers are asked to come back. */
+const maxRetryAfterMs = 5_000;
+
+/** What a VM knows of the limit of a target. */
+export interface LimitReport {
+    readonly target: shared.TargetId;
+    /** Start time of the target, as in its registration. */
     readonly startedAtMs: number;
-    readonly perSecond: number;
+    /** Requests per second; null if the limit has ended. */
+    readonly perSecond: number | null;
+    /** Increases with each change; the report with the highest revision is the newest. */
+    readonly revision: number;
+}
+
+/** Whether a target may get a request now. */
+export type LimitState =
+    | { readonly kind: "unlimited" }
+    | { readonly kind: "available"; readonly perSecond: number }
+    /** This VM must not send to the target now; another request helps after `retryAfterMs` at the earliest. */
+    | {
+          readonly kind: "exhausted";
+          readonly perSecond: number;
+          readonly waitMs: number;
+          readonly retryAfterMs: number;
+      };
+
+interface LimitEntry extends LimitReport {
+    /** When this VM last learned that the target is limited. */
+    namedAtMs: number;
+    reportedAtMs: number;
 }
 
 export interface TargetLimits {
-    /** Records what a response of a target says about its limit. */
-    recordResponse(registration: types.Registration, limit: types.NamedLimit): void;
-    /** Limit of a target in requests per second; undefined if it has none. */
-    getPerSecond(registration: types.Registration): number | undefined;
+    /**
+     * Records what a response of a target says about its limit.
+     *
+     * @param registration - the target
+     * @param limit - its limit
+     * @param sentAtMs - when the request was sent
+     */
+    recordResponse(registration: types.Registration, limit: types.NamedLimit, sentAtMs: number): void;
+    /**
+     * Applies reports of peers.
+     *
+     * @param reports - in any order
+     * @returns the reports that were newer than what was known
+     */
+    applyReports(reports: readonly LimitReport[]): readonly LimitReport[];
+    /** All limits, and those that have ended, for a peer that joins. */
+    listReports(): readonly LimitReport[];
+    check(registration: types.Registration): LimitState;
+    /** Whether this VM is the one that sends to a limited target. */
+    isOwner(registration: types.Registration): boolean;
+    /** Counts a request that is sent to a target. */
+    recordRequest(registration: types.Registration): void;
     /** Number of targets that have a limit. */
     count(): number;
     /** Forgets the targets that are not in use any more. */
     retainTargets(registrations: ReadonlyMap<shared.TargetId, types.Registration>): void;
+    /** Must be called several times per second, so that pauses of this VM are noticed. */
+    refresh(): void;
+    /** Fires when a response has changed what this VM knows. */
+    readonly onDidChange: shared.Event<LimitReport>;
 }
 
 export interface TargetLimitsOptions {
+    readonly clock: shared.Clock;
     readonly logger: shared.Logger;
+    readonly vm: shared.VmId;
+    getRateView(): ownedRates.RateView;
     /** Called with each limit that has a malformed value. */
     handleMalformed(): void;
 }
 
+/** Two VMs may observe different changes at the same time; then the stricter limit holds until the next response. */
+const isNewer = (report: LimitReport, known: LimitReport | undefined): boolean => {
+    if (known === undefined || report.startedAtMs !== known.startedAtMs) {
+        return known === undefined || report.startedAtMs > known.startedAtMs;
+    }
+    return report.revision !== known.revision
+        ? report.revision > known.revision
+        : (report.perSecond ?? Infinity) < (known.perSecond ?? Infinity);
+};
+
+const toReport = ({ target, startedAtMs, perSecond, revision }: LimitReport): LimitReport => ({
+    target,
+    startedAtMs,
+    perSecond,
+    revision,
+});
+
+const unlimited: LimitState = { kind: "unlimited" };
+
 /**
  * Creates an empty set of limits.
  *
- * @param options - the logger, and the callback for malformed values
+ * @param options - clock, logger, this VM's view of the others, and the callback for malformed values
  * @returns the limits
  */
 export const createTargetLimits = (options: TargetLimitsOptions): TargetLimits => {
-    const { logger } = options;
+    const { clock, logger } = options;
     const entries = new Map<shared.TargetId, LimitEntry>();
+    const rates = ownedRates.createOwnedRates({ clock, vm: options.vm, getView: options.getRateView });
+    const changeEmitter = events.createEmitter<LimitReport>();
 
-    const getPerSecond = ({ id, startedAtMs }: types.Registration): number | undefined => {
+    const findEntry = ({ id, startedAtMs }: types.Registration): LimitEntry | undefined => {
         const entry = entries.get(id);
-        return entry?.startedAtMs === startedAtMs ? entry.perSecond : undefined;
+        return entry?.startedAtMs === startedAtMs ? entry : undefined;
+    };
+
+    const setEntry = (report: LimitReport): void => {
+        const nowMs = clock.now();
+        entries.set(report.target, { ...report, namedAtMs: nowMs, reportedAtMs: nowMs });
+        if (report.perSecond === null) {
+            rates.remove(report.target);
+        }
+    };
+
+    /** Sets a limit that a response has changed, and reports it to the peers. */
+    const changeLimit = ({ id, startedAtMs }: types.Registration, perSecond: number | null): void => {
+        const revision = (entries.get(id)?.revision ?? 0) + 1;
+        const report: LimitReport = { target: id, startedAtMs, perSecond, revision };
+        setEntry(report);
+        changeEmitter.fire(report);
+    };
+
+    const recordLimit = (registration: types.Registration, perSecond: number): void => {
+        const nowMs = clock.now();
+        const known = findEntry(registration);
+        const isChanged = known?.perSecond !== perSecond;
+        const isOnlyValue = known !== undefined && known.perSecond !== null;
+        if (isOnlyValue && (!isChanged || nowMs - known.reportedAtMs < minReportIntervalMs)) {
+            entries.set(known.target, { ...known, perSecond, namedAtMs: nowMs });
+            return;
+        }
+        changeLimit(registration, perSecond);
+        const { id, service } = registration;
+        logger.info("limit: named by a target", { target: id, service, perSecond });
+    };
+
+    const recordNoLimit = (registration: types.Registration, sentAtMs: number): void => {
+        const known = findEntry(registration);
+        // The response to an earlier request may have been sent before the limit began.
+        if (known === undefined || known.perSecond === null || sentAtMs < known.namedAtMs) {
+            return;
+        }
+        changeLimit(registration, null);
+        const { id, service } = registration;
+        logger.info("limit: ended by a target", { target: id, service, perSecond: known.perSecond });
+    };
+
+    const check = (registration: types.Registration): LimitState => {
+        const perSecond = findEntry(registration)?.perSecond ?? null;
+        if (perSecond === null) {
+            return unlimited;
+        }
+        const waitMs = rates.computeWaitMs(registration.id, perSecond);
+        if (waitMs === 0) {
+            return { kind: "available", perSecond };
+        }
+        // Another VM sends to the target; it takes one request in this time.
+        const helpsAfterMs = Number.isFinite(waitMs) ? waitMs : 1_000 / perSecond;
+        return { kind: "exhausted", perSecond, waitMs, retryAfterMs: Math.min(maxRetryAfterMs, helpsAfterMs) };
     };
 
     return {
-        recordResponse: (registration, limit) => {
-            const { id, service, startedAtMs } = registration;
-            const known = getPerSecond(registration);
+        recordResponse: (registration, limit, sentAtMs) => {
             switch (limit.kind) {
                 case "limited":
-                    if (known !== limit.perSecond) {
-                        entries.set(id, { startedAtMs, perSecond: limit.perSecond });
-                        logger.info("limit: named by a target", { target: id, service, perSecond: limit.perSecond });
-                    }
+                    recordLimit(registration, limit.perSecond);
                     break;
                 case "none":
-                    if (known !== undefined) {
-                        entries.delete(id);
-                        logger.info("limit: ended by a target", { target: id, service, perSecond: known });
-                    }
+                    recordNoLimit(registration, sentAtMs);
                     break;
                 case "malformed":
-                    logger.warn("limit: malformed value ignored", { target: id, service, value: limit.text });
+                    logger.warn("limit: malformed value ignored", { target: registration.id, value: limit.text });
                     options.handleMalformed();
                     break;
             }
         },
-        getPerSecond,
-        count: () => entries.size,
+        applyReports: reports =>
+            reports.filter(report => {
+                if (!isNewer(report, entries.get(report.target))) {
+                    return false;
+                }
+                setEntry(report);
+                const { target, revision } = report;
+                const perSecond = report.perSecond ?? undefined;
+                logger.info("limit: reported by a peer", { target, perSecond, revision });
+                return true;
+            }),
+        listReports: () => [...entries.values()].map(toReport),
+        check,
+        isOwner: registration => rates.isOwner(registration.id),
+        recordRequest: registration => {
+            const perSecond = findEntry(registration)?.perSecond ?? null;
+            if (perSecond !== null) {
+                rates.take(registration.id, perSecond);
+            }
+        },
+        count: () => [...entries.values()].filter(entry => entry.perSecond !== null).length,
         retainTargets: registrations => {
             for (const [id, entry] of entries) {
                 if (registrations.get(id)?.startedAtMs !== entry.startedAtMs) {
                     entries.delete(id);
+                    rates.remove(id);
                 }
             }
         },
+        refresh: rates.refresh,
+        onDidChange: changeEmitter.event,
     };
 };
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -11,31 +11,37 @@
 const createSetup = (registrations: readonly types.Registration[], activeVmCount = 1) => {
     const scheduler = virtualScheduler.createVirtualScheduler(1_000);
     const zonesOut = new Set<shared.ZoneName>();
+    const limits = fixture.createTargetLimits(scheduler);
     const pool = targetPool.createTargetPool({
         scheduler,
         random: random.createRandom(7),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
-        limits: fixture.createTargetLimits(),
+        limits,
         isZoneOut: zone => zonesOut.has(zone),
         getService: () => fixture.createConfiguration(1).services[0],
         countActiveVms: () => activeVmCount,
     });
     pool.setTargets(registrations);
     const route = fixture.createRoute();
-    const pick = (exclude: readonly string[] = [], acceptableLatencyMs = Infinity): targetPool.PickResult =>
+    const pick = (
+        exclude: readonly string[] = [],
+        acceptableLatencyMs = Infinity,
+        isRepeat = false,
+    ): targetPool.PickResult =>
         pool.pick({
             service: fixture.service,
             route,
             bodyBytes: 0,
             exclude: new Set(exclude.map(ids.toTargetId)),
             acceptableLatencyMs,
+            isRepeat,
         });
     const pickId = (exclude: readonly string[] = []): string => {
         const result = pick(exclude);
         return result.kind === "target" ? result.reservation.registration.id : result.kind;
     };
-    return { pool, scheduler, zonesOut, pick, pickId };
+    return { pool, limits, scheduler, zonesOut, pick, pickId };
 };
 
 const report = (slowdown: number): types.LoadReport => ({ running: 0, waiting: 0, slots: 2, slowdown });
@@ -205,3 +211,32 @@
     await setup.scheduler.advance(1_000);
     t.is(setup.pickId(), "a");
 });
+
+test("what a limited target takes is left to first attempts; if nothing is left, the caller learns when", async t => {
+    const target = fixture.createRegistration("a");
+    const { limits, scheduler, pick } = createSetup([target]);
+    limits.recordResponse(target, { kind: "limited", perSecond: 2 }, scheduler.now());
+    await fixture.settleLimits(limits, scheduler);
+    t.deepEqual(pick([], Infinity, true), { kind: "limited", waitMs: Infinity, retryAfterMs: 500 });
+    t.is(pick().kind, "target");
+    t.deepEqual(pick(), { kind: "limited", waitMs: 500, retryAfterMs: 500 });
+});
+
+test("a target without a limit is preferred to waiting for one with a limit, also if it is full", t => {
+    const target = fixture.createRegistration("a");
+    const { limits, scheduler, pickId } = createSetup([target, fixture.createRegistration("b")]);
+    limits.recordResponse(target, { kind: "limited", perSecond: 0 }, scheduler.now());
+    t.deepEqual([pickId(), pickId(), pickId()], ["b", "b", "full"]);
+});
+
+test("a limited target is probed rarely, and by its owner, so that the end of its limit is noticed", async t => {
+    const target = fixture.createRegistration("a");
+    const { pool, limits, scheduler } = createSetup([target, fixture.createRegistration("b")]);
+    limits.recordResponse(target, { kind: "limited", perSecond: 0 }, scheduler.now());
+    const listIds = (mayProbe: boolean): string[] => pool.listStale(150, () => mayProbe).map(({ id }) => id);
+    await scheduler.advance(1_000);
+    t.deepEqual(listIds(true), ["b"]);
+    t.deepEqual(listIds(false), []);
+    await scheduler.advance(1_000);
+    t.deepEqual(listIds(false), ["a"]);
+});
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -4,26 +4,15 @@
 import * as events from "../events.js";
 import * as shared from "../Types.js";
 import * as latencyEstimates from "./latencyEstimates.js";
+import * as targetCosts from "./targetCosts.js";
 import * as targetLimits from "./targetLimits.js";
 import * as targetEntry from "./targetEntry.js";
 import * as types from "./Types.js";
 
-/** The latency estimate grows by up to this share as a target fills, so that equal targets are used evenly. */
-const loadFactor = 0.1;
 /** Requests in flight from other VMs are a decaying estimate, so half a free slot counts as a free one. */
 const minFreeSlots = 0.5;
-/** Factor on the latency estimate for the last slot, since a target is slower when nearly full. */
-const lastSlotFactor = 1.3;
-/** A cold target is about half as fast. */
-const coldLatencyFactor = 2;
-/** Cost of a failed attempt, as a multiple of the route's latency objective. */
-const failureCostFactor = 3;
-/** Cost of a target in another zone, in milliseconds: a round trip between zones, and billed traffic per kilobyte. */
-const crossZoneMs = 12;
-const crossZoneMsPerKilobyte = 4;
-/** Random share added to each cost, so that VMs with the same view do not all pick the same target. */
-const jitterShare = 0.05;
-
+/** Age of the last report that triggers a probe of a limited target. */
+const limitedProbeAfterMs = 2_000;
 export interface PickRequest {
     readonly service: shared.ServiceName;
     readonly route: types.Route;
@@ -35,6 +24,8 @@
      * If infinite, any target with a free slot is picked.
      */
     readonly acceptableLatencyMs: number;
+    /** Whether the request was sent before. What a limited target takes is left to first attempts. */
+    readonly isRepeat: boolean;
 }
 
 /** Values that led to the choice of a target. */
@@ -64,9 +55,17 @@
     | { readonly kind: "target"; readonly reservation: Reservation }
     /** No target has a free slot, or those that have one are too slow. */
     | { readonly kind: "full" }
+    /**
+     * No target takes another request now because of their limits; one does so after `waitMs` (infinite if no target does
+     * from this VM), and another request of the client helps after `retryAfterMs`.
+     */
+    | { readonly kind: "limited"; readonly waitMs: number; readonly retryAfterMs: number }
     /** The service has no eligible target. */
     | { readonly kind: "none" };
 
+/** A target that must not be sent the request because of its limit. */
+type LimitedTarget = Pick<Extract<targetLimits.LimitState, { kind: "exhausted" }>, "waitMs" | "retryAfterMs">;
+
 export interface TargetPoolOptions {
     readonly scheduler: shared.Clock;
     readonly random: shared.Random;
@@ -89,8 +88,14 @@
     applyReport(id: shared.TargetId, report: types.LoadReport, atMs: number): void;
     /** Applies the remaining cold time that the target itself reports. */
     applyColdLeft(id: shared.TargetId, coldLeftMs: number): void;
-    /** Lists the targets to probe: those whose last report and last probe are at least this old. */
-    listStale(ageMs: number): readonly types.Registration[];
+    /**
+     * Lists the targets to probe: those whose last report and last probe are at least this old. A limited target is probed
+     * by its owner only, and less often.
+     *
+     * @param ageMs - the age
+     * @param mayProbe - whether this VM probes the targets of a zone that are not limited
+     */
+    listStale(ageMs: number, mayProbe: (zone: shared.ZoneName) => boolean): readonly types.Registration[];
     recordProbe(id: shared.TargetId): void;
     /** Fires with the service when a slot may have become free or a target eligible. */
     readonly onDidFreeSlot: shared.Event<shared.ServiceName>;
@@ -103,14 +108,13 @@
  * @returns the pool
  */
 export const createTargetPool = (options: TargetPoolOptions): TargetPool => {
-    const { scheduler, random, logger } = options;
+    const { scheduler, logger, limits } = options;
     const estimates = latencyEstimates.createLatencyEstimates();
+    const cost = targetCosts.createTargetCosts({ estimates, random: options.random, zone: options.zone });
     const entries = new Map<shared.TargetId, targetEntry.TargetEntry>();
     const byService = new Map<shared.ServiceName, targetEntry.TargetEntry[]>();
     const freeSlotEmitter = events.createEmitter<shared.ServiceName>();
 
-    const isCold = (entry: targetEntry.TargetEntry, nowMs: number): boolean => nowMs < entry.coldUntilMs;
-
     /** The rate limit holds across all VMs; each gets an equal part, as no VM has timely counts of the others. */
     const hasColdCapacity = (entry: targetEntry.TargetEntry, nowMs: number): boolean => {
         const rate = options.getService(entry.registration.service)?.coldPerSecond ?? 0;
@@ -122,37 +126,8 @@
         entry.registration.state === "ready" && !options.isZoneOut(entry.registration.zone);
 
     const hasCapacity = (entry: targetEntry.TargetEntry, inFlight: number, nowMs: number): boolean =>
-        inFlight <= entry.registration.slots - minFreeSlots && (!isCold(entry, nowMs) || hasColdCapacity(entry, nowMs));
-
-    const computeExpectedMs = (
-        entry: targetEntry.TargetEntry,
-        inFlight: number,
-        route: types.Route,
-        slowdown: number,
-        nowMs: number,
-    ): number => {
-        const load = (inFlight + 1) / entry.registration.slots;
-        const workMs =
-            estimates.getTypicalMs(route) *
-            entry.latencyRatio *
-            slowdown *
-            (isCold(entry, nowMs) ? coldLatencyFactor : 1);
-        return workMs * (1 + loadFactor * load) * (load >= 1 ? lastSlotFactor : 1);
-    };
-
-    const computeCost = (
-        entry: targetEntry.TargetEntry,
-        expectedMs: number,
-        request: PickRequest,
-        nowMs: number,
-    ): number => {
-        const { route } = request;
-        const isSameZone = entry.registration.zone === options.zone;
-        const kilobytes = (request.bodyBytes + estimates.getMeanResponseBytes(route)) / 1_000;
-        const zoneCostMs = isSameZone ? 0 : crossZoneMs + kilobytes * crossZoneMsPerKilobyte;
-        const failureCostMs = targetEntry.computeFailureRate(entry, nowMs) * failureCostFactor * route.objectiveMs;
-        return (expectedMs + zoneCostMs + failureCostMs) * (1 + jitterShare * random.nextFloat());
-    };
+        inFlight <= entry.registration.slots - minFreeSlots &&
+        (!targetEntry.isCold(entry, nowMs) || hasColdCapacity(entry, nowMs));
 
     const finishAttempt = (
         entry: targetEntry.TargetEntry,
@@ -210,6 +185,7 @@
         const attempt = { startedAtMs, typicalMs: estimates.getTypicalMs(route) };
         entry.inFlightAttempts.add(attempt);
         entry.sendTimesMs.push(startedAtMs);
+        limits.recordRequest(entry.registration);
         return {
             registration: entry.registration,
             inputs,
@@ -232,19 +208,29 @@
         let best: { readonly entry: targetEntry.TargetEntry; readonly inputs: PickInputs } | undefined;
         let bestCost = Infinity;
         let fastestFullMs = Infinity;
+        const exhausted: LimitedTarget[] = [];
         for (const entry of candidates) {
+            const limit = limits.check(entry.registration);
+            if (limit.kind === "exhausted") {
+                exhausted.push(limit);
+                continue;
+            }
+            if (limit.kind === "available" && request.isRepeat) {
+                exhausted.push({ waitMs: Infinity, retryAfterMs: 1_000 / limit.perSecond });
+                continue;
+            }
             const inFlight = targetEntry.computeInFlight(entry, nowMs);
             const slowdown = targetEntry.computeSlowdown(entry, mean, nowMs);
-            const expectedMs = computeExpectedMs(entry, inFlight, request.route, slowdown, nowMs);
+            const expectedMs = cost.computeExpectedMs(entry, inFlight, request.route, slowdown, nowMs);
             if (!hasCapacity(entry, inFlight, nowMs)) {
-                if (!isCold(entry, nowMs)) {
+                if (!targetEntry.isCold(entry, nowMs)) {
                     fastestFullMs = Math.min(fastestFullMs, expectedMs);
                 }
                 continue;
             }
-            const cost = computeCost(entry, expectedMs, request, nowMs);
-            if (cost < bestCost) {
-                bestCost = cost;
+            const targetCost = cost.computeCost(entry, expectedMs, request, nowMs);
+            if (targetCost < bestCost) {
+                bestCost = targetCost;
                 best = {
                     entry,
                     inputs: {
@@ -253,11 +239,18 @@
                         slowdown,
                         reportAgeMs: nowMs - entry.slowdownReportedAtMs,
                         candidates: candidates.length,
-                        limitPerSecond: options.limits.getPerSecond(entry.registration),
+                        limitPerSecond: limit.kind === "unlimited" ? undefined : limit.perSecond,
                     },
                 };
             }
         }
+        if (exhausted.length === candidates.length) {
+            return {
+                kind: "limited",
+                waitMs: Math.min(...exhausted.map(limit => limit.waitMs)),
+                retryAfterMs: Math.min(...exhausted.map(limit => limit.retryAfterMs)),
+            };
+        }
         const isTooSlow = best !== undefined && best.inputs.expectedMs > request.acceptableLatencyMs;
         return best === undefined || (isTooSlow && fastestFullMs <= request.acceptableLatencyMs)
             ? { kind: "full" }
@@ -294,7 +287,7 @@
                 present.set(registration.id, registration);
                 updateEntry(registration);
             }
-            options.limits.retainTargets(present);
+            limits.retainTargets(present);
             for (const id of entries.keys()) {
                 if (!present.has(id)) {
                     entries.delete(id);
@@ -329,12 +322,18 @@
                 entry.coldUntilMs = coldLeftMs > 0 ? scheduler.now() + coldLeftMs : 0;
             }
         },
-        listStale: ageMs => {
+        listStale: (ageMs, mayProbe) => {
             const nowMs = scheduler.now();
+            const isStale = (entry: targetEntry.TargetEntry): boolean => {
+                const { registration } = entry;
+                const isLimited = limits.check(registration).kind !== "unlimited";
+                const mayProbeTarget = isLimited ? limits.isOwner(registration) : mayProbe(registration.zone);
+                const maxAgeMs = isLimited ? limitedProbeAfterMs : ageMs;
+                return mayProbeTarget && nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= maxAgeMs;
+            };
+            limits.refresh();
             return [...entries.values()]
-                .filter(
-                    entry => isEligible(entry) && nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= ageMs,
-                )
+                .filter(entry => isEligible(entry) && isStale(entry))
                 .map(entry => entry.registration);
         },
         recordProbe: id => {
--- a/src/node/routes/bodyForwarding.ts
+++ b/src/node/routes/bodyForwarding.ts
@@ -4,8 +4,6 @@
 import * as shared from "../../common/Types.js";
 import * as types from "./Types.js";
 
-type StreamBody = types.ResponseBody & { kind: "stream" };
-
 /** What ends a body before it is whole. */
 export interface BodyLimits {
     /** Aborted when the client disconnects. */
@@ -38,17 +36,21 @@
     body.kind === "whole" ? body.bytes.length : (body.bodyBytes ?? 0);
 
 /**
- * Watches a body until it has ended. A body that the target has sent whole is delivered even after the deadline.
+ * Watches a body that is streamed until it has ended. A body that the target has sent whole is delivered even after the
+ * deadline.
  *
  * @param options - the body, its limits and the handler of its end
  */
 export const watchBody = (options: {
     readonly scheduler: shared.Scheduler;
-    readonly body: StreamBody;
+    readonly body: types.ResponseBody;
     readonly limits: BodyLimits;
     handleEnd(end: BodyEnd): void;
 }): void => {
     const { scheduler, body } = options;
+    if (body.kind === "whole") {
+        return;
+    }
     const { signal, deadlineAtMs } = options.limits;
     const startedAtMs = scheduler.now();
     let bytes = 0;
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -53,6 +53,8 @@
         readonly budget?: number;
         readonly targets?: number;
         readonly isClientDisconnected?: boolean;
+        /** Targets that take no requests. */
+        readonly limitedTargets?: readonly string[];
     } = {},
 ) => {
     const scheduler = virtualScheduler.createVirtualScheduler(1_000);
@@ -61,18 +63,22 @@
     let aborted = 0;
     let abortedUnsent = 0;
     let budget = options.budget ?? 10;
+    const limits = fixture.createTargetLimits(scheduler);
     const targets = targetPool.createTargetPool({
         scheduler,
         random: random.createRandom(3),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
-        limits: fixture.createTargetLimits(),
+        limits,
         isZoneOut: () => false,
         getService: () => undefined,
         countActiveVms: () => 1,
     });
     const ids = ["a", "b", "c"].slice(0, options.targets ?? 3);
     targets.setTargets(ids.map(id => fixture.createRegistration(id)));
+    (options.limitedTargets ?? []).forEach(id =>
+        limits.recordResponse(fixture.createRegistration(id), { kind: "limited", perSecond: 0 }, scheduler.now()),
+    );
     const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
     targets.onDidFreeSlot(service => queue.dispatch(service));
     const crashes = crashRegistry.createCrashRegistry({ scheduler, limit: 3, maxEntries: 10, retentionMs: 60_000 });
@@ -108,6 +114,7 @@
                 metrics: {
                     recordAttempt: end => void ends.push(end),
                     recordHedge: () => void hedges++,
+                    recordLimited: () => undefined,
                     recordStreamedBody: () => undefined,
                 },
                 recordCrash: (_, target) => crashed.push(target),
@@ -282,3 +289,17 @@
     t.is(exchangeRun.getResponse()?.kind, "refused");
     t.true(exchangeRun.getRespondedAtMs() <= 100);
 });
+
+test("a request is refused at once, with a time to come back, if no target takes requests", async t => {
+    const exchangeRun = run([ok(10)], { targets: 2, limitedTargets: ["a", "b"] });
+    await exchangeRun.advance(1);
+    t.like(exchangeRun.getResponse(), { kind: "refused", reason: "targets limited", retryAfterMs: 5_000 });
+    t.is(exchangeRun.sent.length, 0);
+});
+
+test("neither a hedge nor a retry is sent to a limited target", async t => {
+    const exchangeRun = run([broken], { targets: 2, limitedTargets: ["b"] });
+    await exchangeRun.advance(2_000);
+    t.deepEqual(exchangeRun.sent, ["a"]);
+    t.is(exchangeRun.countHedges(), 0);
+});
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -15,6 +15,7 @@
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
+import * as targetWait from "./targetWait.js";
 
 /** Retry-After of refusals; a slot becomes free about that often. */
 const retryAfterMs = 100;
@@ -104,13 +105,12 @@
             bodyBytes: outgoing.body.length,
             exclude: triedTargets,
             acceptableLatencyMs,
+            isRepeat: runs > 0 || refusals > 0,
         });
 
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
-    const mayHaveRun = (): boolean => runs > 0;
-
     const finish = (response: FinalResponse): void => {
         if (isDone) {
             return;
@@ -128,25 +128,26 @@
         resolve(response);
     };
 
-    const refuse = (reason: string): void => finish({ kind: "refused", reason, retryAfterMs });
+    const refuse = (reason: string, afterMs = retryAfterMs): void =>
+        finish({ kind: "refused", reason, retryAfterMs: Math.max(retryAfterMs, Math.round(afterMs)) });
 
     /** Finishes the request when no further attempt is made and none is in flight. */
-    const giveUp = (reason: string): void => {
+    const giveUp = (reason: string, afterMs?: number): void => {
         if (running.count() > 0) {
             return;
         }
         if (failure !== undefined) {
             finish(failure);
-        } else if (mayHaveRun()) {
+        } else if (runs > 0) {
             finish({ kind: "failed", reason, statusCode: 502 });
         } else {
-            refuse(reason);
+            refuse(reason, afterMs);
         }
     };
 
     const handleDeadline = (): void => {
         running.stopAll("deadline");
-        if (mayHaveRun()) {
+        if (runs > 0) {
             finish({ kind: "failed", reason: "deadline", statusCode: 504 });
         } else {
             refuse("no slot before the deadline");
@@ -235,19 +236,17 @@
             bytes: responseBytes,
         });
         finish(final);
-        if (response.body.kind === "stream") {
-            bodyForwarding.watchBody({
-                scheduler,
-                body: response.body,
-                limits: request,
-                handleEnd: end => {
-                    log.logBody(attempt.reservation, end);
-                    if (end.kind === "broken") {
-                        targets.recordBrokenBody(attempt.reservation.registration.id);
-                    }
-                },
-            });
-        }
+        bodyForwarding.watchBody({
+            scheduler,
+            body: response.body,
+            limits: request,
+            handleEnd: end => {
+                log.logBody(attempt.reservation, end);
+                if (end.kind === "broken") {
+                    targets.recordBrokenBody(attempt.reservation.registration.id);
+                }
+            },
+        });
     };
 
     const handleResult = (attempt: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
@@ -291,15 +290,14 @@
 
     const sendNext = async (reason: string): Promise<void> => {
         const queuedAtMs = scheduler.now();
-        const pick = await options.queue.wait({
+        const pick = await targetWait.waitForTarget({
+            queue: options.queue,
+            clock: scheduler,
             service,
             priority: route.priority,
             maxWaitMs: timing.computeMaxWaitMs(),
             signal: queueAbort.signal,
-            take: isLast => {
-                const result = pickTarget(isLast ? Infinity : timing.computeRemainingObjectiveMs());
-                return result.kind === "target" ? result : undefined;
-            },
+            pick: isLast => pickTarget(isLast ? Infinity : timing.computeRemainingObjectiveMs()),
         });
         if (isDone) {
             if (pick?.kind === "target") {
@@ -307,6 +305,9 @@
             }
         } else if (pick?.kind === "target") {
             startAttempt(pick.reservation);
+        } else if (pick?.kind === "limited") {
+            log.logLimited({ reason, runs, retryAfterMs: Math.round(pick.retryAfterMs) });
+            giveUp("targets limited", pick.retryAfterMs);
         } else {
             log.logNoSlot({ reason, runs, waitedMs: Math.round(scheduler.now() - queuedAtMs) });
             giveUp("no free slot");
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -19,6 +19,8 @@
 export interface ExchangeMetrics {
     recordAttempt(end: AttemptEnd): void;
     recordHedge(): void;
+    /** Counts an attempt that was not made because of the targets' limits. */
+    recordLimited(): void;
     /** Counts a body that was passed on while it was received. */
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
 }
@@ -29,6 +31,8 @@
     logHedge(reservation: targetPool.Reservation, afterMs: number): void;
     /** Logs the end of a body that was passed on while it was received. */
     logBody(reservation: targetPool.Reservation, end: bodyForwarding.BodyEnd): void;
+    /** Logs that no target takes the request because of their limits. */
+    logLimited(fields: shared.LogFields): void;
     /** Logs that no target had a free slot in time. */
     logNoSlot(fields: shared.LogFields): void;
 }
@@ -96,5 +100,9 @@
             logger.warn("exchange: body ended", line);
         }
     },
+    logLimited: fields => {
+        metrics.recordLimited();
+        logger.warn("exchange: targets limited", { ...identity, ...fields });
+    },
     logNoSlot: fields => logger.warn("exchange: no free slot", { ...identity, ...fields }),
 });
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -77,6 +77,7 @@
     const vm = ids.toVmId(name);
     const toAddress = (port: number): shared.Address => ids.toAddress(`127.0.0.1:${port}`);
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
+    const limits = fixture.createTargetLimits(scheduler);
     const member = membership.createMembership({
         settings: {
             vm,
@@ -105,12 +106,15 @@
         logger: silentLogger.createSilentLogger(),
         isReady: () => true,
         computeRequestRate: () => 0,
+        handleLimits: reports => limits.applyReports(reports),
+        listLimits: () => limits.listReports(),
         handleCrashes: () => undefined,
     });
     if (options.isStarted !== false) {
         await member.start();
     }
-    return { vm, member, state, getVersion: () => state.getConfiguration()?.version };
+    limits.onDidChange(member.sendLimit);
+    return { vm, port: options.port, member, state, limits, getVersion: () => state.getConfiguration()?.version };
 };
 
 const waitUntil = async (isTrue: () => boolean, timeoutMs = 10_000): Promise<boolean> => {
@@ -243,3 +247,23 @@
     t.true(all.every(vm => vm.member.listPeers().length === 3));
     all.forEach(vm => vm.member.dispose());
 });
+
+// Guards against VMs that learn of a target's limit only from their own requests, or never learn of its end.
+test("a limit that one VM receives holds on all VMs, on one that joins later, and under a new hub; so does its end", async t => {
+    const { store, vms } = await startVms(3);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3)));
+    const target = fixture.createRegistration("t1");
+    const [hub, first, second] = vms;
+    first?.limits.recordResponse(target, { kind: "limited", perSecond: 2 }, scheduler.now());
+    t.true(await waitUntil(() => vms.every(vm => vm.limits.count() === 1), 1_000));
+    const [port = 0] = await acquirePorts(1);
+    const seeds = vms.map(vm => vm.port);
+    const joined = await startVm("vm-9", { store, port, seeds });
+    t.true(await waitUntil(() => joined.limits.count() === 1));
+    hub?.member.dispose();
+    const remaining = [first, second, joined].filter(vm => vm !== undefined);
+    t.true(await waitUntil(() => remaining.every(vm => vm.member.listPeers().length === 3)));
+    second?.limits.recordResponse(target, { kind: "none" }, scheduler.now());
+    t.true(await waitUntil(() => remaining.every(vm => vm.limits.count() === 0), 1_000));
+    remaining.forEach(vm => vm.member.dispose());
+});
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -5,6 +5,7 @@
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
+import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as hubLink from "./hubLink.js";
@@ -17,6 +18,8 @@
 /** A VM without peers fetches them from the store after this time; at startup the seeds respond sooner. */
 const firstStoreLookupDelayMs = 1_500;
 const storeLookupIntervalMs = 10_000;
+/** Limits that change within this time are sent together. */
+const limitDelayMs = 20;
 const noAddress = "" as shared.Address;
 
 export interface Membership extends shared.Disposable {
@@ -31,6 +34,8 @@
     countKnownPeers(): number;
     /** Sends this VM's changed readiness to the hub at once. */
     sendHello(): void;
+    /** Sends a changed limit of a target to all VMs, together with others that change at about the same time. */
+    sendLimit(report: targetLimits.LimitReport): void;
     sendCrash(report: peerChannel.CrashReport): void;
 }
 
@@ -43,6 +48,9 @@
     readonly logger: shared.Logger;
     isReady(): boolean;
     computeRequestRate(): number;
+    /** Applies reports of limits; returns those that were new. */
+    handleLimits(reports: readonly targetLimits.LimitReport[]): readonly targetLimits.LimitReport[];
+    listLimits(): readonly targetLimits.LimitReport[];
     handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
@@ -57,6 +65,8 @@
     const startedAtMs = Date.now();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
+    const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
+    let limitTimer: shared.Disposable | undefined;
 
     const getOwnPeer = (): routes.Peer => ({
         vm: settings.vm,
@@ -101,6 +111,8 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
+                  listLimits: options.listLimits,
+                  handleLimits: options.handleLimits,
               });
 
     const link = hubLink.createHubLink({
@@ -118,10 +130,14 @@
             channel.on("state.update", update =>
                 hasSnapshots ? void state.applyUpdate(update) : void state.applyChanges(update.changes),
             );
+            channel.on("limit.reports", ({ reports }) => void options.handleLimits(reports));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
-        handleConnected: () => hub?.closeFollowers(),
+        handleConnected: () => {
+            link.sendLimits(options.listLimits());
+            hub?.closeFollowers();
+        },
         handleStoreNeed: needsStore => (needsStore ? ownStoreFollower.start() : ownStoreFollower.stop()),
     });
 
@@ -133,6 +149,14 @@
         return [...others, getOwnPeer()].sort(peerOrder.comparePeers);
     };
 
+    const sendPendingLimits = (): void => {
+        limitTimer = undefined;
+        const reports = [...pendingLimits.values()];
+        pendingLimits.clear();
+        link.sendLimits(reports);
+        hub?.pushLimits(reports);
+    };
+
     const hasPeers = (): boolean => link.isConnected() || (hub?.listPeers().length ?? 1) > 1;
 
     /**
@@ -168,12 +192,17 @@
         listPeers,
         countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
+        sendLimit: report => {
+            pendingLimits.set(report.target, report);
+            limitTimer ??= scheduler.schedule(limitDelayMs, sendPendingLimits);
+        },
         sendCrash: report => {
             link.sendCrashes([report]);
             hub?.pushCrashes([report]);
         },
         dispose: () => {
             timer?.dispose();
+            limitTimer?.dispose();
             link.dispose();
             ownStoreFollower.dispose();
             hub?.dispose();
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -33,6 +33,7 @@
     recordRequest(end: RequestEnd, latencyMs: number): void;
     recordAttempt(end: exchangeLog.AttemptEnd): void;
     recordHedge(): void;
+    recordLimited(): void;
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
@@ -133,6 +134,11 @@
         labelNames: ["field"],
         registers,
     });
+    const limitedAttempts = new promClient.Counter({
+        name: `${namePrefix}limited_attempts_total`,
+        help: "Attempts that were not made because of the targets' limits.",
+        registers,
+    });
     const malformedHeaders = new promClient.Counter({
         name: `${namePrefix}malformed_headers_total`,
         help: "Headers of targets whose value was ignored as malformed, by header.",
@@ -157,6 +163,7 @@
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
+        recordLimited: () => limitedAttempts.inc(),
         recordStreamedBody: end => {
             streamedBodies.observe({ end: end.kind }, end.durationMs / 1_000);
             streamedBytes.inc(end.bytes);
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
 import * as peerOrder from "../../common/routes/peerOrder.js";
+import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 
@@ -35,6 +36,8 @@
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.update": routes.StateUpdate;
+    /** Limits of targets that have changed, or all of them to a VM that joins. */
+    readonly "limit.reports": { readonly reports: readonly targetLimits.LimitReport[] };
     readonly "crash.reports": { readonly reports: readonly CrashReport[] };
 }
 
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -85,6 +85,8 @@
         logger,
         isReady,
         computeRequestRate: requestRate.compute,
+        handleLimits: reports => limits.applyReports(reports),
+        listLimits: () => limits.listReports(),
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
@@ -100,7 +102,10 @@
     });
 
     const limits = targetLimits.createTargetLimits({
+        clock: scheduler,
         logger,
+        vm: settings.vm,
+        getRateView: role.getRateView,
         handleMalformed: () => routeMetrics.recordMalformedHeader("limit"),
     });
     const targets = targetPool.createTargetPool({
@@ -137,7 +142,7 @@
         pool: connections,
         dialect: options.http,
         scheduler,
-        handleHead: (registration, head) => limits.recordResponse(registration, head.limit),
+        handleHead: (registration, head, sentAtMs) => limits.recordResponse(registration, head.limit, sentAtMs),
     });
     const routeMetrics = metrics.createRouteMetrics({
         getConfigurationVersion: () => table?.version,
@@ -243,6 +248,7 @@
         start: async () => {
             state.onDidChangeConfiguration(handleConfiguration);
             state.onDidChangeTargets(handleTargets);
+            limits.onDidChange(members.sendLimit);
             targets.onDidFreeSlot(service => queue.dispatch(service));
             await listenForLookups();
             await frontend?.listen();
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -28,7 +28,7 @@
     readonly sender: targetSender.TargetSender;
     readonly metrics: Pick<metrics.RouteMetrics, "recordProbe">;
     readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
-    /** Whether this VM probes the targets of a zone. */
+    /** Whether this VM probes the targets of a zone that are not limited. */
     mayProbe(zone: shared.ZoneName): boolean;
 }): TargetProber => {
     const { scheduler, targets, sender, services } = options;
@@ -54,10 +54,8 @@
     };
 
     const sendProbes = (): void => {
-        for (const registration of targets.listStale(probeAfterMs)) {
-            if (options.mayProbe(registration.zone)) {
-                void sendProbe(registration);
-            }
+        for (const registration of targets.listStale(probeAfterMs, options.mayProbe)) {
+            void sendProbe(registration);
         }
         timer = scheduler.schedule(probeIntervalMs, sendProbes);
     };
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -78,8 +78,14 @@
     readonly pool: connectionPool.ConnectionPool;
     readonly dialect: types.HttpDialect;
     readonly scheduler: shared.Scheduler;
-    /** Called with the head of each response of a target, also to probes and if the response breaks off later. */
-    handleHead(registration: routes.Registration, head: types.ResponseHead): void;
+    /**
+     * Called with the head of each response of a target, also to probes and if the response breaks off later.
+     *
+     * @param registration - the target
+     * @param head - the head
+     * @param sentAtMs - when the request was sent
+     */
+    handleHead(registration: routes.Registration, head: types.ResponseHead, sentAtMs: number): void;
 }): TargetSender => {
     const { pool, dialect, scheduler } = options;
 
@@ -100,16 +106,18 @@
         connection: targetConnection.TargetConnection,
         registration: routes.Registration,
         request: targetConnection.ConnectionRequest,
-    ): Promise<targetConnection.SendResult> =>
-        connection.send({
+    ): Promise<targetConnection.SendResult> => {
+        const sentAtMs = scheduler.now();
+        return connection.send({
             ...request,
             handleHead: (statusCode, head) => {
                 // Another target responds with 421, and says nothing about this one.
                 if (statusCode !== misdirectedStatus) {
-                    options.handleHead(registration, head);
+                    options.handleHead(registration, head, sentAtMs);
                 }
             },
         });
+    };
 
     const start = (attempt: AttemptOptions): Attempt => {
         const { address } = attempt.registration;
--- a/src/node/routes/vmRole.ts
+++ b/src/node/routes/vmRole.ts
@@ -3,6 +3,7 @@
  * targets it probes, and its share of the common retry budget.
  */
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
+import * as ownedRates from "../../common/routes/ownedRates.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 
@@ -20,6 +21,8 @@
     countActiveVms(): number;
     /** The first active VM of a zone probes its targets; the first of all also probes zones without an active VM. */
     mayProbe(zone: shared.ZoneName): boolean;
+    /** The active VMs, and this VM's share of the rates that all VMs share. */
+    getRateView(): ownedRates.RateView;
     /** This VM's share of the retries that are allowed regardless of the number of requests. */
     computeExtraRetryShare(): number;
 }
@@ -47,6 +50,7 @@
  */
 export const createVmRole = (options: VmRoleOptions): VmRole => {
     let activeVms: readonly routes.Peer[] = [];
+    let visibleVmCount = 1;
     let refreshedAtMs = -Infinity;
 
     const setActiveVms = (next: readonly routes.Peer[]): void => {
@@ -61,7 +65,9 @@
     const listActiveVms = (): readonly routes.Peer[] => {
         if (options.clock.now() - refreshedAtMs >= activeVmsCacheMs) {
             refreshedAtMs = options.clock.now();
-            setActiveVms(activeVmSelection.selectActiveVms(options.listPeers(), options.getZoneSlots()));
+            const peers = options.listPeers();
+            visibleVmCount = peers.length;
+            setActiveVms(activeVmSelection.selectActiveVms(peers, options.getZoneSlots()));
         }
         return activeVms;
     };
@@ -70,8 +76,15 @@
 
     const isActive = (): boolean => listActiveVms().some(peer => peer.vm === options.vm);
 
+    /** Most VMs together may use all of a rate; a minority may be cut off from others that use it, too. */
+    const computeRateShare = (): number => {
+        const knownVmCount = Math.max(visibleVmCount, options.countKnownPeers());
+        return visibleVmCount * 2 > knownVmCount ? 1 : visibleVmCount / knownVmCount;
+    };
+
     return {
         listActiveVms,
+        getRateView: () => ({ owners: listActiveVms().map(peer => peer.vm), share: computeRateShare() }),
         countActiveVms,
         mayProbe: zone => {
             if (options.computeRequestRate() < minRequestsPerSecondToProbe) {
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -4,9 +4,12 @@
 import * as ids from "../../common/ids.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
 import * as nodeRoutes from "../../node/routes/Types.js";
+import * as virtualScheduler from "../virtualScheduler.js";
 import * as silentLogger from "../silentLogger.js";
 
+export const vm = ids.toVmId("vm-a");
 export const service = ids.toServiceName("bookings");
 export const zone = ids.toZoneName("west-a");
 export const otherZone = ids.toZoneName("west-b");
@@ -78,16 +81,36 @@
 });
 
 /**
- * Creates limits of targets, initially none.
+ * Creates limits of targets, initially none, of a VM that has no peers.
  *
+ * @param clock - the clock
  * @returns the limits
  */
-export const createTargetLimits = (): targetLimits.TargetLimits =>
+export const createTargetLimits = (clock: shared.Clock): targetLimits.TargetLimits =>
     targetLimits.createTargetLimits({
+        clock,
+        vm,
+        getRateView: () => ({ owners: [vm], share: 1 }),
         logger: silentLogger.createSilentLogger(),
         handleMalformed: () => undefined,
     });
 
+/**
+ * Advances the time until the VM knows for long enough that it owns the limited targets.
+ *
+ * @param limits - the limits
+ * @param scheduler - the clock of the limits
+ */
+export const settleLimits = async (
+    limits: targetLimits.TargetLimits,
+    scheduler: virtualScheduler.VirtualScheduler,
+): Promise<void> => {
+    for (let count = 0; count < 20; count++) {
+        await scheduler.advance(100);
+        limits.refresh();
+    }
+};
+
 /**
  * Creates a peer.
  *
