Tests: a repeated refusal and a head that is cut off are not taken for responses

Other operators reported clients that were told 'not run' after a faulty target repeated an earlier refusal, and clients that got an empty 200 after a target closed within its head. Neither happens here: a response must echo the id of the pending request, one with another id is skipped and its connection is not kept; a head counts only once its empty line has arrived.

--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -93,6 +93,24 @@
     });
 }
 
+const cutHeads: readonly string[] = [
+    "HTTP/1.1 200 OK",
+    "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s",
+    head,
+    `${head}content-length: 4`,
+    `${head}content-length: 4\r\n`,
+    `${head}content-length: 4\r\n\r`,
+    `HTTP/1.1 100 C\r\n\r\n${head}`,
+];
+
+// Guards against a head that is cut off and passed on as a response with an empty or short body.
+for (const [index, text] of cutHeads.entries()) {
+    test(`a response that ends within its head does not count as whole (${index + 1})`, async t => {
+        const { result } = await sendTo(text, { ends: true });
+        t.is(result.kind, "broken");
+    });
+}
+
 test("a body without a length whose last bytes arrive together with a reset does not count as whole", async t => {
     const { result } = await sendTo(`${head}\r\nhalf`, { resets: true });
     t.is(result.kind, "broken");
--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -89,6 +89,19 @@
     t.false(connection.isReusable(scheduler.now()));
 });
 
+// Guards against a refusal that is taken for that of a later request, which then is answered as not run or sent again.
+test("an earlier refusal that is repeated on a kept connection is not taken for the response to a later request", async t => {
+    const refusal = "HTTP/1.1 503 Busy\r\nx-id: 1\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n";
+    const { acquire } = await startTarget([refusal, refusal + formatResponse("2", "two")]);
+    const connection = await acquire();
+    const first = await connection.send(request("1"));
+    t.true(first.kind === "response" && first.response.head.isRefusal);
+    const second = await connection.send(request("2"));
+    t.is(readBody(second), "two");
+    t.false(second.kind === "response" && second.response.head.isRefusal);
+    t.false(connection.isReusable(scheduler.now()));
+});
+
 test("a late response is not taken for the response to a probe", async t => {
     const probeResponse = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nprobe";
     const { acquire } = await startTarget([formatResponse("0", "late") + probeResponse]);
