Complete pipelined requests before a draining VM closes their connection

What callers saw: in a planned stop, a request that was sent behind another one on its connection had run at a target, and the connection closed without its response (LOST).

Cause: each response of a draining VM announced the end of its connection, also with further requests of the connection in progress.

Change: only the response to the last request that has begun on a connection closes it, and requests that arrive behind such a response are not handled, as clients count them as not read. The test 'a draining server sends the responses to all requests that it has begun to handle' failed before (no response to the second request).

--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -183,3 +183,19 @@
     await client.ended;
     server.dispose();
 });
+
+// Guards against pipelined requests that a target has run and whose connection closes without their response.
+test("a draining server sends the responses to all requests that it has begun to handle before it closes a connection", async t => {
+    const { server, connect } = await startServer(async request => {
+        await wait(request.url === "/slow" ? 100 : 1);
+        return createResponse(request.url);
+    });
+    const client = connect();
+    client.socket.write(formatRequest("/slow") + formatRequest("/fast"));
+    await wait(30);
+    server.startDraining();
+    await client.ended;
+    t.true(client.read().includes("/slow"));
+    t.true(client.read().endsWith("/fast"));
+    server.dispose();
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -40,7 +40,7 @@
 
 export interface FrontendServer extends shared.Disposable {
     listen(): Promise<void>;
-    /** From now on, each response closes its connection. */
+    /** From now on, each connection closes after the response to the last request that has begun on it. */
     startDraining(): void;
     /** Stops accepting connections and closes those without a request in progress. */
     closeIdle(): void;
@@ -56,6 +56,15 @@
     formatRefusal(headers: types.RawHeaders, statusCode: number, reason: string): ClientResponse;
 }
 
+/** A connection of a client, on which several requests may be in progress (pipelining). */
+interface ClientConnection {
+    readonly activeRequests: Set<AbortController>;
+    /** The request that began last; its response is the last one. */
+    newestRequest: http.IncomingMessage | undefined;
+    /** Set once a response announces that the connection closes after it; requests behind it count as not read. */
+    isClosing: boolean;
+}
+
 type BodyResult = { readonly kind: "whole"; readonly body: Buffer } | { readonly kind: "too-large" | "aborted" };
 
 const readBody = async (request: http.IncomingMessage, maxBytes: number): Promise<BodyResult> => {
@@ -97,14 +106,21 @@
  */
 export const createFrontendServer = (options: FrontendOptions): FrontendServer => {
     const { clock } = options;
-    const openConnections = new Map<stream.Duplex, Set<AbortController>>();
+    const openConnections = new Map<stream.Duplex, ClientConnection>();
     let isDraining = false;
 
-    const writeHead = (
-        serverResponse: http.ServerResponse,
-        response: ClientResponse,
-        closesConnection: boolean,
-    ): void => {
+    /** Decides whether a connection closes after a response. While draining, requests that have begun are completed first. */
+    const decideClose = (request: http.IncomingMessage, response: ClientResponse, mustClose: boolean): boolean => {
+        const connection = openConnections.get(request.socket);
+        const isLast = connection?.newestRequest === request;
+        const closes = mustClose || !response.isDelimited || (isDraining && isLast);
+        if (closes && connection !== undefined) {
+            connection.isClosing = true;
+        }
+        return closes;
+    };
+
+    const writeHead = (serverResponse: http.ServerResponse, response: ClientResponse, mustClose: boolean): void => {
         const { body } = response;
         const headers = [...response.headers];
         const bodyBytes = body.kind === "whole" ? body.bytes.length : body.bodyBytes;
@@ -113,7 +129,7 @@
         } else if (bodyBytes !== undefined) {
             headers.push("Content-Length", String(bodyBytes));
         }
-        if (closesConnection || isDraining || !response.isDelimited) {
+        if (decideClose(serverResponse.req, response, mustClose)) {
             headers.push("Connection", "close");
         }
         serverResponse.writeHead(response.statusCode, headers);
@@ -123,7 +139,7 @@
     const sendResponse = async (
         serverResponse: http.ServerResponse,
         response: ClientResponse,
-        closesConnection: boolean,
+        mustClose: boolean,
     ): Promise<void> => {
         const { body } = response;
         if (serverResponse.destroyed || serverResponse.headersSent) {
@@ -132,7 +148,7 @@
             }
             return;
         }
-        writeHead(serverResponse, response, closesConnection);
+        writeHead(serverResponse, response, mustClose);
         switch (body.kind) {
             case "whole":
                 await responseBodies.sendBytes(serverResponse, body.bytes);
@@ -145,8 +161,12 @@
     const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
         const receivedAtMs = clock.now();
         const clientAbort = new AbortController();
-        const activeRequests = openConnections.get(request.socket);
-        activeRequests?.add(clientAbort);
+        const connection = openConnections.get(request.socket);
+        if (connection === undefined || connection.isClosing) {
+            return;
+        }
+        connection.activeRequests.add(clientAbort);
+        connection.newestRequest = request;
         const limits = options.getLimits();
         const fail = (statusCode: number, reason: string): Promise<void> =>
             sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
@@ -173,7 +193,7 @@
                 await sendResponse(serverResponse, response, false);
             }
         } finally {
-            activeRequests?.delete(clientAbort);
+            connection.activeRequests.delete(clientAbort);
         }
     };
 
@@ -184,7 +204,7 @@
     server.requestTimeout = 0;
     server.on("connection", socket => {
         const activeRequests = new Set<AbortController>();
-        openConnections.set(socket, activeRequests);
+        openConnections.set(socket, { activeRequests, newestRequest: undefined, isClosing: false });
         const limits = options.getLimits();
         if (limits !== undefined) {
             server.keepAliveTimeout = limits.idleTimeoutMs + timeoutMarginMs;
@@ -211,7 +231,7 @@
         closeIdle: () => {
             // `http.Server.close` would also destroy connections whose last response has not been flushed yet.
             net.Server.prototype.close.call(server);
-            for (const [socket, activeRequests] of openConnections) {
+            for (const [socket, { activeRequests }] of openConnections) {
                 if (activeRequests.size === 0) {
                     socket.destroy();
                 }
