Refuse requests that arrive late in the grace period of a stopping VM

What callers saw elsewhere: requests that came late in the grace period of a planned stop were passed on and cut off at its end without a response, among them requests that must not be repeated (LOST).

Cause here: in the second half of the grace period no connection is accepted, but a request behind another one on a busy connection was still passed on, whatever time was left. The test 'a request that arrives on a busy connection after connections are closed is refused and not handled' failed before (the request was handled).

Change: from then on such a request is refused with 503 and the connection closes; it has not run and the client can send it to another VM. Requests that began before keep the rest of the grace period.

--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -199,3 +199,23 @@
     t.true(client.read().endsWith("/fast"));
     server.dispose();
 });
+
+// Guards against requests that are passed on late in the grace period and cut off at its end.
+test("a request that arrives on a busy connection after connections are closed is refused and not handled", async t => {
+    const handled: string[] = [];
+    const { server, connect } = await startServer(async request => {
+        handled.push(request.url);
+        await wait(150);
+        return createResponse(request.url);
+    });
+    const client = connect();
+    client.socket.write(formatRequest("/early"));
+    await waitFor(() => handled.length === 1);
+    server.startDraining();
+    server.closeIdle();
+    client.socket.write(formatRequest("/late"));
+    await client.ended;
+    t.deepEqual(handled, ["/early"]);
+    t.regex(client.read(), /\/early.*503/s);
+    server.dispose();
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -42,7 +42,7 @@
     listen(): Promise<void>;
     /** From now on, each connection closes after the response to the last request that has begun on it. */
     startDraining(): void;
-    /** Stops accepting connections and closes those without a request in progress. */
+    /** Stops accepting connections and requests, and closes the connections without a request in progress. */
     closeIdle(): void;
     countConnections(): number;
 }
@@ -108,6 +108,7 @@
     const { clock } = options;
     const openConnections = new Map<stream.Duplex, ClientConnection>();
     let isDraining = false;
+    let isAccepting = true;
 
     /** Decides whether a connection closes after a response. While draining, requests that have begun are completed first. */
     const decideClose = (request: http.IncomingMessage, response: ClientResponse, mustClose: boolean): boolean => {
@@ -175,6 +176,11 @@
                 await fail(431, "header too large");
                 return;
             }
+            if (!isAccepting) {
+                // The rest of the grace period belongs to the requests that began before.
+                await fail(503, "shutting down");
+                return;
+            }
             const body = await readBody(request, limits?.maxBodyBytes ?? Infinity);
             if (body.kind !== "whole") {
                 await fail(body.kind === "too-large" ? 413 : 400, body.kind);
@@ -229,6 +235,7 @@
             isDraining = true;
         },
         closeIdle: () => {
+            isAccepting = false;
             // `http.Server.close` would also destroy connections whose last response has not been flushed yet.
             net.Server.prototype.close.call(server);
             for (const [socket, { activeRequests }] of openConnections) {
