--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -5,7 +5,7 @@
 import * as relay from "../system/relay.js";
 
 /** Fault mode of a target, which affects some of its requests. */
-export type TargetMode = "slow" | "failing" | "reset" | "truncated" | "extra-answer" | "full" | "limited";
+export type TargetMode = "slow" | "failing" | "reset" | "truncated" | "extra-answer" | "full" | "limited" | "pausing";
 
 /** Fault mode of the store, which affects all VMs. */
 export type StoreMode = "busy" | "silent" | "slow" | "lost-answers" | "no-history";
@@ -23,6 +23,8 @@
     | { readonly kind: "crash"; readonly target: number; readonly forMs: number }
     /** The target reports that it is draining and ends; another one replaces it. */
     | { readonly kind: "drain"; readonly target: number }
+    /** The same, but the target says so in its responses only. */
+    | { readonly kind: "leave"; readonly target: number }
     /** Switches the moving route to the other service. */
     | { readonly kind: "configuration" }
     | { readonly kind: "zone-out"; readonly zone: number; readonly forMs: number };
@@ -97,6 +99,10 @@
     readonly service: string;
     readonly isCold: boolean;
     readonly limit: TargetLimit | undefined;
+    /** Whether all responses say that the target is leaving. */
+    readonly isLeaving: boolean;
+    /** Pause that the target asks for when it refuses the request; undefined if it does not. */
+    readonly pauseMs: number | undefined;
 }
 
 /** Limit on its requests that a target names in its responses. */
@@ -140,6 +146,10 @@
     readonly limitOvershoot: number;
     /** Requests allowed in each window beyond those. */
     readonly limitExtra: number;
+    /** Time after which a pause that a target has asked for applies. */
+    readonly pauseDelayMs: number;
+    /** Requests of one VM that a target may get during such a pause. */
+    readonly pauseExtra: number;
 }
 
 export type SoakRule =
@@ -156,6 +166,8 @@
     | "budget"
     | "cold"
     | "limit"
+    | "leaving"
+    | "pause"
     | "recovery"
     | "process";
 
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -15,6 +15,8 @@
     limitWindowMs: 4_000,
     limitOvershoot: 1.5,
     limitExtra: 5,
+    pauseDelayMs: 500,
+    pauseExtra: 2,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -51,6 +53,8 @@
     service: "ledger",
     isCold: false,
     limit: undefined,
+    isLeaving: false,
+    pauseMs: undefined,
     ...fields,
 });
 
@@ -168,3 +172,25 @@
     const disturbances = [{ fromMs: 19_000, toMs: 19_500, vm: 0, completesRequests: true }];
     t.deepEqual(findRules({ arrivals, calls, disturbances }), []);
 });
+
+test("requests to a target that has told the VM that it is leaving are reported", t => {
+    const calls = [createCall("a"), createCall("b", { sentAtMs: 22_200, endedAtMs: 22_300 })];
+    const runs = [createRun("a"), createRun("b", { atMs: 22_250 })];
+    const arrivals = [createArrival("a", { isLeaving: true }), createArrival("b", { atMs: 22_240, isLeaving: true })];
+    t.deepEqual(findRules({ calls, runs, arrivals }), ["leaving"]);
+    const otherVm = calls.map(call => ({ ...call, vm: call.id === "a" ? 1 : 0 }));
+    t.deepEqual(findRules({ calls: otherVm, runs, arrivals }), []);
+    const disturbances = [{ fromMs: 21_000, toMs: 21_500, vm: 0, completesRequests: false }];
+    t.deepEqual(findRules({ calls, runs, arrivals, disturbances }), []);
+});
+
+test("more than two requests in a pause that a target has asked for are reported", t => {
+    const arrivals = [0, 600, 1_200, 1_800].map((afterMs, index) =>
+        createArrival(`a${index}`, { atMs: 20_040 + afterMs, pauseMs: index === 0 ? 2_000 : undefined }),
+    );
+    const calls = arrivals.map(({ id }) => createCall(id, { outcome: createResponse(503, false) }));
+    t.deepEqual(findRules({ arrivals, calls }), ["pause"]);
+    t.deepEqual(findRules({ arrivals: arrivals.slice(0, 3), calls }), []);
+    const otherVm = calls.map((call, index) => ({ ...call, vm: index === 3 ? 1 : 0 }));
+    t.deepEqual(findRules({ arrivals, calls: otherVm }), []);
+});
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -242,6 +242,55 @@
     return violations;
 };
 
+/** Finds requests that a VM sent to a target long after it had passed on a response in which the target said it was leaving. */
+const findRequestsWhileLeaving: Check = (history, bounds) => {
+    const violations: types.SoakViolation[] = [];
+    const calls = new Map(history.calls.map(call => [call.id, call]));
+    const responses = new Set(history.runs.map(({ target, body }) => `${target} ${body}`));
+    const leaving = history.arrivals.filter(({ isLeaving }) => isLeaving);
+    for (const arrivals of groupBy(leaving, ({ id, target }) => `${target}/${calls.get(id)?.vm}`).values()) {
+        const noticedAtMs = Math.min(
+            ...arrivals.map(({ id, target }) => {
+                const { outcome, endedAtMs = Infinity } = calls.get(id) ?? {};
+                const isOfTarget = outcome?.kind === "answered" && responses.has(`${target} ${outcome.body}`);
+                return isOfTarget ? endedAtMs : Infinity;
+            }),
+        );
+        for (const { id, target, atMs } of arrivals) {
+            const call = calls.get(id);
+            const isLate = (call?.sentAtMs ?? 0) > noticedAtMs + bounds.drainMs;
+            if (isLate && !isDisturbed(history, noticedAtMs, atMs, call?.vm)) {
+                violations.push({
+                    rule: "leaving",
+                    message: `${id} reached ${target}, which had said that it was leaving`,
+                });
+            }
+        }
+    }
+    return violations;
+};
+
+/** Finds VMs that send to a target although it has refused a request of theirs and asked for a pause. */
+const findRequestsInPauses: Check = (history, bounds) => {
+    const violations: types.SoakViolation[] = [];
+    const calls = new Map(history.calls.map(call => [call.id, call]));
+    for (const arrivals of groupBy(history.arrivals, ({ id, target }) => `${target}/${calls.get(id)?.vm}`).values()) {
+        for (const { id, target, atMs, pauseMs } of arrivals) {
+            const vm = calls.get(id)?.vm;
+            const untilMs = atMs + (pauseMs ?? 0);
+            const late = arrivals.filter(other => other.atMs > atMs + bounds.pauseDelayMs && other.atMs < untilMs);
+            if (late.length > bounds.pauseExtra && !isDisturbed(history, atMs, untilMs, vm)) {
+                violations.push({
+                    rule: "pause",
+                    message: `${target} got ${late.length} requests from VM ${vm} in a pause that it had asked for`,
+                });
+                break;
+            }
+        }
+    }
+    return violations;
+};
+
 const findMissingRecovery: Check = (history, bounds) => {
     const lateCalls = history.calls.filter(call => call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs);
     const served = lateCalls.filter(call => call.outcome?.kind === "answered" && call.outcome.status === 200);
@@ -267,6 +316,8 @@
     findRetryExcess,
     findColdExcess,
     findLimitExcess,
+    findRequestsWhileLeaving,
+    findRequestsInPauses,
     findMissingRecovery,
 ];
 
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -50,6 +50,7 @@
     "extra-answer",
     "full",
     "limited",
+    "pausing",
 ];
 
 const createSignalFault: CreateFault = (source, size) => ({
@@ -98,6 +99,7 @@
     }),
     (source, size) => ({ kind: "crash", target: source.nextInt(size.targets), forMs: pickDurationMs(source) }),
     (source, size) => ({ kind: "drain", target: source.nextInt(size.targets) }),
+    (source, size) => ({ kind: "leave", target: source.nextInt(size.targets) }),
     () => ({ kind: "configuration" }),
     (source, size) => ({ kind: "zone-out", zone: source.nextInt(size.zones), forMs: 2 * maxFaultMs }),
 ];
