Send nothing to targets that say in a response that they are leaving

What targets saw: a target that said in all its responses that it was leaving got requests as before, until its row changed.

Cause: the header was not decoded. Class: a fact that a target states about itself and the VM ignores, as before with limits.

Change: targetNotices marks the run of the target (its id and start time, so that a new run or another target at its address is not meant) as leaving; it is not picked from then on, also by requests that wait for a slot.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -129,6 +129,18 @@
     /** Neither names nor ends a limit. */
     | { readonly kind: "malformed"; readonly text: string };
 
+/** What a response says about its target, apart from the request. */
+export interface TargetNotice {
+    readonly limit: NamedLimit;
+    readonly isLeaving: boolean;
+}
+
+/** A run of a target that has said that it is leaving. */
+export interface LeavingReport {
+    readonly target: types.TargetId;
+    readonly startedAtMs: number;
+}
+
 /** Outcome of an attempt at a target. */
 export type AttemptOutcome =
     | {
--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -49,6 +49,10 @@
     ejectedUntilMs: number;
     /** Until when the target gets nothing, as another one has responded at its address. */
     misdirectedUntilMs: number;
+    /** Whether the target has said in a response that it is leaving; it never returns from that. */
+    isLeaving: boolean;
+    /** When the registration disappeared; undefined while the target is registered. */
+    removedAtMs: number | undefined;
     /** Times of the requests sent in the last second. */
     readonly sendTimesMs: number[];
     probedAtMs: number;
@@ -75,6 +79,8 @@
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
     misdirectedUntilMs: 0,
+    isLeaving: false,
+    removedAtMs: undefined,
     sendTimesMs: [],
     probedAtMs: -Infinity,
 });
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -6,17 +6,20 @@
 import * as random from "../random.js";
 import * as shared from "../Types.js";
 import * as targetPool from "./targetPool.js";
+import * as targetSet from "./targetSet.js";
 import * as types from "./Types.js";
 
 const createSetup = (registrations: readonly types.Registration[], activeVmCount = 1) => {
     const scheduler = virtualScheduler.createVirtualScheduler(1_000);
     const zonesOut = new Set<shared.ZoneName>();
     const limits = fixture.createTargetLimits(scheduler);
+    const set = targetSet.createTargetSet(scheduler);
     const pool = targetPool.createTargetPool({
         scheduler,
         random: random.createRandom(7),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
+        set,
         limits,
         isZoneOut: zone => zonesOut.has(zone),
         getService: () => fixture.createConfiguration(1).services[0],
@@ -41,7 +44,7 @@
         const result = pick(exclude);
         return result.kind === "target" ? result.reservation.registration.id : result.kind;
     };
-    return { pool, limits, scheduler, zonesOut, pick, pickId };
+    return { set, pool, limits, scheduler, zonesOut, pick, pickId };
 };
 
 const report = (slowdown: number): types.LoadReport => ({ running: 0, waiting: 0, slots: 2, slowdown });
@@ -229,6 +232,16 @@
     t.deepEqual([pickId(), pickId(), pickId()], ["b", "b", "full"]);
 });
 
+test("a target that is leaving is not picked", t => {
+    const { set, pickId } = createSetup([fixture.createRegistration("a")]);
+    const entry = set.find(ids.toTargetId("a"));
+    t.is(pickId(), "a");
+    if (entry !== undefined) {
+        entry.isLeaving = true;
+    }
+    t.is(pickId(), "none");
+});
+
 test("a limited target is probed rarely, and by its owner, so that the end of its limit is noticed", async t => {
     const target = fixture.createRegistration("a");
     const { pool, limits, scheduler } = createSetup([target, fixture.createRegistration("b")]);
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -7,6 +7,7 @@
 import * as targetCosts from "./targetCosts.js";
 import * as targetLimits from "./targetLimits.js";
 import * as targetEntry from "./targetEntry.js";
+import * as targetSet from "./targetSet.js";
 import * as types from "./Types.js";
 
 /** Requests in flight from other VMs are a decaying estimate, so half a free slot counts as a free one. */
@@ -56,21 +57,22 @@
     /** No target has a free slot, or those that have one are too slow. */
     | { readonly kind: "full" }
     /**
-     * No target takes another request now because of their limits; one does so after `waitMs` (infinite if no target does
-     * from this VM), and another request of the client helps after `retryAfterMs`.
+     * No target takes another request now, because of their limits; one does so
+     * after `waitMs` (infinite if no target does from this VM), and another request of the client helps after `retryAfterMs`.
      */
     | { readonly kind: "limited"; readonly waitMs: number; readonly retryAfterMs: number }
     /** The service has no eligible target. */
     | { readonly kind: "none" };
 
-/** A target that must not be sent the request because of its limit. */
-type LimitedTarget = Pick<Extract<targetLimits.LimitState, { kind: "exhausted" }>, "waitMs" | "retryAfterMs">;
+/** For how long a target takes no request from this VM, and after which time another request of the client helps. */
+type Withholding = Pick<Extract<targetLimits.LimitState, { kind: "exhausted" }>, "waitMs" | "retryAfterMs">;
 
 export interface TargetPoolOptions {
     readonly scheduler: shared.Clock;
     readonly random: shared.Random;
     readonly logger: shared.Logger;
     readonly zone: shared.ZoneName;
+    readonly set: targetSet.TargetSet;
     readonly limits: targetLimits.TargetLimits;
     isZoneOut(zone: shared.ZoneName): boolean;
     getService(name: shared.ServiceName): types.RoutedService | undefined;
@@ -108,11 +110,9 @@
  * @returns the pool
  */
 export const createTargetPool = (options: TargetPoolOptions): TargetPool => {
-    const { scheduler, logger, limits } = options;
+    const { scheduler, logger, limits, set } = options;
     const estimates = latencyEstimates.createLatencyEstimates();
     const cost = targetCosts.createTargetCosts({ estimates, random: options.random, zone: options.zone });
-    const entries = new Map<shared.TargetId, targetEntry.TargetEntry>();
-    const byService = new Map<shared.ServiceName, targetEntry.TargetEntry[]>();
     const freeSlotEmitter = events.createEmitter<shared.ServiceName>();
 
     /** The rate limit holds across all VMs; each gets an equal part, as no VM has timely counts of the others. */
@@ -123,12 +123,24 @@
     };
 
     const isEligible = (entry: targetEntry.TargetEntry): boolean =>
-        entry.registration.state === "ready" && !options.isZoneOut(entry.registration.zone);
+        entry.registration.state === "ready" && !entry.isLeaving && !options.isZoneOut(entry.registration.zone);
 
     const hasCapacity = (entry: targetEntry.TargetEntry, inFlight: number, nowMs: number): boolean =>
         inFlight <= entry.registration.slots - minFreeSlots &&
         (!targetEntry.isCold(entry, nowMs) || hasColdCapacity(entry, nowMs));
 
+    /** Finds out whether a target's limit forbids to send it a request now. */
+    const findWithholding = (limit: targetLimits.LimitState, request: PickRequest): Withholding | undefined => {
+        switch (limit.kind) {
+            case "unlimited":
+                return undefined;
+            case "available":
+                return request.isRepeat ? { waitMs: Infinity, retryAfterMs: 1_000 / limit.perSecond } : undefined;
+            case "exhausted":
+                return limit;
+        }
+    };
+
     const finishAttempt = (
         entry: targetEntry.TargetEntry,
         attempt: targetEntry.InFlightAttempt,
@@ -195,10 +207,14 @@
 
     const pick = (request: PickRequest): PickResult => {
         const nowMs = scheduler.now();
-        const eligible = (byService.get(request.service) ?? []).filter(
-            entry =>
-                isEligible(entry) && entry.misdirectedUntilMs <= nowMs && !request.exclude.has(entry.registration.id),
-        );
+        const eligible = set
+            .listOfService(request.service)
+            .filter(
+                entry =>
+                    isEligible(entry) &&
+                    entry.misdirectedUntilMs <= nowMs &&
+                    !request.exclude.has(entry.registration.id),
+            );
         if (eligible.length === 0) {
             return { kind: "none" };
         }
@@ -208,15 +224,12 @@
         let best: { readonly entry: targetEntry.TargetEntry; readonly inputs: PickInputs } | undefined;
         let bestCost = Infinity;
         let fastestFullMs = Infinity;
-        const exhausted: LimitedTarget[] = [];
+        const withholdings: Withholding[] = [];
         for (const entry of candidates) {
             const limit = limits.check(entry.registration);
-            if (limit.kind === "exhausted") {
-                exhausted.push(limit);
-                continue;
-            }
-            if (limit.kind === "available" && request.isRepeat) {
-                exhausted.push({ waitMs: Infinity, retryAfterMs: 1_000 / limit.perSecond });
+            const withheld = findWithholding(limit, request);
+            if (withheld !== undefined) {
+                withholdings.push(withheld);
                 continue;
             }
             const inFlight = targetEntry.computeInFlight(entry, nowMs);
@@ -244,11 +257,11 @@
                 };
             }
         }
-        if (exhausted.length === candidates.length) {
+        if (withholdings.length === candidates.length) {
             return {
                 kind: "limited",
-                waitMs: Math.min(...exhausted.map(limit => limit.waitMs)),
-                retryAfterMs: Math.min(...exhausted.map(limit => limit.retryAfterMs)),
+                waitMs: Math.min(...withholdings.map(withheld => withheld.waitMs)),
+                retryAfterMs: Math.min(...withholdings.map(withheld => withheld.retryAfterMs)),
             };
         }
         const isTooSlow = best !== undefined && best.inputs.expectedMs > request.acceptableLatencyMs;
@@ -257,56 +270,23 @@
             : { kind: "target", reservation: createReservation(best.entry, request.route, best.inputs) };
     };
 
-    const updateEntry = (registration: types.Registration): void => {
-        const nowMs = scheduler.now();
-        const known = entries.get(registration.id);
-        if (known === undefined || known.registration.startedAtMs !== registration.startedAtMs) {
-            entries.set(registration.id, targetEntry.createTargetEntry(registration, nowMs));
-            return;
-        }
-        if (known.registration !== registration) {
-            known.registration = registration;
-            known.misdirectedUntilMs = 0;
-            known.coldUntilMs = registration.coldLeftMs > 0 ? nowMs + registration.coldLeftMs : 0;
-        }
-    };
-
-    const groupEntries = (): void => {
-        byService.clear();
-        for (const entry of entries.values()) {
-            const list = byService.get(entry.registration.service) ?? [];
-            list.push(entry);
-            byService.set(entry.registration.service, list);
-        }
-    };
-
     return {
         setTargets: registrations => {
-            const present = new Map<shared.TargetId, types.Registration>();
-            for (const registration of registrations) {
-                present.set(registration.id, registration);
-                updateEntry(registration);
-            }
-            limits.retainTargets(present);
-            for (const id of entries.keys()) {
-                if (!present.has(id)) {
-                    entries.delete(id);
-                }
-            }
-            groupEntries();
-            for (const service of byService.keys()) {
+            set.setTargets(registrations);
+            limits.retainTargets(new Map(set.listKnown().map(({ registration }) => [registration.id, registration])));
+            for (const service of set.listServices()) {
                 freeSlotEmitter.fire(service);
             }
         },
         pick,
         recordBrokenBody: id => {
-            const entry = entries.get(id);
+            const entry = set.find(id);
             if (entry !== undefined) {
                 targetEntry.recordFailure(entry, scheduler.now());
             }
         },
         applyReport: (id, report, atMs) => {
-            const entry = entries.get(id);
+            const entry = set.find(id);
             if (entry === undefined || atMs < entry.loadReportedAtMs) {
                 return;
             }
@@ -317,7 +297,7 @@
             freeSlotEmitter.fire(entry.registration.service);
         },
         applyColdLeft: (id, coldLeftMs) => {
-            const entry = entries.get(id);
+            const entry = set.find(id);
             if (entry !== undefined) {
                 entry.coldUntilMs = coldLeftMs > 0 ? scheduler.now() + coldLeftMs : 0;
             }
@@ -332,12 +312,13 @@
                 return mayProbeTarget && nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= maxAgeMs;
             };
             limits.refresh();
-            return [...entries.values()]
+            return set
+                .list()
                 .filter(entry => isEligible(entry) && isStale(entry))
                 .map(entry => entry.registration);
         },
         recordProbe: id => {
-            const entry = entries.get(id);
+            const entry = set.find(id);
             if (entry !== undefined) {
                 entry.probedAtMs = scheduler.now();
             }
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -26,7 +26,7 @@
     /** Whether the target states that it did not run the request. */
     readonly isRefusal: boolean;
     readonly load: routes.LoadReport | undefined;
-    readonly limit: routes.NamedLimit;
+    readonly notice: routes.TargetNotice;
     /** Idle timeout of the target's side of the connection. */
     readonly idleTimeoutMs: number | undefined;
     /** How long the target stays cold, in milliseconds; only in responses to probes. */
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -2,6 +2,7 @@
 import * as crashRegistry from "../../common/crashes/crashRegistry.js";
 import * as random from "../../common/random.js";
 import * as targetPool from "../../common/routes/targetPool.js";
+import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as fixture from "../../testing/routes/fixture.js";
@@ -29,7 +30,7 @@
             isSigned: fields.isSigned ?? true,
             isRefusal: fields.isRefusal ?? false,
             load: undefined,
-            limit: { kind: "none" },
+            notice: fixture.noNotice,
             idleTimeoutMs: undefined,
             coldLeftMs: undefined,
             target: undefined,
@@ -69,6 +70,7 @@
         random: random.createRandom(3),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
+        set: targetSet.createTargetSet(scheduler),
         limits,
         isZoneOut: () => false,
         getService: () => undefined,
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -6,7 +6,6 @@
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
-import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as peerChannel from "./peerChannel.js";
@@ -45,7 +44,7 @@
     /** Reports to the hub a VM that may precede it in the order of peers. */
     sendPeerMet(peer: routes.Peer): void;
     sendHello(): void;
-    sendLimits(reports: readonly targetLimits.LimitReport[]): void;
+    sendTargetReports(reports: peerChannel.TargetReports): void;
     sendCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
@@ -317,7 +316,7 @@
         },
         sendPeerMet: peer => hub?.channel.send("peer.met", { peer }),
         sendHello: announceOwnPeer,
-        sendLimits: reports => hub?.channel.send("limit.reports", { reports }),
+        sendTargetReports: reports => hub?.channel.send("target.reports", reports),
         sendCrashes: reports => hub?.channel.send("crash.reports", { reports }),
         dispose: () => {
             isDisposed = true;
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -78,6 +78,7 @@
     const toAddress = (port: number): shared.Address => ids.toAddress(`127.0.0.1:${port}`);
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     const limits = fixture.createTargetLimits(scheduler);
+    const leaving = new Set<shared.TargetId>();
     const member = membership.createMembership({
         settings: {
             vm,
@@ -106,15 +107,29 @@
         logger: silentLogger.createSilentLogger(),
         isReady: () => true,
         computeRequestRate: () => 0,
-        handleLimits: reports => limits.applyReports(reports),
-        listLimits: () => limits.listReports(),
+        handleTargetReports: reports => ({
+            limits: limits.applyReports(reports.limits),
+            leaving: reports.leaving.filter(({ target }) => !leaving.has(target) && leaving.add(target)),
+        }),
+        listTargetReports: () => ({
+            limits: limits.listReports(),
+            leaving: [...leaving].map(target => ({ target, startedAtMs: 1 })),
+        }),
         handleCrashes: () => undefined,
     });
     if (options.isStarted !== false) {
         await member.start();
     }
     limits.onDidChange(member.sendLimit);
-    return { vm, port: options.port, member, state, limits, getVersion: () => state.getConfiguration()?.version };
+    return {
+        vm,
+        port: options.port,
+        member,
+        state,
+        limits,
+        leaving,
+        getVersion: () => state.getConfiguration()?.version,
+    };
 };
 
 const waitUntil = async (isTrue: () => boolean, timeoutMs = 10_000): Promise<boolean> => {
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -18,8 +18,8 @@
 /** A VM without peers fetches them from the store after this time; at startup the seeds respond sooner. */
 const firstStoreLookupDelayMs = 1_500;
 const storeLookupIntervalMs = 10_000;
-/** Limits that change within this time are sent together. */
-const limitDelayMs = 20;
+/** Changes of targets within this time are sent together. */
+const reportDelayMs = 20;
 const noAddress = "" as shared.Address;
 
 export interface Membership extends shared.Disposable {
@@ -34,8 +34,9 @@
     countKnownPeers(): number;
     /** Sends this VM's changed readiness to the hub at once. */
     sendHello(): void;
-    /** Sends a changed limit of a target to all VMs, together with others that change at about the same time. */
+    /** Sends a changed limit of a target to all VMs, together with what else changes at about the same time. */
     sendLimit(report: targetLimits.LimitReport): void;
+    sendLeaving(report: routes.LeavingReport): void;
     sendCrash(report: peerChannel.CrashReport): void;
 }
 
@@ -48,9 +49,9 @@
     readonly logger: shared.Logger;
     isReady(): boolean;
     computeRequestRate(): number;
-    /** Applies reports of limits; returns those that were new. */
-    handleLimits(reports: readonly targetLimits.LimitReport[]): readonly targetLimits.LimitReport[];
-    listLimits(): readonly targetLimits.LimitReport[];
+    /** Applies reports about targets; returns those that were new. */
+    handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
+    listTargetReports(): peerChannel.TargetReports;
     handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
@@ -66,7 +67,8 @@
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
-    let limitTimer: shared.Disposable | undefined;
+    const pendingLeaving: routes.LeavingReport[] = [];
+    let reportTimer: shared.Disposable | undefined;
 
     const getOwnPeer = (): routes.Peer => ({
         vm: settings.vm,
@@ -111,8 +113,8 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
-                  listLimits: options.listLimits,
-                  handleLimits: options.handleLimits,
+                  listTargetReports: options.listTargetReports,
+                  handleTargetReports: options.handleTargetReports,
               });
 
     const link = hubLink.createHubLink({
@@ -130,12 +132,12 @@
             channel.on("state.update", update =>
                 hasSnapshots ? void state.applyUpdate(update) : void state.applyChanges(update.changes),
             );
-            channel.on("limit.reports", ({ reports }) => void options.handleLimits(reports));
+            channel.on("target.reports", reports => void options.handleTargetReports(reports));
             channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
         handleConnected: () => {
-            link.sendLimits(options.listLimits());
+            link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
         },
         handleStoreNeed: needsStore => (needsStore ? ownStoreFollower.start() : ownStoreFollower.stop()),
@@ -149,12 +151,16 @@
         return [...others, getOwnPeer()].sort(peerOrder.comparePeers);
     };
 
-    const sendPendingLimits = (): void => {
-        limitTimer = undefined;
-        const reports = [...pendingLimits.values()];
+    const sendPendingReports = (): void => {
+        reportTimer = undefined;
+        const reports = { limits: [...pendingLimits.values()], leaving: pendingLeaving.splice(0) };
         pendingLimits.clear();
-        link.sendLimits(reports);
-        hub?.pushLimits(reports);
+        link.sendTargetReports(reports);
+        hub?.pushTargetReports(reports);
+    };
+
+    const scheduleReports = (): void => {
+        reportTimer ??= scheduler.schedule(reportDelayMs, sendPendingReports);
     };
 
     const hasPeers = (): boolean => link.isConnected() || (hub?.listPeers().length ?? 1) > 1;
@@ -194,7 +200,11 @@
         sendHello: link.sendHello,
         sendLimit: report => {
             pendingLimits.set(report.target, report);
-            limitTimer ??= scheduler.schedule(limitDelayMs, sendPendingLimits);
+            scheduleReports();
+        },
+        sendLeaving: report => {
+            pendingLeaving.push(report);
+            scheduleReports();
         },
         sendCrash: report => {
             link.sendCrashes([report]);
@@ -202,7 +212,7 @@
         },
         dispose: () => {
             timer?.dispose();
-            limitTimer?.dispose();
+            reportTimer?.dispose();
             link.dispose();
             ownStoreFollower.dispose();
             hub?.dispose();
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -13,6 +13,7 @@
         computeStoreAgeMs: () => Infinity,
         countTargets: () => 26,
         countLimitedTargets: () => 0,
+        countLeavingTargets: () => 0,
         countPeers: () => 3,
         countActiveVms: () => 1,
         countClientConnections: () => 4,
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -24,6 +24,11 @@
     readonly overdueMs: number;
 }
 
+export interface TargetReports {
+    readonly limits: readonly targetLimits.LimitReport[];
+    readonly leaving: readonly routes.LeavingReport[];
+}
+
 /** Notifications by method. */
 export interface PeerMessages {
     /** A VM joins, or its own record has changed. */
@@ -36,8 +41,8 @@
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.update": routes.StateUpdate;
-    /** Limits of targets that have changed, or all of them to a VM that joins. */
-    readonly "limit.reports": { readonly reports: readonly targetLimits.LimitReport[] };
+    /** What targets have said about themselves: changes, or all that is known to a VM that joins. */
+    readonly "target.reports": TargetReports;
     readonly "crash.reports": { readonly reports: readonly CrashReport[] };
 }
 
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -6,7 +6,6 @@
 import * as ids from "../../common/ids.js";
 import * as events from "../../common/events.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
-import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as peerChannel from "./peerChannel.js";
@@ -22,7 +21,7 @@
     /** Disconnects the followers, as this VM is no longer a hub, after sending them the peers that it knows. */
     closeFollowers(): void;
     pushUpdate(update: routes.StateUpdate): void;
-    pushLimits(reports: readonly targetLimits.LimitReport[]): void;
+    pushTargetReports(reports: peerChannel.TargetReports): void;
     pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
     readonly onDidReceiveCrashes: shared.Event<readonly peerChannel.CrashReport[]>;
 }
@@ -41,9 +40,9 @@
     /** Whether this VM is a hub, that is, follows no other one. */
     isHub(): boolean;
     listSnapshots(): readonly routes.StateSnapshot[];
-    listLimits(): readonly targetLimits.LimitReport[];
+    listTargetReports(): peerChannel.TargetReports;
     /** Applies reports of a follower; returns those that were new. */
-    handleLimits(reports: readonly targetLimits.LimitReport[]): readonly targetLimits.LimitReport[];
+    handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
 }
 
 /** Sent in place of infinity, which JSON cannot express. */
@@ -111,7 +110,7 @@
         if (!follower.hasSnapshots && options.isHub()) {
             follower.hasSnapshots = true;
             follower.channel.send("state.snapshots", { snapshots: options.listSnapshots() });
-            follower.channel.send("limit.reports", { reports: options.listLimits() });
+            follower.channel.send("target.reports", options.listTargetReports());
         }
     };
 
@@ -148,10 +147,10 @@
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A heartbeat only shows that the VM is alive, which the channel has recorded.
         follower.channel.on("peer.beat", () => undefined);
-        follower.channel.on("limit.reports", params => {
-            const reports = options.handleLimits(params.reports);
-            if (reports.length > 0) {
-                push("limit.reports", { reports }, follower);
+        follower.channel.on("target.reports", params => {
+            const reports = options.handleTargetReports(params);
+            if (reports.limits.length + reports.leaving.length > 0) {
+                push("target.reports", reports, follower);
             }
         });
         follower.channel.on("crash.reports", params => {
@@ -194,7 +193,7 @@
             }
         },
         pushUpdate: update => push("state.update", update),
-        pushLimits: reports => push("limit.reports", { reports }),
+        pushTargetReports: reports => push("target.reports", reports),
         pushCrashes: reports => push("crash.reports", { reports }),
         onDidReceiveCrashes: crashEmitter.event,
         dispose: () => {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -11,7 +11,9 @@
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
+import * as targetNotices from "../../common/routes/targetNotices.js";
 import * as targetPool from "../../common/routes/targetPool.js";
+import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
@@ -85,8 +87,11 @@
         logger,
         isReady,
         computeRequestRate: requestRate.compute,
-        handleLimits: reports => limits.applyReports(reports),
-        listLimits: () => limits.listReports(),
+        handleTargetReports: reports => ({
+            limits: limits.applyReports(reports.limits),
+            leaving: notices.applyLeaving(reports.leaving),
+        }),
+        listTargetReports: () => ({ limits: limits.listReports(), leaving: notices.listLeaving() }),
         handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
     });
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
@@ -108,8 +113,14 @@
         getRateView: role.getRateView,
         handleMalformed: () => routeMetrics.recordMalformedHeader("limit"),
     });
+    const set = targetSet.createTargetSet(scheduler);
+    const notices = targetNotices.createTargetNotices({
+        set,
+        logger,
+    });
     const targets = targetPool.createTargetPool({
         scheduler,
+        set,
         limits,
         random: random.createRandom(crypto.randomInt(2 ** 31)),
         logger,
@@ -142,7 +153,10 @@
         pool: connections,
         dialect: options.http,
         scheduler,
-        handleHead: (registration, head, sentAtMs) => limits.recordResponse(registration, head.limit, sentAtMs),
+        handleHead: (registration, { notice }, sentAtMs) => {
+            limits.recordResponse(registration, notice.limit, sentAtMs);
+            notices.recordResponse(registration, notice);
+        },
     });
     const routeMetrics = metrics.createRouteMetrics({
         getConfigurationVersion: () => table?.version,
@@ -153,6 +167,7 @@
         countClientConnections: () => frontend?.countConnections() ?? 0,
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
+        countLeavingTargets: notices.countLeaving,
         countDroppedLogLines: options.countDroppedLogLines,
     });
     const prober = targetProber.createTargetProber({
@@ -249,6 +264,7 @@
             state.onDidChangeConfiguration(handleConfiguration);
             state.onDidChangeTargets(handleTargets);
             limits.onDidChange(members.sendLimit);
+            notices.onDidLeave(members.sendLeaving);
             targets.onDidFreeSlot(service => queue.dispatch(service));
             await listenForLookups();
             await frontend?.listen();
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -133,6 +133,9 @@
     ...fields,
 });
 
+/** Of a response that says nothing about its target. */
+export const noNotice: routes.TargetNotice = { limit: { kind: "none" }, isLeaving: false };
+
 /** A dialect with its own headers, so that tests of the platform-independent code need no platform's dialect. */
 export const testDialect: nodeRoutes.HttpDialect = {
     parseRequestHead: headers => {
@@ -158,7 +161,7 @@
             isSigned: map.has("x-seal"),
             isRefusal: map.has("x-refused") || statusCode === 421,
             load: undefined,
-            limit: map.has("x-limit") ? { kind: "limited", perSecond: Number(map.get("x-limit")) } : { kind: "none" },
+            notice: noNotice,
             idleTimeoutMs: undefined,
             coldLeftMs: undefined,
             target: undefined,
