Send nothing to a target for the time that it asks for with a refusal

What targets saw: a target that refused a request with 503 and Retry-After got further requests and probes of the same VM at once (3 to 6 in a pause of 2.5 s, 2 allowed from half a second on).

Cause: the header of a target's response was not decoded.

The VM that got it neither picks nor probes the target meanwhile; each VM keeps its own pauses. If no target of a service takes a request because of pauses and limits, it is refused at once with the time until one does, 5 s at most, as another VM may be able to serve it before.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -129,9 +129,16 @@
     /** Neither names nor ends a limit. */
     | { readonly kind: "malformed"; readonly text: string };
 
+/** Time for which a target asks for no requests when it refuses one. */
+export type RequestedPause =
+    | { readonly kind: "none" }
+    | { readonly kind: "pause"; readonly forMs: number }
+    | { readonly kind: "malformed"; readonly text: string };
+
 /** What a response says about its target, apart from the request. */
 export interface TargetNotice {
     readonly limit: NamedLimit;
+    readonly pause: RequestedPause;
     readonly isLeaving: boolean;
 }
 
--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -49,6 +49,8 @@
     ejectedUntilMs: number;
     /** Until when the target gets nothing, as another one has responded at its address. */
     misdirectedUntilMs: number;
+    /** Until when the target has asked this VM for no requests. */
+    pausedUntilMs: number;
     /** Whether the target has said in a response that it is leaving; it never returns from that. */
     isLeaving: boolean;
     /** When the registration disappeared; undefined while the target is registered. */
@@ -79,6 +81,7 @@
     consecutiveFailures: 0,
     ejectedUntilMs: 0,
     misdirectedUntilMs: 0,
+    pausedUntilMs: 0,
     isLeaving: false,
     removedAtMs: undefined,
     sendTimesMs: [],
--- a/src/common/routes/targetLimits.ts
+++ b/src/common/routes/targetLimits.ts
@@ -10,7 +10,7 @@
 /** A changed value is reported to the peers at most once in this time; only the target's owner needs the latest one. */
 const minReportIntervalMs = 1_000;
 /** Longest time after which callers are asked to come back, as another VM may be able to serve them before. */
-const maxRetryAfterMs = 5_000;
+export const maxRetryAfterMs = 5_000;
 
 /** What a VM knows of the limit of a target. */
 export interface LimitReport {
--- a/src/common/routes/targetNotices.test.ts
+++ b/src/common/routes/targetNotices.test.ts
@@ -10,14 +10,17 @@
     const scheduler = virtualScheduler.createVirtualScheduler();
     const set = targetSet.createTargetSet(scheduler);
     const reports: types.LeavingReport[] = [];
+    let malformedPauses = 0;
     const notices = targetNotices.createTargetNotices({
         set,
+        clock: scheduler,
         logger: silentLogger.createSilentLogger(),
+        handleMalformedPause: () => malformedPauses++,
     });
     notices.onDidLeave(report => reports.push(report));
     const registration = fixture.createRegistration("t1");
     set.setTargets([registration]);
-    return { scheduler, set, notices, reports, registration };
+    return { scheduler, set, notices, reports, registration, countMalformedPauses: () => malformedPauses };
 };
 
 const leavingNotice: types.TargetNotice = { ...fixture.noNotice, isLeaving: true };
@@ -53,3 +56,20 @@
     t.deepEqual(notices.listLeaving(), [report]);
     t.deepEqual(reports, []);
 });
+
+test("a pause lasts as long as the latest one that was asked for", t => {
+    const { scheduler, set, notices, registration } = createSetup();
+    const recordPause = (pause: types.RequestedPause) =>
+        notices.recordResponse(registration, { ...fixture.noNotice, pause });
+    recordPause({ kind: "pause", forMs: 2_000 });
+    recordPause({ kind: "pause", forMs: 500 });
+    recordPause({ kind: "none" });
+    t.is(set.find(registration.id)?.pausedUntilMs, scheduler.now() + 2_000);
+});
+
+test("a malformed pause is counted and ignored", t => {
+    const { set, notices, registration, countMalformedPauses } = createSetup();
+    notices.recordResponse(registration, { ...fixture.noNotice, pause: { kind: "malformed", text: "soon" } });
+    t.is(set.find(registration.id)?.pausedUntilMs, 0);
+    t.is(countMalformedPauses(), 1);
+});
--- a/src/common/routes/targetNotices.ts
+++ b/src/common/routes/targetNotices.ts
@@ -1,5 +1,6 @@
 /**
- * What targets say about themselves in their responses, apart from their load and limits: that they are leaving.
+ * What targets say about themselves in their responses, apart from their load and limits: that they are leaving, or that
+ * they want no requests from this VM for a while.
  */
 import * as events from "../events.js";
 import * as shared from "../Types.js";
@@ -32,12 +33,14 @@
 /**
  * Creates the notices of a set of targets.
  *
- * @param options - the targets and the logger
+ * @param options - the targets, clock, logger, and the callback for malformed pauses
  * @returns the notices
  */
 export const createTargetNotices = (options: {
     readonly set: targetSet.TargetSet;
+    readonly clock: shared.Clock;
     readonly logger: shared.Logger;
+    handleMalformedPause(): void;
 }): TargetNotices => {
     const { set, logger } = options;
     const leaveEmitter = events.createEmitter<types.LeavingReport>();
@@ -52,12 +55,32 @@
         return true;
     };
 
+    const recordPause = ({ id, startedAtMs }: types.Registration, pause: types.RequestedPause): void => {
+        switch (pause.kind) {
+            case "none":
+                break;
+            case "pause": {
+                const entry = set.findRun(id, startedAtMs);
+                if (entry !== undefined) {
+                    entry.pausedUntilMs = Math.max(entry.pausedUntilMs, options.clock.now() + pause.forMs);
+                    logger.info("target: asks for a pause", { target: id, forMs: Math.round(pause.forMs) });
+                }
+                break;
+            }
+            case "malformed":
+                logger.warn("target: malformed pause ignored", { target: id, value: pause.text });
+                options.handleMalformedPause();
+                break;
+        }
+    };
+
     return {
-        recordResponse: (registration, { isLeaving }) => {
+        recordResponse: (registration, { pause, isLeaving }) => {
             const report = { target: registration.id, startedAtMs: registration.startedAtMs };
             if (isLeaving && markLeaving(report)) {
                 leaveEmitter.fire(report);
             }
+            recordPause(registration, pause);
         },
         applyLeaving: reports => reports.filter(markLeaving),
         listLeaving: () =>
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -242,6 +242,23 @@
     t.is(pickId(), "none");
 });
 
+test("a target that has asked for a pause gets neither requests nor probes, and the caller learns when it does", async t => {
+    const { set, pool, scheduler, pick, pickId } = createSetup([fixture.createRegistration("a")]);
+    const entry = set.find(ids.toTargetId("a"));
+    if (entry !== undefined) {
+        entry.pausedUntilMs = 4_000;
+    }
+    await scheduler.advance(1_000);
+    t.deepEqual(pick(), { kind: "limited", waitMs: 2_000, retryAfterMs: 2_000 });
+    t.deepEqual(
+        pool.listStale(150, () => true),
+        [],
+    );
+    await scheduler.advance(2_000);
+    t.is(pool.listStale(150, () => true).length, 1);
+    t.is(pickId(), "a");
+});
+
 test("a limited target is probed rarely, and by its owner, so that the end of its limit is noticed", async t => {
     const target = fixture.createRegistration("a");
     const { pool, limits, scheduler } = createSetup([target, fixture.createRegistration("b")]);
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -57,7 +57,7 @@
     /** No target has a free slot, or those that have one are too slow. */
     | { readonly kind: "full" }
     /**
-     * No target takes another request now, because of their limits; one does so
+     * No target takes another request now, because of their limits or the pauses that they have asked for; one does so
      * after `waitMs` (infinite if no target does from this VM), and another request of the client helps after `retryAfterMs`.
      */
     | { readonly kind: "limited"; readonly waitMs: number; readonly retryAfterMs: number }
@@ -129,8 +129,17 @@
         inFlight <= entry.registration.slots - minFreeSlots &&
         (!targetEntry.isCold(entry, nowMs) || hasColdCapacity(entry, nowMs));
 
-    /** Finds out whether a target's limit forbids to send it a request now. */
-    const findWithholding = (limit: targetLimits.LimitState, request: PickRequest): Withholding | undefined => {
+    /** Finds out whether a target's limit, or the pause that it has asked for, forbids to send it a request now. */
+    const findWithholding = (
+        entry: targetEntry.TargetEntry,
+        limit: targetLimits.LimitState,
+        request: PickRequest,
+        nowMs: number,
+    ): Withholding | undefined => {
+        const pauseMs = entry.pausedUntilMs - nowMs;
+        if (pauseMs > 0) {
+            return { waitMs: pauseMs, retryAfterMs: Math.min(targetLimits.maxRetryAfterMs, pauseMs) };
+        }
         switch (limit.kind) {
             case "unlimited":
                 return undefined;
@@ -227,7 +236,7 @@
         const withholdings: Withholding[] = [];
         for (const entry of candidates) {
             const limit = limits.check(entry.registration);
-            const withheld = findWithholding(limit, request);
+            const withheld = findWithholding(entry, limit, request, nowMs);
             if (withheld !== undefined) {
                 withholdings.push(withheld);
                 continue;
@@ -309,7 +318,11 @@
                 const isLimited = limits.check(registration).kind !== "unlimited";
                 const mayProbeTarget = isLimited ? limits.isOwner(registration) : mayProbe(registration.zone);
                 const maxAgeMs = isLimited ? limitedProbeAfterMs : ageMs;
-                return mayProbeTarget && nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= maxAgeMs;
+                return (
+                    mayProbeTarget &&
+                    entry.pausedUntilMs <= nowMs &&
+                    nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= maxAgeMs
+                );
             };
             limits.refresh();
             return set
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -116,7 +116,9 @@
     const set = targetSet.createTargetSet(scheduler);
     const notices = targetNotices.createTargetNotices({
         set,
+        clock: scheduler,
         logger,
+        handleMalformedPause: () => routeMetrics.recordMalformedHeader("pause"),
     });
     const targets = targetPool.createTargetPool({
         scheduler,
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -134,7 +134,7 @@
 });
 
 /** Of a response that says nothing about its target. */
-export const noNotice: routes.TargetNotice = { limit: { kind: "none" }, isLeaving: false };
+export const noNotice: routes.TargetNotice = { limit: { kind: "none" }, pause: { kind: "none" }, isLeaving: false };
 
 /** A dialect with its own headers, so that tests of the platform-independent code need no platform's dialect. */
 export const testDialect: nodeRoutes.HttpDialect = {
