--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -15,6 +15,13 @@
     | { readonly kind: "signal"; readonly vm: number; readonly signal: VmSignal; readonly forMs: number }
     | { readonly kind: "store"; readonly mode: StoreMode; readonly forMs: number }
     | { readonly kind: "store-link"; readonly vm: number; readonly state: relay.LinkState; readonly forMs: number }
+    /** Partitions VMs from all targets: some, or those that callers use when the fault begins. */
+    | {
+          readonly kind: "partition";
+          readonly vms: readonly number[] | "used";
+          readonly state: relay.LinkState;
+          readonly forMs: number;
+      }
     | { readonly kind: "target-link"; readonly target: number; readonly state: relay.LinkState; readonly forMs: number }
     | { readonly kind: "target"; readonly target: number; readonly mode: TargetMode; readonly forMs: number }
     /** Affects all targets of a service, so that retries do not help. */
@@ -47,6 +54,15 @@
     readonly completesRequests: boolean;
 }
 
+/** Period in which some VMs reach no target, although all else reaches them. */
+export interface Partition {
+    readonly vms: readonly number[];
+    /** Whether no VM reaches a target. */
+    readonly isTotal: boolean;
+    readonly fromMs: number;
+    toMs: number;
+}
+
 export type CallerOutcome =
     | {
           readonly kind: "answered";
@@ -123,6 +139,7 @@
     readonly arrivals: readonly ArrivalRecord[];
     readonly committedChanges: readonly CommittedChange[];
     readonly disturbances: readonly Disturbance[];
+    readonly partitions: readonly Partition[];
     /** No fault is active from this time on. */
     readonly faultsEndedAtMs: number;
     readonly endedAtMs: number;
@@ -150,6 +167,11 @@
     readonly pauseDelayMs: number;
     /** Requests of one VM that a target may get during such a pause. */
     readonly pauseExtra: number;
+    /** VMs without targets must serve at least this share of what the others serve of their requests, ... */
+    readonly partitionedShare: number;
+    /** ... or fail at most this many requests and this share of the requests at all VMs. */
+    readonly partitionedExtra: number;
+    readonly partitionedFailureShare: number;
 }
 
 export type SoakRule =
@@ -168,6 +190,7 @@
     | "limit"
     | "leaving"
     | "pause"
+    | "partition"
     | "recovery"
     | "process";
 
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -17,6 +17,9 @@
     limitExtra: 5,
     pauseDelayMs: 500,
     pauseExtra: 2,
+    partitionedShare: 2 / 3,
+    partitionedExtra: 10,
+    partitionedFailureShare: 0.02,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -64,6 +67,7 @@
         arrivals: [],
         committedChanges: [],
         disturbances: [],
+        partitions: [],
         faultsEndedAtMs: 40_000,
         endedAtMs: 50_000,
         ...history,
@@ -194,3 +198,19 @@
     const otherVm = calls.map((call, index) => ({ ...call, vm: index === 3 ? 1 : 0 }));
     t.deepEqual(findRules({ arrivals, calls: otherVm }), []);
 });
+
+test("a VM without targets that serves much less than the others is reported", t => {
+    const partitions = [{ vms: [1], isTotal: false, fromMs: 16_000, toMs: 30_000 }];
+    const createCalls = (vm: number, status: number, count: number) =>
+        Array.from({ length: count }, (_, index) => {
+            const outcome = status === 200 ? createCall(`${vm}-${index}`).outcome : createResponse(status, false);
+            return createCall(`${vm}-${index}`, { vm, outcome });
+        });
+    const others = createCalls(0, 200, 40);
+    const runs = others.map(({ id }) => createRun(id));
+    t.deepEqual(findRules({ calls: [...others, ...createCalls(1, 503, 12)], runs, partitions }), ["partition"]);
+    t.deepEqual(findRules({ calls: [...others, ...createCalls(1, 503, 10)], runs, partitions }), []);
+    t.deepEqual(findRules({ calls: createCalls(1, 503, 12), partitions }), ["partition"]);
+    const failing = createCalls(0, 503, 40);
+    t.deepEqual(findRules({ calls: [...failing, ...createCalls(1, 503, 12)], partitions }), []);
+});
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -2,37 +2,17 @@
  * Checks what callers and targets recorded against the guarantees in the platform's documentation.
  */
 import * as routeKind from "../../common/routes/routeKind.js";
+import * as historyChecks from "./historyChecks.js";
+import * as targetChecks from "./targetChecks.js";
 import * as types from "./Types.js";
 
-type Check = (history: types.SoakHistory, bounds: types.SoakBounds) => readonly types.SoakViolation[];
-
 /** Statuses that guarantee that the request has not run and will not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Minimum share of the requests after the recovery time that must succeed. */
 const minRecoveredShare = 0.9;
-const rateWindowMs = 1_000;
-
-const groupBy = <T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, T[]> => {
-    const groups = new Map<string, T[]>();
-    for (const item of items) {
-        const group = groups.get(getKey(item)) ?? [];
-        group.push(item);
-        groups.set(getKey(item), group);
-    }
-    return groups;
-};
-
-/** Returns whether a VM, or any VM if none is given, was disturbed between two times. */
-const isDisturbed = (history: types.SoakHistory, fromMs: number, toMs: number, vm?: number): boolean =>
-    history.disturbances.some(
-        entry =>
-            entry.fromMs <= toMs &&
-            entry.toMs >= fromMs &&
-            (vm === undefined || entry.vm === undefined || entry.vm === vm),
-    );
 
-const findDuplicateRuns: Check = ({ calls, runs }) => {
-    const byId = groupBy(runs, run => run.id);
+const findDuplicateRuns: historyChecks.Check = ({ calls, runs }) => {
+    const byId = historyChecks.groupBy(runs, run => run.id);
     return calls
         .filter(call => !routeKind.isIdempotent(call.kind) && (byId.get(call.id)?.length ?? 0) > 1)
         .map(call => ({
@@ -44,7 +24,7 @@
         }));
 };
 
-const findFalseRefusals: Check = ({ calls, runs }) => {
+const findFalseRefusals: historyChecks.Check = ({ calls, runs }) => {
     const ran = new Set(runs.map(run => run.id));
     return calls
         .filter(({ kind, outcome, id }) => {
@@ -65,8 +45,8 @@
     return !outcome.isSealed || runs.some(run => run.status === outcome.status);
 };
 
-const findMismatchedResponses: Check = ({ calls, runs }) => {
-    const byId = groupBy(runs, run => run.id);
+const findMismatchedResponses: historyChecks.Check = ({ calls, runs }) => {
+    const byId = historyChecks.groupBy(runs, run => run.id);
     return calls
         .filter(call => !isOwnResponse(call, byId.get(call.id) ?? []))
         .map(call => ({
@@ -75,7 +55,7 @@
         }));
 };
 
-const findUnrequestedRuns: Check = ({ calls, runs }) => {
+const findUnrequestedRuns: historyChecks.Check = ({ calls, runs }) => {
     const byId = new Map(calls.map(call => [call.id, call]));
     return runs
         .filter(run => {
@@ -101,12 +81,12 @@
             sentAtMs > change.atMs + change.boundMs &&
             run.atMs < change.endsAtMs &&
             isViolation(run) &&
-            !isDisturbed(history, change.atMs - bounds.contactMs, run.atMs)
+            !historyChecks.isDisturbed(history, change.atMs - bounds.contactMs, run.atMs)
         );
     });
 };
 
-const findIgnoredChanges: Check = (history, bounds) =>
+const findIgnoredChanges: historyChecks.Check = (history, bounds) =>
     history.committedChanges.flatMap((change, index): readonly types.SoakViolation[] => {
         switch (change.kind) {
             case "leaving":
@@ -135,13 +115,13 @@
         }
     });
 
-const findDeniedRequests: Check = ({ calls }) =>
+const findDeniedRequests: historyChecks.Check = ({ calls }) =>
     calls
         .filter(({ outcome }) => outcome?.kind === "answered" && [400, 401, 403, 404].includes(outcome.status))
         .map(call => ({ rule: "denied", message: `${call.id} at VM ${call.vm}: ${JSON.stringify(call.outcome)}` }));
 
 /** A VM that is shutting down must still respond to forwarded requests. */
-const findLostResponses: Check = (history, bounds) => {
+const findLostResponses: historyChecks.Check = (history, bounds) => {
     const ran = new Set(history.runs.map(run => run.id));
     return history.calls
         .filter(call => {
@@ -160,18 +140,18 @@
         }));
 };
 
-const findUnansweredRequests: Check = (history, bounds) =>
+const findUnansweredRequests: historyChecks.Check = (history, bounds) =>
     history.calls
         .filter(
             call =>
                 call.outcome?.kind === "timeout" &&
-                !isDisturbed(history, call.sentAtMs - bounds.contactMs, call.endedAtMs, call.vm),
+                !historyChecks.isDisturbed(history, call.sentAtMs - bounds.contactMs, call.endedAtMs, call.vm),
         )
         .map(call => ({ rule: "unanswered", message: `${call.id} got no response from VM ${call.vm}` }));
 
-const findRetryExcess: Check = (history, bounds) => {
+const findRetryExcess: historyChecks.Check = (history, bounds) => {
     const violations: types.SoakViolation[] = [];
-    for (const [service, arrivals] of groupBy(history.arrivals, arrival => arrival.service)) {
+    for (const [service, arrivals] of historyChecks.groupBy(history.arrivals, arrival => arrival.service)) {
         const firstArrivals = new Map<string, number>();
         arrivals.forEach(arrival =>
             firstArrivals.set(arrival.id, Math.min(firstArrivals.get(arrival.id) ?? Infinity, arrival.atMs)),
@@ -181,7 +161,7 @@
             times.filter(atMs => atMs >= fromMs && atMs < fromMs + bounds.retryWindowMs).length;
         const firstTimes = [...firstArrivals.values()];
         const allTimes = arrivals.map(arrival => arrival.atMs);
-        for (let fromMs = startMs; fromMs < history.endedAtMs; fromMs += rateWindowMs) {
+        for (let fromMs = startMs; fromMs < history.endedAtMs; fromMs += historyChecks.rateWindowMs) {
             const retries = countIn(allTimes, fromMs) - countIn(firstTimes, fromMs);
             // The platform counts the requests of this window or of one that begins half a window or a window earlier.
             const earlier = [0, 0.5, 1].map(windows => fromMs - windows * bounds.retryWindowMs);
@@ -194,106 +174,9 @@
     return violations;
 };
 
-const findColdExcess: Check = (history, bounds) => {
-    const violations: types.SoakViolation[] = [];
-    const cold = history.arrivals.filter(arrival => arrival.isCold);
-    for (const [target, arrivals] of groupBy(cold, arrival => arrival.target)) {
-        const times = arrivals.map(arrival => arrival.atMs).sort((left, right) => left - right);
-        const highestCount = Math.max(
-            ...times.map((atMs, index) => times.slice(index).filter(later => later < atMs + rateWindowMs).length),
-        );
-        if (highestCount > bounds.coldPerSecond) {
-            violations.push({ rule: "cold", message: `${target} got ${highestCount} requests in a second while cold` });
-        }
-    }
-    return violations;
-};
-
-/**
- * Finds windows with more requests to a target than the limit that it named `contactMs` before the window or earlier.
- * Requests through a VM that was disturbed a short time before do not count.
- */
-const findLimitExcess: Check = (history, bounds) => {
-    const violations: types.SoakViolation[] = [];
-    const calls = new Map(history.calls.map(call => [call.id, call]));
-    const limited = history.arrivals.filter(
-        ({ limit, atMs }) => limit !== undefined && atMs > limit.sinceMs + bounds.contactMs,
-    );
-    for (const arrivals of groupBy(limited, ({ target, limit }) => `${target}/${limit?.sinceMs}`).values()) {
-        for (const { target, limit, atMs } of arrivals) {
-            const untilMs = atMs + bounds.limitWindowMs;
-            const counted = arrivals.filter(
-                other =>
-                    other.atMs >= atMs &&
-                    other.atMs < untilMs &&
-                    !isDisturbed(history, atMs - bounds.contactMs, untilMs, calls.get(other.id)?.vm),
-            );
-            const perWindow = ((limit?.perSecond ?? 0) * bounds.limitWindowMs) / 1_000;
-            const allowed = perWindow * bounds.limitOvershoot + bounds.limitExtra;
-            if (counted.length > allowed) {
-                violations.push({
-                    rule: "limit",
-                    message: `${target} got ${counted.length} requests in ${bounds.limitWindowMs} ms, ${allowed} allowed`,
-                });
-                break;
-            }
-        }
-    }
-    return violations;
-};
-
-/** Finds requests that a VM sent to a target long after it had passed on a response in which the target said it was leaving. */
-const findRequestsWhileLeaving: Check = (history, bounds) => {
-    const violations: types.SoakViolation[] = [];
-    const calls = new Map(history.calls.map(call => [call.id, call]));
-    const responses = new Set(history.runs.map(({ target, body }) => `${target} ${body}`));
-    const leaving = history.arrivals.filter(({ isLeaving }) => isLeaving);
-    for (const arrivals of groupBy(leaving, ({ id, target }) => `${target}/${calls.get(id)?.vm}`).values()) {
-        const noticedAtMs = Math.min(
-            ...arrivals.map(({ id, target }) => {
-                const { outcome, endedAtMs = Infinity } = calls.get(id) ?? {};
-                const isOfTarget = outcome?.kind === "answered" && responses.has(`${target} ${outcome.body}`);
-                return isOfTarget ? endedAtMs : Infinity;
-            }),
-        );
-        for (const { id, target, atMs } of arrivals) {
-            const call = calls.get(id);
-            const isLate = (call?.sentAtMs ?? 0) > noticedAtMs + bounds.drainMs;
-            if (isLate && !isDisturbed(history, noticedAtMs, atMs, call?.vm)) {
-                violations.push({
-                    rule: "leaving",
-                    message: `${id} reached ${target}, which had said that it was leaving`,
-                });
-            }
-        }
-    }
-    return violations;
-};
-
-/** Finds VMs that send to a target although it has refused a request of theirs and asked for a pause. */
-const findRequestsInPauses: Check = (history, bounds) => {
-    const violations: types.SoakViolation[] = [];
-    const calls = new Map(history.calls.map(call => [call.id, call]));
-    for (const arrivals of groupBy(history.arrivals, ({ id, target }) => `${target}/${calls.get(id)?.vm}`).values()) {
-        for (const { id, target, atMs, pauseMs } of arrivals) {
-            const vm = calls.get(id)?.vm;
-            const untilMs = atMs + (pauseMs ?? 0);
-            const late = arrivals.filter(other => other.atMs > atMs + bounds.pauseDelayMs && other.atMs < untilMs);
-            if (late.length > bounds.pauseExtra && !isDisturbed(history, atMs, untilMs, vm)) {
-                violations.push({
-                    rule: "pause",
-                    message: `${target} got ${late.length} requests from VM ${vm} in a pause that it had asked for`,
-                });
-                break;
-            }
-        }
-    }
-    return violations;
-};
-
-const findMissingRecovery: Check = (history, bounds) => {
+const findMissingRecovery: historyChecks.Check = (history, bounds) => {
     const lateCalls = history.calls.filter(call => call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs);
-    const served = lateCalls.filter(call => call.outcome?.kind === "answered" && call.outcome.status === 200);
+    const served = lateCalls.filter(historyChecks.isServed);
     return lateCalls.length > 0 && served.length >= lateCalls.length * minRecoveredShare
         ? []
         : [
@@ -304,7 +187,7 @@
           ];
 };
 
-const checks: readonly Check[] = [
+const checks: readonly historyChecks.Check[] = [
     findDuplicateRuns,
     findFalseRefusals,
     findMismatchedResponses,
@@ -314,10 +197,11 @@
     findLostResponses,
     findUnansweredRequests,
     findRetryExcess,
-    findColdExcess,
-    findLimitExcess,
-    findRequestsWhileLeaving,
-    findRequestsInPauses,
+    targetChecks.findColdExcess,
+    targetChecks.findLimitExcess,
+    targetChecks.findRequestsWhileLeaving,
+    targetChecks.findRequestsInPauses,
+    targetChecks.findPartitionedCallers,
     findMissingRecovery,
 ];
 
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -21,6 +21,8 @@
 const minFaultMs = 300;
 const maxFaultMs = 4_000;
 const linkDelayMs = 40;
+/** Partitions shorter than the time that VMs have to notice them show nothing. */
+const minPartitionMs = 3_000;
 
 type CreateFault = (source: shared.Random, size: SoakSize) => types.Fault;
 
@@ -32,6 +34,13 @@
     return item;
 };
 
+/** Picks a part of the indices below a count, at least one and not all. */
+const pickSome = (source: shared.Random, count: number): readonly number[] => {
+    const first = source.nextInt(count);
+    const length = 1 + source.nextInt(count - 1);
+    return Array.from({ length }, (_, index) => (first + index) % count);
+};
+
 const pickDurationMs = (source: shared.Random): number =>
     Math.round(minFaultMs + source.nextFloat() * (maxFaultMs - minFaultMs));
 
@@ -42,6 +51,8 @@
     { kind: "delay", delayMs: linkDelayMs },
 ];
 
+const partitionFaults: readonly relay.LinkState[] = [{ kind: "cut" }, { kind: "freeze" }, { kind: "refuse" }];
+
 const targetModes: readonly types.TargetMode[] = [
     "slow",
     "failing",
@@ -69,6 +80,12 @@
         mode: pickOne(source, ["busy", "silent", "slow", "lost-answers", "no-history"] as const),
         forMs: pickDurationMs(source),
     }),
+    (source, size) => ({
+        kind: "partition",
+        vms: source.nextInt(2) === 0 ? "used" : pickSome(source, size.vms),
+        state: pickOne(source, partitionFaults),
+        forMs: minPartitionMs + pickDurationMs(source),
+    }),
     (source, size) => ({
         kind: "store-link",
         vm: source.nextInt(size.vms),
--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -15,17 +15,22 @@
     /** Forwards data from clients; holds data from the target until the state changes. */
     | { readonly kind: "one-way" }
     /** Resets all connections, including new ones. */
-    | { readonly kind: "cut" };
+    | { readonly kind: "cut" }
+    /** Resets new connections; open ones live on. */
+    | { readonly kind: "refuse" };
 
 export interface Relay {
     readonly address: common.Address;
     readonly url: string;
     readonly setState: (state: LinkState) => void;
+    /** Sets the state for the connections from one host; undefined lets the common state apply to them again. */
+    readonly setStateOf: (host: string, state: LinkState | undefined) => void;
     readonly countBytes: () => number;
     readonly close: () => Promise<void>;
 }
 
 interface HeldAction {
+    readonly host: string;
     readonly isTowardTarget: boolean;
     action(): void;
 }
@@ -47,15 +52,22 @@
  */
 export const startRelay = async (target: string): Promise<Relay> => {
     const { host, port } = ids.splitAddress(target);
-    const sockets = new Set<net.Socket>();
-    let state: LinkState = { kind: "pass" };
+    /** The sockets of all connections, by the host that they come from. */
+    const sockets = new Map<net.Socket, string>();
+    let commonState: LinkState = { kind: "pass" };
+    const hostStates = new Map<string, LinkState>();
     let heldActions: HeldAction[] = [];
     let bytes = 0;
 
+    const getState = (host: string): LinkState => hostStates.get(host) ?? commonState;
+
     /** Runs actions in the order of the calls, once the link state permits it. */
-    const scheduleDelivery = (action: () => void, isTowardTarget: boolean): void => {
+    const scheduleDelivery = (held: HeldAction): void => {
+        const { action, isTowardTarget } = held;
+        const state = getState(held.host);
         switch (state.kind) {
             case "pass":
+            case "refuse":
                 action();
                 return;
             case "delay":
@@ -65,71 +77,87 @@
                 if (isTowardTarget) {
                     action();
                 } else {
-                    heldActions.push({ action, isTowardTarget });
+                    heldActions.push(held);
                 }
                 return;
             case "freeze":
-                heldActions.push({ action, isTowardTarget });
+                heldActions.push(held);
                 return;
             case "cut":
                 return;
         }
     };
 
-    const addPipe = (from: net.Socket, to: net.Socket, isTowardTarget: boolean): void => {
+    const addPipe = (from: net.Socket, to: net.Socket, host: string, isTowardTarget: boolean): void => {
+        const deliver = (action: () => void): void => scheduleDelivery({ host, action, isTowardTarget });
         from.on("data", (chunk: Buffer) => {
             bytes += chunk.length;
             from.pause();
-            scheduleDelivery(() => {
+            deliver(() => {
                 const canContinue = to.write(chunk);
                 if (canContinue) {
                     from.resume();
                 } else {
                     to.once("drain", () => from.resume());
                 }
-            }, isTowardTarget);
+            });
         });
-        from.on("end", () => scheduleDelivery(() => to.end(), isTowardTarget));
+        from.on("end", () => deliver(() => to.end()));
         from.on("error", () => to.destroy());
         from.on("close", () => {
             sockets.delete(from);
-            scheduleDelivery(() => to.destroy(), isTowardTarget);
+            deliver(() => to.destroy());
         });
-        sockets.add(from);
+        sockets.set(from, host);
     };
 
     const server = net.createServer({ allowHalfOpen: true, noDelay: true }, clientSocket => {
-        if (state.kind === "cut") {
+        const clientHost = clientSocket.remoteAddress ?? "";
+        const { kind } = getState(clientHost);
+        if (kind === "cut" || kind === "refuse") {
             clientSocket.resetAndDestroy();
             return;
         }
         const targetSocket = net.connect({ host, port, allowHalfOpen: true, noDelay: true });
-        addPipe(clientSocket, targetSocket, true);
-        addPipe(targetSocket, clientSocket, false);
+        addPipe(clientSocket, targetSocket, clientHost, true);
+        addPipe(targetSocket, clientSocket, clientHost, false);
     });
     const address = await httpServer.waitForListening(server, "127.0.0.1:0");
 
-    const setState = (next: LinkState): void => {
-        state = next;
-        if (next.kind === "freeze") {
-            return;
+    const applyStates = (): void => {
+        for (const [socket, host] of sockets) {
+            if (getState(host).kind === "cut") {
+                closeWithReset(socket);
+            }
         }
         const actions = heldActions;
         heldActions = [];
-        if (next.kind === "cut") {
-            sockets.forEach(closeWithReset);
-            return;
+        actions.forEach(scheduleDelivery);
+    };
+
+    const setState = (next: LinkState): void => {
+        commonState = next;
+        applyStates();
+    };
+
+    const setStateOf = (host: string, next: LinkState | undefined): void => {
+        if (next === undefined) {
+            hostStates.delete(host);
+        } else {
+            hostStates.set(host, next);
         }
-        actions.forEach(({ action, isTowardTarget }) => scheduleDelivery(action, isTowardTarget));
+        applyStates();
     };
 
     return {
         address,
         url: `http://${address}`,
         setState,
+        setStateOf,
         countBytes: () => bytes,
         close: () =>
             new Promise(resolve => {
+                hostStates.clear();
                 setState({ kind: "cut" });
                 server.close(() => resolve());
             }),
