Do not count connections that break in a partition as crashes

Cause: each connection that the partition reset was recorded as a crash that its request had caused, and reported to all VMs; after three, requests with the same fingerprint are blocked everywhere. Class: a VM takes a fault of its own for one of the target, and spreads it.

Change: targetReach knows whether the VM reaches targets at all. It checks one target per second on a new connection, and up to six of different zones after a failure; if none of three or more responds, the VM is cut off, and it returns after two checks in which most respond. A broken connection counts as a crash only if another target responds within 100 ms or such a check finds one. Logged with the prefix 'reach:'; the metric tarragonpath_cut_off is new.

--- /dev/null
+++ b/src/common/routes/targetReach.test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as random from "../random.js";
+import * as targetReach from "./targetReach.js";
+
+const createSetup = (targetCount: number) => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const targets = Array.from({ length: targetCount }, (_, index) =>
+        fixture.createRegistration(`t${index}`, { zone: index % 2 === 0 ? fixture.zone : fixture.otherZone }),
+    );
+    const unreachable = new Set<string>();
+    const changes: boolean[] = [];
+    let checks = 0;
+    const reach = targetReach.createTargetReach({
+        scheduler,
+        random: random.createRandom(5),
+        logger: silentLogger.createSilentLogger(),
+        listTargets: () => targets,
+        check: target => {
+            checks++;
+            return Promise.resolve(!unreachable.has(target.id));
+        },
+    });
+    reach.onDidChange(isCutOff => changes.push(isCutOff));
+    reach.start();
+    const cut = (count = targetCount): void => targets.slice(0, count).forEach(({ id }) => unreachable.add(id));
+    return { scheduler, reach, changes, unreachable, cut, countChecks: () => checks };
+};
+
+test("a VM that reaches no target notices it within its check interval", async t => {
+    const { scheduler, reach, changes, cut } = createSetup(8);
+    await scheduler.advance(3_000);
+    t.false(reach.isCutOff());
+    cut();
+    await scheduler.advance(1_100);
+    t.true(reach.isCutOff());
+    t.deepEqual(changes, [true]);
+});
+
+test("a VM that reaches some targets is not cut off", async t => {
+    const { scheduler, reach, cut } = createSetup(8);
+    cut(3);
+    await scheduler.advance(30_000);
+    t.false(reach.isCutOff());
+});
+
+test("two targets that fail together do not show that the VM is cut off", async t => {
+    const { scheduler, reach, cut } = createSetup(2);
+    cut();
+    await scheduler.advance(5_000);
+    t.false(reach.isCutOff());
+});
+
+test("a VM returns after two checks in which it reached most targets", async t => {
+    const { scheduler, reach, changes, unreachable, cut } = createSetup(6);
+    cut();
+    await scheduler.advance(1_100);
+    unreachable.delete("t0");
+    await scheduler.advance(3_000);
+    t.true(reach.isCutOff());
+    unreachable.clear();
+    await scheduler.advance(400);
+    t.true(reach.isCutOff());
+    await scheduler.advance(700);
+    t.deepEqual(changes, [true, false]);
+});
+
+test("a failure concerns its target if another one responds soon after, and is not checked then", async t => {
+    const { scheduler, reach, countChecks } = createSetup(8);
+    const before = countChecks();
+    const confirmation = reach.confirm();
+    await scheduler.advance(50);
+    reach.recordResponse();
+    await scheduler.advance(50);
+    t.true(await confirmation);
+    t.true(countChecks() - before <= 1);
+});
+
+test("failures without any response are checked at once, and together", async t => {
+    const { scheduler, reach, cut, countChecks } = createSetup(8);
+    cut();
+    const before = countChecks();
+    const confirmations = [reach.confirm(), reach.confirm()];
+    await scheduler.advance(100);
+    t.deepEqual(await Promise.all(confirmations), [false, false]);
+    t.true(reach.isCutOff());
+    t.true(countChecks() - before <= 7);
+});
+
+test("at intervals, one target is checked", async t => {
+    const { scheduler, countChecks } = createSetup(8);
+    await scheduler.advance(10_000);
+    t.true(countChecks() >= 9 && countChecks() <= 11);
+});
--- /dev/null
+++ b/src/common/routes/targetReach.ts
@@ -0,0 +1,162 @@
+/**
+ * Whether this VM reaches targets at all. A VM that is partitioned from all of them cannot tell so from single failures:
+ * targets crash and connections break at other times, too. So one target is checked at intervals, and several at once
+ * after a failure. Each check uses a new connection, as old ones may live on in a partition.
+ */
+import * as events from "../events.js";
+import * as shared from "../Types.js";
+import * as types from "./Types.js";
+
+const checkIntervalMs = 1_000;
+/** A VM that reaches no target checks several of them in this interval. */
+const cutOffCheckIntervalMs = 500;
+const maxCheckedTargets = 6;
+/** Fewer targets may be down at the same time by themselves. */
+const minFailedTargets = 3;
+/** Consecutive checks in which most targets are reached before a VM counts as reaching targets again. */
+const checksToReturn = 2;
+/** Responses of other targets within this time show that a failure concerned one target. */
+const responseWaitMs = 100;
+
+export interface TargetReach extends shared.Disposable {
+    start(): void;
+    /** Whether this VM reaches no target. */
+    isCutOff(): boolean;
+    /** Records that a target has responded to a request. */
+    recordResponse(): void;
+    /**
+     * Finds out whether a failure at a target concerns that target, or this VM's way to all of them.
+     *
+     * @returns true if this VM reaches targets
+     */
+    confirm(): Promise<boolean>;
+    readonly onDidChange: shared.Event<boolean>;
+}
+
+export interface TargetReachOptions {
+    readonly scheduler: shared.Scheduler;
+    readonly random: shared.Random;
+    readonly logger: shared.Logger;
+    /** Targets that may be checked. */
+    listTargets(): readonly types.Registration[];
+    /** Opens a connection to a target; resolves to whether the target responds on it. */
+    check(target: types.Registration): Promise<boolean>;
+}
+
+/**
+ * Picks targets at random, from as many zones as possible.
+ *
+ * @param targets - all targets
+ * @param count - how many to pick at most
+ * @param random - random numbers
+ * @returns the targets
+ */
+export const pickSample = (
+    targets: readonly types.Registration[],
+    count: number,
+    random: shared.Random,
+): readonly types.Registration[] => {
+    const remaining = [...targets];
+    const sample: types.Registration[] = [];
+    const zones = new Set<shared.ZoneName>();
+    while (sample.length < count && remaining.length > 0) {
+        const first = random.nextInt(remaining.length);
+        const others = remaining.findIndex(target => !zones.has(target.zone));
+        const isNewZone = !zones.has(remaining[first]?.zone ?? ("" as shared.ZoneName));
+        const [picked] = remaining.splice(isNewZone || others < 0 ? first : others, 1);
+        if (picked !== undefined) {
+            sample.push(picked);
+            zones.add(picked.zone);
+        }
+    }
+    return sample;
+};
+
+/**
+ * Creates the state of a VM that reaches targets; it is not started.
+ *
+ * @param options - the targets, how to check one, timers, random numbers and logger
+ * @returns the state
+ */
+export const createTargetReach = (options: TargetReachOptions): TargetReach => {
+    const { scheduler, random, logger } = options;
+    const changeEmitter = events.createEmitter<boolean>();
+    let isCutOff = false;
+    let goodChecks = 0;
+    let respondedAtMs = -Infinity;
+    let runningCheck: Promise<boolean> | undefined;
+    let timer: shared.Disposable | undefined;
+    let isDisposed = false;
+
+    const setCutOff = (next: boolean, checked: number, reached: number): void => {
+        isCutOff = next;
+        goodChecks = 0;
+        if (next) {
+            logger.warn("reach: no target reached", { checked });
+        } else {
+            logger.info("reach: targets reached again", { checked, reached });
+        }
+        changeEmitter.fire(next);
+    };
+
+    const applyResults = (checked: number, reached: number): void => {
+        if (!isCutOff) {
+            if (reached === 0 && checked >= minFailedTargets) {
+                setCutOff(true, checked, reached);
+            }
+            return;
+        }
+        goodChecks = reached * 2 >= checked ? goodChecks + 1 : 0;
+        if (goodChecks >= checksToReturn) {
+            setCutOff(false, checked, reached);
+        }
+    };
+
+    const runSampleCheck = async (): Promise<boolean> => {
+        const sample = pickSample(options.listTargets(), maxCheckedTargets, random);
+        const results = await Promise.all(sample.map(options.check));
+        const reached = results.filter(isReached => isReached).length;
+        applyResults(sample.length, reached);
+        return !isCutOff;
+    };
+
+    /** Checks several targets; checks that are asked for meanwhile get the same result. */
+    const checkSample = (): Promise<boolean> => {
+        runningCheck ??= runSampleCheck().finally(() => (runningCheck = undefined));
+        return runningCheck;
+    };
+
+    const checkAtInterval = async (): Promise<void> => {
+        const [target] = isCutOff ? [] : pickSample(options.listTargets(), 1, random);
+        if (isCutOff || (target !== undefined && !(await options.check(target)))) {
+            await checkSample();
+        }
+        scheduleCheck(isCutOff ? cutOffCheckIntervalMs : checkIntervalMs);
+    };
+
+    const scheduleCheck = (delayMs: number): void => {
+        if (!isDisposed) {
+            timer = scheduler.schedule(delayMs, () => void checkAtInterval());
+        }
+    };
+
+    const confirm = async (): Promise<boolean> => {
+        const failedAtMs = scheduler.now();
+        await new Promise<void>(resolve => void scheduler.schedule(responseWaitMs, resolve));
+        return isCutOff ? false : respondedAtMs > failedAtMs || checkSample();
+    };
+
+    return {
+        start: () => scheduleCheck(random.nextFloat() * checkIntervalMs),
+        isCutOff: () => isCutOff,
+        recordResponse: () => {
+            respondedAtMs = scheduler.now();
+        },
+        confirm,
+        onDidChange: changeEmitter.event,
+        dispose: () => {
+            isDisposed = true;
+            timer?.dispose();
+        },
+    };
+};
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -14,6 +14,7 @@
         countTargets: () => 26,
         countLimitedTargets: () => 0,
         countLeavingTargets: () => 0,
+        isCutOff: () => false,
         countPeers: () => 3,
         countActiveVms: () => 1,
         countClientConnections: () => 4,
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -23,6 +23,8 @@
     countLimitedTargets(): number;
     /** Registered targets that have said that they are leaving. */
     countLeavingTargets(): number;
+    /** Whether this VM reaches no target. */
+    isCutOff(): boolean;
     countPeers(): number;
     countActiveVms(): number;
     countClientConnections(): number;
@@ -69,6 +71,7 @@
     add("targets", "Targets in use.", sources.countTargets);
     add("limited_targets", "Targets that have named a limit on their requests.", sources.countLimitedTargets);
     add("leaving_targets", "Registered targets that have said that they are leaving.", sources.countLeavingTargets);
+    add("cut_off", "Whether this VM reaches no target.", () => Number(sources.isCutOff()));
     add("peers", "Entry VMs that live, this one included.", sources.countPeers);
     add("fronts", "Entry VMs that clients are sent to.", sources.countActiveVms);
     add("client_connections", "Open connections of clients.", sources.countClientConnections);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -2,6 +2,7 @@
  * The entry daemon for requests that are routed by host and path: wires up its components and runs them until stopped.
  */
 import * as crypto from "node:crypto";
+import * as checkableTargets from "../../common/routes/checkableTargets.js";
 import * as crashRegistry from "../../common/crashes/crashRegistry.js";
 import * as ids from "../../common/ids.js";
 import * as retryBudget from "../../common/limits/retryBudget.js";
@@ -13,6 +14,7 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as targetNotices from "../../common/routes/targetNotices.js";
 import * as targetPool from "../../common/routes/targetPool.js";
+import * as targetReach from "../../common/routes/targetReach.js";
 import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
@@ -40,6 +42,8 @@
 /** The process exits this long before the end of the grace period. */
 const graceMarginMs = 500;
 const drainCheckIntervalMs = 100;
+/** A check of whether a target is reached ends after this time. */
+const reachTimeoutMs = 500;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -156,10 +160,22 @@
         dialect: options.http,
         scheduler,
         handleHead: (registration, { notice }, sentAtMs) => {
+            reach.recordResponse();
             limits.recordResponse(registration, notice.limit, sentAtMs);
             notices.recordResponse(registration, notice);
         },
     });
+    const reach = targetReach.createTargetReach({
+        scheduler,
+        random: random.createRandom(crypto.randomInt(2 ** 31)),
+        logger,
+        listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
+        check: async registration => {
+            const path = services.get(registration.service)?.healthPath ?? "/";
+            const probe = { registration, path, timeoutMs: reachTimeoutMs, onNewConnection: true };
+            return (await sender.sendProbe(probe)) !== undefined;
+        },
+    });
     const routeMetrics = metrics.createRouteMetrics({
         getConfigurationVersion: () => table?.version,
         computeStoreAgeMs: members.computeStoreAgeMs,
@@ -170,6 +186,7 @@
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
         countLeavingTargets: notices.countLeaving,
+        isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
     });
     const prober = targetProber.createTargetProber({
@@ -181,6 +198,14 @@
         mayProbe: role.mayProbe,
     });
 
+    /** A partition also breaks connections; without this check, it would show as crashes that all requests cause. */
+    const recordCrash = async (fingerprint: string, target: shared.TargetId): Promise<void> => {
+        if (await reach.confirm()) {
+            crashes.recordCrash(fingerprint, target);
+            members.sendCrash({ fingerprint, target });
+        }
+    };
+
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
@@ -192,10 +217,7 @@
             crashes,
             logger,
             metrics: routeMetrics,
-            recordCrash: (fingerprint, target) => {
-                crashes.recordCrash(fingerprint, target);
-                members.sendCrash({ fingerprint, target });
-            },
+            recordCrash: (fingerprint, target) => void recordCrash(fingerprint, target),
         },
         getTable: () => table,
         recordRequest: (end, latencyMs) => {
@@ -272,6 +294,7 @@
             await frontend?.listen();
             await members.start();
             prober.start();
+            reach.start();
             if (settings.metricsAddress !== undefined) {
                 metricsServer.listenForMetrics({ address: settings.metricsAddress, metrics: routeMetrics, logger });
             }
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -40,7 +40,12 @@
             return;
         }
         targets.recordProbe(registration.id);
-        const head = await sender.sendProbe(registration, path, probeTimeoutMs);
+        const head = await sender.sendProbe({
+            registration,
+            path,
+            timeoutMs: probeTimeoutMs,
+            onNewConnection: false,
+        });
         options.metrics.recordProbe(head !== undefined);
         if (head === undefined || (head.target !== undefined && head.target !== registration.id)) {
             return;
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -46,14 +46,17 @@
     readonly isIdempotent: boolean;
 }
 
+export interface Probe {
+    readonly registration: routes.Registration;
+    readonly path: string;
+    readonly timeoutMs: number;
+    readonly onNewConnection: boolean;
+}
+
 export interface TargetSender {
     start(options: AttemptOptions): Attempt;
     /** Asks a target for its health and load; undefined if it does not respond in time. */
-    sendProbe(
-        registration: routes.Registration,
-        path: string,
-        timeoutMs: number,
-    ): Promise<types.ResponseHead | undefined>;
+    sendProbe(probe: Probe): Promise<types.ResponseHead | undefined>;
 }
 
 /** Escapes nothing: URLs and headers contain no line breaks, as the parsers for clients and targets reject them. */
@@ -164,17 +167,15 @@
         };
     };
 
-    const sendProbe = async (
-        registration: routes.Registration,
-        path: string,
-        timeoutMs: number,
-    ): Promise<types.ResponseHead | undefined> => {
-        const connection = await pool.acquire({ address: registration.address, maxIdleMs: Infinity });
+    const sendProbe = async (probe: Probe): Promise<types.ResponseHead | undefined> => {
+        const { registration } = probe;
+        const maxIdleMs = probe.onNewConnection ? -Infinity : Infinity;
+        const connection = await pool.acquire({ address: registration.address, maxIdleMs });
         if (connection === undefined) {
             return undefined;
         }
-        const timer = scheduler.schedule(timeoutMs, () => connection.dispose());
-        const bytes = [formatHead("GET", path, ["Host", registration.address])];
+        const timer = scheduler.schedule(probe.timeoutMs, () => connection.dispose());
+        const bytes = [formatHead("GET", probe.path, ["Host", registration.address])];
         const result = await sendRequest(connection, registration, { bytes, id: undefined, method: "GET" });
         timer.dispose();
         pool.release(connection);
