Pass requests on to other VMs while a VM reaches no target

What callers saw: while the VM that they used was partitioned from all targets, it kept its place in lookups and failed their requests: 22 of 96 served when connections hang, 0 of 1,534 when they are reset, with three other VMs well.

Cause: no VM knew or said that it reached no target. Lookups alone do not mend it, as clients keep their answers for seconds.

Change: a VM that is cut off (targetReach) says so to its peers, and is active only if no VM reaches targets. What still arrives there it passes on to an active VM that reaches targets, of its own zone first, on the address for clients, with the remaining time and the number of targets that may still run it; a request is passed on once, to the next VM only if nothing was sent. Requests that wait for a slot when the VM is cut off are passed on too, and idempotent ones in flight within the retry budget; others stay until their deadline, as they may have run. If no VM reaches targets, all try as before. Logged with the prefix 'relay:'; requests that were passed on count in request_duration_seconds as 'relayed'.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -186,6 +186,8 @@
     /** CPU cores available to the VM; may be a fraction. */
     readonly cores: number;
     readonly isReady: boolean;
+    /** Whether the VM reaches no target; VMs of earlier versions do not say so. */
+    readonly isCutOff?: boolean;
     /** Rate of requests that the VM receives from clients. */
     readonly requestsPerSecond: number;
 }
--- a/src/common/routes/activeVmSelection.ts
+++ b/src/common/routes/activeVmSelection.ts
@@ -45,8 +45,11 @@
     const demand = peers.reduce((sum, peer) => sum + peer.requestsPerSecond, 0);
     // The first VM is the hub. It becomes active last, so that one failure does not affect both roles.
     const [hub, ...followers] = [...peers].sort(peerOrder.comparePeers);
-    const ready = followers.filter(peer => peer.isReady);
-    const readyHub = hub?.isReady === true ? hub : undefined;
+    const reachesAny = peers.some(peer => peer.isReady && peer.isCutOff !== true);
+    // VMs that reach no target are not used while others do.
+    const isUsable = (peer: types.Peer): boolean => peer.isReady && !(reachesAny && peer.isCutOff === true);
+    const ready = followers.filter(isUsable);
+    const readyHub = hub !== undefined && isUsable(hub) ? hub : undefined;
     const activeVms: types.Peer[] = [];
     let capacity = 0;
     while (activeVms.length === 0 || capacity < demand) {
--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -79,6 +79,18 @@
     t.deepEqual(listActiveVmNames([], 10), []);
 });
 
+test("a VM that reaches no target is active only if no VM reaches one", t => {
+    const cutOff = fixture.createPeer("cut-off", { startedAtMs: 2, isCutOff: true });
+    const other = fixture.createPeer("other", { startedAtMs: 3 });
+    const hub = fixture.createPeer("hub");
+    const select = (...peers: readonly types.Peer[]) =>
+        activeVmSelection.selectActiveVms(peers, new Map()).map(peer => peer.vm as string);
+    t.deepEqual(select(hub, cutOff, other), ["other"]);
+    t.deepEqual(select(hub, cutOff), ["hub"]);
+    t.deepEqual(select({ ...hub, isCutOff: true }, cutOff), ["cut-off"]);
+    t.deepEqual(select(hub, cutOff, { ...other, isReady: false }), ["hub"]);
+});
+
 test("clients get the active VMs of their zone, or all if it has none", t => {
     const activeVms = [fixture.createPeer("a"), fixture.createPeer("b", { zone: fixture.otherZone })];
     t.deepEqual(
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -15,6 +15,8 @@
     readonly host: string;
     /** How long the client waits for the response, in milliseconds. */
     readonly clientTimeoutMs: number | undefined;
+    /** Targets at which a request that another VM has passed on may run; undefined for requests of clients. */
+    readonly relayedMaxTargets: number | undefined;
 }
 
 /** Headers of a target's response that the load balancer evaluates. */
@@ -60,6 +62,11 @@
         headers: RawHeaders,
         attempt: { readonly target: types.TargetId; readonly remainingMs: number },
     ): string[];
+    /** Formats the headers of a request that is passed on to another VM, without Content-Length. */
+    formatRelayHeaders(
+        headers: RawHeaders,
+        relayed: { readonly maxTargets: number; readonly remainingMs: number },
+    ): string[];
     parseResponseHead(statusCode: number, headers: RawHeaders): ResponseHead;
     /** Formats the headers of a response that the load balancer generates itself. */
     formatOwnResponseHeaders(requestId: string | undefined): string[];
--- /dev/null
+++ b/src/node/routes/connectivity.ts
@@ -0,0 +1,84 @@
+/**
+ * The way from this VM to the targets: whether there is one, and what happens to requests while there is none.
+ */
+import * as checkableTargets from "../../common/routes/checkableTargets.js";
+import * as events from "../../common/events.js";
+import * as random from "../../common/random.js";
+import * as targetLimits from "../../common/routes/targetLimits.js";
+import * as targetReach from "../../common/routes/targetReach.js";
+import * as targetSet from "../../common/routes/targetSet.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as peerRelay from "./peerRelay.js";
+import * as targetSender from "./targetSender.js";
+import * as types from "./Types.js";
+
+/** A check of whether a target is reached ends after this time. */
+const checkTimeoutMs = 500;
+
+export interface Connectivity {
+    readonly reach: targetReach.TargetReach;
+    readonly relay: peerRelay.PeerRelay;
+    /** Fires when this VM has noticed that it reaches no target, and another VM does. */
+    readonly onDidLoseTargets: shared.Event<void>;
+}
+
+export interface ConnectivityOptions {
+    readonly settings: types.RouteSettings;
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+    readonly set: targetSet.TargetSet;
+    readonly limits: targetLimits.TargetLimits;
+    readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
+    readonly sender: targetSender.TargetSender;
+    /** Seed of the random numbers. */
+    readonly seed: number;
+    listActiveVms(): readonly routes.Peer[];
+    listPeers(): readonly routes.Peer[];
+}
+
+/**
+ * Creates the connectivity of a VM; its checks are not started.
+ *
+ * @param options - the targets, the other VMs, and how to send to both
+ * @returns the connectivity
+ */
+export const createConnectivity = (options: ConnectivityOptions): Connectivity => {
+    const { settings, scheduler, logger, set, limits, services, sender } = options;
+    const source = random.createRandom(options.seed);
+    const lostTargetsEmitter = events.createEmitter<void>();
+
+    const isUsable = (peer: routes.Peer): boolean => peer.vm !== settings.vm && peer.isReady && peer.isCutOff !== true;
+
+    /** The active VMs, which clients use too, or any others if none of those is usable. */
+    const listUsablePeers = (): readonly routes.Peer[] => {
+        const activeVms = options.listActiveVms().filter(isUsable);
+        return activeVms.length > 0 ? activeVms : options.listPeers().filter(isUsable);
+    };
+
+    const reach = targetReach.createTargetReach({
+        scheduler,
+        random: source,
+        logger,
+        listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
+        check: async registration => {
+            const path = services.get(registration.service)?.healthPath ?? "/";
+            const probe = { registration, path, timeoutMs: checkTimeoutMs, onNewConnection: true };
+            return (await sender.sendProbe(probe)) !== undefined;
+        },
+    });
+    reach.onDidChange(isCutOff => {
+        if (isCutOff && listUsablePeers().length > 0) {
+            lostTargetsEmitter.fire();
+        }
+    });
+    const relay = peerRelay.createPeerRelay({
+        scheduler,
+        logger,
+        random: source,
+        zone: settings.zone,
+        sender,
+        listPeers: listUsablePeers,
+    });
+    return { reach, relay, onDidLoseTargets: lostTargetsEmitter.event };
+};
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import * as events from "../../common/events.js";
 import * as crashRegistry from "../../common/crashes/crashRegistry.js";
 import * as random from "../../common/random.js";
 import * as targetPool from "../../common/routes/targetPool.js";
@@ -9,6 +10,7 @@
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as exchange from "./exchange.js";
+import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as targetSender from "./targetSender.js";
 
@@ -88,7 +90,8 @@
     if (options.isClientDisconnected === true) {
         client.abort();
     }
-    let response: exchange.FinalResponse | undefined;
+    const lostTargetsEmitter = events.createEmitter<void>();
+    let response: exchangeRequest.FinalResponse | exchangeRequest.Unreached | undefined;
     let respondedAtMs = 0;
     const crashed: string[] = [];
     const ends: exchangeLog.AttemptEnd[] = [];
@@ -119,6 +122,7 @@
                     recordLimited: () => undefined,
                     recordStreamedBody: () => undefined,
                 },
+                onDidLoseTargets: lostTargetsEmitter.event,
                 recordCrash: (_, target) => crashed.push(target),
             },
             {
@@ -146,6 +150,7 @@
                 signal: new AbortController().signal,
                 take: () => undefined,
             }),
+        loseTargets: () => lostTargetsEmitter.fire(),
         abortClient: () => client.abort(),
         getResponse: () => response,
         getRespondedAtMs: () => respondedAtMs,
@@ -305,3 +310,28 @@
     t.deepEqual(exchangeRun.sent, ["a"]);
     t.is(exchangeRun.countHedges(), 0);
 });
+
+test("when no target is reached any more, an idempotent request is stopped for another VM, within the retry budget", async t => {
+    const { advance, loseTargets, getResponse, countAborted } = run([noResponse], { route: { maxTargets: 3 } });
+    await advance(10);
+    loseTargets();
+    await advance(0);
+    t.deepEqual(getResponse(), { kind: "unreached", maxTargets: 2, mayHaveRun: true });
+    t.is(countAborted(), 1);
+    const withoutBudget = run([noResponse], { budget: 0 });
+    await withoutBudget.advance(10);
+    withoutBudget.loseTargets();
+    await withoutBudget.advance(0);
+    t.is(withoutBudget.getResponse(), undefined);
+});
+
+test("a non-idempotent request stays at a target that is not reached any more", async t => {
+    const route = { kind: "non-idempotent" } as const;
+    const sent = run([noResponse], { route });
+    await sent.advance(10);
+    sent.loseTargets();
+    await sent.advance(0);
+    t.is(sent.getResponse(), undefined);
+    await sent.advance(1_000);
+    t.like(sent.getResponse(), { kind: "failed", statusCode: 504 });
+});
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -6,11 +6,11 @@
 import * as routing from "../../common/routing/Types.js";
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as targetPool from "../../common/routes/targetPool.js";
-import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
+import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeTiming from "./exchangeTiming.js";
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
@@ -24,27 +24,6 @@
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
 
-export interface ExchangeRequest {
-    readonly outgoing: targetSender.OutgoingRequest;
-    readonly route: routes.Route;
-    readonly service: shared.ServiceName;
-    /** Latest time of the final response, on the local monotonic clock. */
-    readonly deadlineAtMs: number;
-    readonly fingerprint: string;
-    /** Version of the configuration by which the request was routed. */
-    readonly configurationVersion: number;
-    /** Aborted when the client disconnects. */
-    readonly signal: AbortSignal;
-}
-
-export type FinalResponse =
-    | { readonly kind: "target"; readonly response: targetConnection.TargetResponse; readonly target: shared.TargetId }
-    /** The request did not run and will not. */
-    | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number }
-    /** The request may have run. */
-    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 502 | 504 }
-    | { readonly kind: "abandoned" };
-
 export interface ExchangeOptions {
     readonly scheduler: shared.Scheduler;
     readonly targets: targetPool.TargetPool;
@@ -54,6 +33,8 @@
     readonly crashes: crashes.CrashRegistry;
     readonly logger: shared.Logger;
     readonly metrics: exchangeLog.ExchangeMetrics;
+    /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
+    readonly onDidLoseTargets: shared.Event<void>;
     /** Called when the request broke the connection to a target. */
     recordCrash(fingerprint: string, target: shared.TargetId): void;
 }
@@ -65,13 +46,16 @@
  * @param request - the request
  * @returns the final response for the client
  */
-export const runExchange = (options: ExchangeOptions, request: ExchangeRequest): Promise<FinalResponse> =>
+export const runExchange = (
+    options: ExchangeOptions,
+    request: exchangeRequest.ExchangeRequest,
+): Promise<exchangeRequest.FinalResponse | exchangeRequest.Unreached> =>
     new Promise(resolve => createExchange(options, request, resolve).start());
 
 const createExchange = (
     options: ExchangeOptions,
-    request: ExchangeRequest,
-    resolve: (response: FinalResponse) => void,
+    request: exchangeRequest.ExchangeRequest,
+    resolve: (response: exchangeRequest.FinalResponse | exchangeRequest.Unreached) => void,
 ): { start(): void } => {
     const { scheduler, targets, budget } = options;
     const { route, service, outgoing } = request;
@@ -96,7 +80,7 @@
     let refusals = 0;
     let unreachableTargets = 0;
     let isDone = false;
-    let failure: FinalResponse | undefined;
+    let failure: exchangeRequest.FinalResponse | undefined;
 
     const pickTarget = (acceptableLatencyMs: number): targetPool.PickResult =>
         targets.pick({
@@ -111,7 +95,7 @@
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
-    const finish = (response: FinalResponse): void => {
+    const finish = (response: exchangeRequest.FinalResponse | exchangeRequest.Unreached): void => {
         if (isDone) {
             return;
         }
@@ -159,6 +143,13 @@
     const mayRepeat = (): boolean =>
         !isDone && runs < route.maxTargets && timing.hasTimeForAttempt() && budget.takeRetry(service);
 
+    /** A request that has run, or may have, goes on at another VM only as a retry. */
+    const handleLostTargets = (): void => {
+        if (runs === 0 || (isIdempotent && mayRepeat())) {
+            finish({ kind: "unreached", maxTargets: route.maxTargets - runs, mayHaveRun: runs > 0 });
+        }
+    };
+
     const repeat = (reason: string): void => {
         if (isDone || running.count() > 0) {
             return;
@@ -223,7 +214,11 @@
         const latencyMs = scheduler.now() - attempt.startedAtMs;
         const responseBytes = bodyForwarding.getBodyBytes(response.body);
         attempt.reservation.finish({ kind: "answered", latencyMs, isFailure, responseBytes }, head.load);
-        const final: FinalResponse = { kind: "target", response, target: attempt.reservation.registration.id };
+        const final: exchangeRequest.FinalResponse = {
+            kind: "target",
+            response,
+            target: attempt.reservation.registration.id,
+        };
         if (isFailure) {
             failure = isWhole ? final : failure;
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
@@ -340,6 +335,7 @@
                 return;
             }
             request.signal.addEventListener("abort", handleClientAbort, { once: true });
+            timers.push(options.onDidLoseTargets(handleLostTargets));
             timers.push(scheduler.schedule(timing.computeRemainingMs(), handleDeadline));
             if (isIdempotent && route.maxTargets > 1) {
                 timers.push(scheduler.schedule(timing.hedgeDelayMs, hedge));
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -106,6 +106,7 @@
         scheduler,
         logger: silentLogger.createSilentLogger(),
         isReady: () => true,
+        isCutOff: () => false,
         computeRequestRate: () => 0,
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -32,7 +32,7 @@
     listPeers(): readonly routes.Peer[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
-    /** Sends this VM's changed readiness to the hub at once. */
+    /** Sends this VM's changed readiness or connectivity to the hub at once. */
     sendHello(): void;
     /** Sends a changed limit of a target to all VMs, together with what else changes at about the same time. */
     sendLimit(report: targetLimits.LimitReport): void;
@@ -48,6 +48,8 @@
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     isReady(): boolean;
+    /** Whether this VM reaches no target. */
+    isCutOff(): boolean;
     computeRequestRate(): number;
     /** Applies reports about targets; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
@@ -81,6 +83,7 @@
         isSeed: settings.peerAddress !== undefined && settings.seeds.includes(settings.peerAddress),
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
+        isCutOff: options.isCutOff(),
         requestsPerSecond: rate.roundRate(options.computeRequestRate()),
     });
 
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -10,7 +10,7 @@
 const namePrefix = "tarragonpath_";
 
 /** How a request ended for the client. */
-export type RequestEnd = "served" | "refused" | "failed" | "abandoned" | "no-route";
+export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route";
 
 /** Values that are read on each scrape. */
 export interface MetricSources {
--- /dev/null
+++ b/src/node/routes/peerRelay.test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import * as random from "../../common/random.js";
+import * as routes from "../../common/routes/Types.js";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as peerRelay from "./peerRelay.js";
+import * as targetConnection from "./targetConnection.js";
+import * as targetSender from "./targetSender.js";
+
+const response: targetConnection.TargetResponse = {
+    statusCode: 503,
+    head: fixture.testDialect.parseResponseHead(503, []),
+    body: { kind: "whole", bytes: Buffer.alloc(0) },
+    isDelimited: true,
+    received: Promise.resolve(),
+};
+
+/** Runs one request; each VM to which it is offered takes the next step as its result. */
+const run = async (peers: readonly routes.Peer[], steps: readonly (targetSender.AttemptResult | undefined)[]) => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const offered: string[] = [];
+    const remainingSteps = [...steps];
+    const relay = peerRelay.createPeerRelay({
+        scheduler,
+        logger: silentLogger.createSilentLogger(),
+        random: random.createRandom(3),
+        zone: fixture.zone,
+        sender: {
+            startRelayed: ({ address }) => {
+                offered.push(address);
+                const step = remainingSteps.shift();
+                let resolveResult: (result: targetSender.AttemptResult) => void = () => undefined;
+                const result = new Promise<targetSender.AttemptResult>(resolve => (resolveResult = resolve));
+                if (step !== undefined) {
+                    resolveResult(step);
+                }
+                return {
+                    result,
+                    abort: () => resolveResult({ kind: "broken", reason: "closed here" }),
+                    abortIfUnsent: () => undefined,
+                };
+            },
+        },
+        listPeers: () => peers,
+    });
+    let end: peerRelay.RelayEnd | undefined | "pending" = "pending";
+    void relay
+        .run(
+            {
+                outgoing: { id: "r1", method: "GET", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
+                route: fixture.createRoute(),
+                service: fixture.service,
+                deadlineAtMs: 1_000,
+                fingerprint: "f",
+                configurationVersion: 1,
+                signal: new AbortController().signal,
+            },
+            2,
+        )
+        .then(relayEnd => (end = relayEnd));
+    await scheduler.advance(0);
+    return { scheduler, offered, getEnd: () => end };
+};
+
+const near = fixture.createPeer("near");
+const far = fixture.createPeer("far", { zone: fixture.otherZone });
+const unreachable: targetSender.AttemptResult = { kind: "unreachable" };
+
+test("a request is passed on to a VM of the same zone, and its response is passed back", async t => {
+    const { offered, getEnd } = await run([far, near], [{ kind: "response", response }]);
+    t.deepEqual(offered, [near.frontAddress]);
+    t.deepEqual(getEnd(), { kind: "relayed", response });
+});
+
+test("the next VM is tried only if nothing was sent to the first one", async t => {
+    const second = await run([far, near], [unreachable, { kind: "response", response }]);
+    t.deepEqual(second.offered, [near.frontAddress, far.frontAddress]);
+    t.deepEqual(second.getEnd(), { kind: "relayed", response });
+    const broken = await run([far, near], [{ kind: "broken", reason: "ECONNRESET" }]);
+    t.deepEqual(broken.offered, [near.frontAddress]);
+    t.deepEqual(broken.getEnd(), { kind: "failed", reason: "ECONNRESET", statusCode: 502 });
+});
+
+test("a request that no VM takes has not run", async t => {
+    t.is((await run([], [])).getEnd(), undefined);
+    t.is((await run([far, near], [unreachable, unreachable])).getEnd(), undefined);
+});
+
+test("a request that the other VM does not respond to fails soon after its deadline", async t => {
+    const { scheduler, getEnd } = await run([near], [undefined]);
+    await scheduler.advance(1_000);
+    t.is(getEnd(), "pending");
+    await scheduler.advance(100);
+    t.like(getEnd(), { kind: "failed", statusCode: 504 });
+});
--- /dev/null
+++ b/src/node/routes/peerRelay.ts
@@ -0,0 +1,132 @@
+/**
+ * Passes requests on to other VMs while this VM reaches no target. Clients keep the addresses of VMs for seconds, so that
+ * requests still arrive when lookups have stopped naming this VM. A request that was passed on is not passed on again.
+ */
+import * as routeKind from "../../common/routes/routeKind.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as bodyForwarding from "./bodyForwarding.js";
+import * as exchangeRequest from "./exchangeRequest.js";
+import * as targetConnection from "./targetConnection.js";
+import * as targetSender from "./targetSender.js";
+
+/** VMs to which a request is offered; the next one only if no connection to one could be opened. */
+const maxOfferedPeers = 2;
+/** The other VM responds at the deadline; this time allows for the way between the VMs. */
+const deadlineMarginMs = 50;
+
+/** The response of another VM; undefined if the request was sent to none. */
+export type RelayEnd =
+    | { readonly kind: "relayed"; readonly response: targetConnection.TargetResponse }
+    /** The request may have run. */
+    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 502 | 504 }
+    | { readonly kind: "abandoned" };
+
+export interface PeerRelay {
+    /**
+     * Passes a request on.
+     *
+     * @param request - the request
+     * @param maxTargets - targets at which the other VM may run it
+     * @returns the end; undefined if no VM was reached, so that the request has not run
+     */
+    run(request: exchangeRequest.ExchangeRequest, maxTargets: number): Promise<RelayEnd | undefined>;
+}
+
+export interface PeerRelayOptions {
+    readonly scheduler: shared.Scheduler;
+    readonly logger: shared.Logger;
+    readonly random: shared.Random;
+    readonly zone: shared.ZoneName;
+    readonly sender: Pick<targetSender.TargetSender, "startRelayed">;
+    /** VMs that reach targets. */
+    listPeers(): readonly routes.Peer[];
+}
+
+/**
+ * Creates the relay.
+ *
+ * @param options - the other VMs, and how to send to them
+ * @returns the relay
+ */
+export const createPeerRelay = (options: PeerRelayOptions): PeerRelay => {
+    const { scheduler, logger, random } = options;
+
+    /** VMs of the same zone first, otherwise at random, so that the requests are spread over them. */
+    const listOfferedPeers = (): readonly routes.Peer[] =>
+        options
+            .listPeers()
+            .map(peer => ({ peer, order: (peer.zone === options.zone ? 0 : 1) + random.nextFloat() }))
+            .sort((left, right) => left.order - right.order)
+            .slice(0, maxOfferedPeers)
+            .map(({ peer }) => peer);
+
+    /** Sends a request to one VM; undefined if it was not reached. */
+    const offer = async (
+        peer: routes.Peer,
+        request: exchangeRequest.ExchangeRequest,
+        maxTargets: number,
+    ): Promise<RelayEnd | undefined> => {
+        const { outgoing, route, deadlineAtMs, signal } = request;
+        let hasPassedDeadline = false;
+        const attempt = options.sender.startRelayed({
+            address: peer.frontAddress,
+            request: outgoing,
+            maxTargets,
+            getRemainingMs: () => deadlineAtMs - scheduler.now(),
+            isIdempotent: routeKind.isIdempotent(route.kind),
+        });
+        const handleAbort = (): void => attempt.abort();
+        signal.addEventListener("abort", handleAbort, { once: true });
+        const timer = scheduler.schedule(Math.max(0, deadlineAtMs + deadlineMarginMs - scheduler.now()), () => {
+            hasPassedDeadline = true;
+            attempt.abort();
+        });
+        const result = await attempt.result;
+        timer.dispose();
+        signal.removeEventListener("abort", handleAbort);
+        if (signal.aborted) {
+            return { kind: "abandoned" };
+        }
+        switch (result.kind) {
+            case "response":
+                return { kind: "relayed", response: result.response };
+            case "broken":
+                return { kind: "failed", reason: result.reason, statusCode: hasPassedDeadline ? 504 : 502 };
+            case "unreachable":
+            case "withdrawn":
+                return undefined;
+        }
+    };
+
+    return {
+        run: async (request, maxTargets) => {
+            const startedAtMs = scheduler.now();
+            for (const peer of listOfferedPeers()) {
+                const end = await offer(peer, request, maxTargets);
+                logger.info("relay: request passed on", {
+                    request: request.outgoing.id,
+                    route: request.route.name,
+                    service: request.service,
+                    vm: peer.vm,
+                    end: end?.kind ?? "unreachable",
+                    status: end?.kind === "relayed" ? end.response.statusCode : undefined,
+                    latencyMs: Math.round(scheduler.now() - startedAtMs),
+                });
+                if (end?.kind === "relayed") {
+                    bodyForwarding.watchBody({
+                        scheduler,
+                        body: end.response.body,
+                        limits: request,
+                        handleEnd: ({ kind, bytes }) =>
+                            logger.info("relay: body ended", { request: request.outgoing.id, end: kind, bytes }),
+                    });
+                }
+                if (end !== undefined) {
+                    return end;
+                }
+            }
+            return undefined;
+        },
+    };
+};
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -6,8 +6,10 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as exchange from "./exchange.js";
+import * as exchangeRequest from "./exchangeRequest.js";
 import * as frontendServer from "./frontendServer.js";
 import * as metrics from "./metrics.js";
+import * as peerRelay from "./peerRelay.js";
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
@@ -17,6 +19,9 @@
 export interface RequestHandlerOptions {
     readonly dialect: types.HttpDialect;
     readonly exchange: exchange.ExchangeOptions;
+    readonly relay: peerRelay.PeerRelay;
+    /** Whether this VM reaches no target. */
+    isCutOff(): boolean;
     getTable(): routeTable.RouteTable | undefined;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
@@ -32,11 +37,14 @@
     readonly request: frontendServer.ClientRequest;
     readonly id: string;
     readonly clientTimeoutMs: number | undefined;
+    readonly relayedMaxTargets: number | undefined;
     readonly route: routes.Route;
     readonly service: shared.ServiceName;
     readonly configurationVersion: number;
 }
 
+type RequestResult = exchangeRequest.FinalResponse | peerRelay.RelayEnd;
+
 const splitUrl = (url: string): { readonly path: string; readonly query: string } => {
     const at = url.indexOf("?");
     return at < 0 ? { path: url, query: "" } : { path: url.slice(0, at), query: url.slice(at) };
@@ -70,10 +78,11 @@
 
     const formatFinalResponse = (
         requestId: string | undefined,
-        response: exchange.FinalResponse,
+        response: RequestResult,
     ): frontendServer.ClientResponse | undefined => {
         switch (response.kind) {
-            case "target": {
+            case "target":
+            case "relayed": {
                 const { statusCode, head, body, isDelimited } = response.response;
                 return { statusCode, headers: head.forwardedHeaders, body, isDelimited };
             }
@@ -97,8 +106,29 @@
         return formatOwnResponse(id, statusCode, reason, statusCode === 503 ? unconfiguredRetryAfterMs : undefined);
     };
 
-    const runRoute = async (routed: RoutedRequest): Promise<exchange.FinalResponse> => {
-        const { request, id, route, service } = routed;
+    /** Runs a request here, or at another VM if this one reaches no target. */
+    const runOrRelay = async (request: exchangeRequest.ExchangeRequest, mayRelay: boolean): Promise<RequestResult> => {
+        const { maxTargets } = request.route;
+        const relayed = mayRelay && options.isCutOff() ? await options.relay.run(request, maxTargets) : undefined;
+        if (relayed !== undefined) {
+            return relayed;
+        }
+        const result = await exchange.runExchange(options.exchange, request);
+        if (result.kind !== "unreached") {
+            return result;
+        }
+        const reason = "targets not reached";
+        return (
+            (mayRelay ? await options.relay.run(request, result.maxTargets) : undefined) ??
+            (result.mayHaveRun
+                ? { kind: "failed", reason, statusCode: 502 }
+                : { kind: "refused", reason, retryAfterMs: unconfiguredRetryAfterMs })
+        );
+    };
+
+    const runRoute = async (routed: RoutedRequest): Promise<RequestResult> => {
+        const { request, id, service, relayedMaxTargets = Infinity } = routed;
+        const route = { ...routed.route, maxTargets: Math.min(routed.route.maxTargets, relayedMaxTargets) };
         const { method, url, headers, body, signal } = request;
         const { path, query } = splitUrl(url);
         const fingerprint = fingerprints.computeFingerprint({
@@ -113,7 +143,7 @@
             return { kind: "failed", reason: "request crashes targets", statusCode: 502 };
         }
         const allowedMs = Math.min(route.timeoutMs, routed.clientTimeoutMs ?? Infinity);
-        return exchange.runExchange(options.exchange, {
+        const exchanged: exchangeRequest.ExchangeRequest = {
             outgoing: { id, method, url, headers, body },
             route,
             service,
@@ -121,11 +151,12 @@
             fingerprint,
             configurationVersion: routed.configurationVersion,
             signal,
-        });
+        };
+        return runOrRelay(exchanged, routed.relayedMaxTargets === undefined);
     };
 
-    const logEnd = (routed: RoutedRequest, response: exchange.FinalResponse, latencyMs: number): void => {
-        if (response.kind === "target") {
+    const logEnd = (routed: RoutedRequest, response: RequestResult, latencyMs: number): void => {
+        if (response.kind === "target" || response.kind === "relayed") {
             return;
         }
         logger.warn("exchange: request not served", {
@@ -143,7 +174,7 @@
     const handle = async (
         request: frontendServer.ClientRequest,
     ): Promise<frontendServer.ClientResponse | undefined> => {
-        const { id, host, clientTimeoutMs } = dialect.parseRequestHead(request.headers);
+        const { id, host, clientTimeoutMs, relayedMaxTargets } = dialect.parseRequestHead(request.headers);
         const table = options.getTable();
         if (table === undefined) {
             return refuseRequest(id, 503, "no configuration yet");
@@ -157,7 +188,8 @@
             options.recordRequest("no-route", scheduler.now() - request.receivedAtMs);
             return refuseRequest(id, 404, "no route", { host, url: request.url, configuration: table.version });
         }
-        const routed = { request, id, clientTimeoutMs, route, service, configurationVersion: table.version };
+        const configurationVersion = table.version;
+        const routed = { request, id, clientTimeoutMs, relayedMaxTargets, route, service, configurationVersion };
         const response = await runRoute(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
         logEnd(routed, response, latencyMs);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -2,7 +2,6 @@
  * The entry daemon for requests that are routed by host and path: wires up its components and runs them until stopped.
  */
 import * as crypto from "node:crypto";
-import * as checkableTargets from "../../common/routes/checkableTargets.js";
 import * as crashRegistry from "../../common/crashes/crashRegistry.js";
 import * as ids from "../../common/ids.js";
 import * as retryBudget from "../../common/limits/retryBudget.js";
@@ -14,11 +13,11 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as targetNotices from "../../common/routes/targetNotices.js";
 import * as targetPool from "../../common/routes/targetPool.js";
-import * as targetReach from "../../common/routes/targetReach.js";
 import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as connectivity from "./connectivity.js";
 import * as connectionPool from "./connectionPool.js";
 import * as vmRole from "./vmRole.js";
 import * as frontendServer from "./frontendServer.js";
@@ -42,8 +41,6 @@
 /** The process exits this long before the end of the grace period. */
 const graceMarginMs = 500;
 const drainCheckIntervalMs = 100;
-/** A check of whether a target is reached ends after this time. */
-const reachTimeoutMs = 500;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -90,6 +87,7 @@
         scheduler,
         logger,
         isReady,
+        isCutOff: () => reach.isCutOff(),
         computeRequestRate: requestRate.compute,
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
@@ -165,16 +163,17 @@
             notices.recordResponse(registration, notice);
         },
     });
-    const reach = targetReach.createTargetReach({
+    const { reach, relay, onDidLoseTargets } = connectivity.createConnectivity({
+        settings,
         scheduler,
-        random: random.createRandom(crypto.randomInt(2 ** 31)),
         logger,
-        listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
-        check: async registration => {
-            const path = services.get(registration.service)?.healthPath ?? "/";
-            const probe = { registration, path, timeoutMs: reachTimeoutMs, onNewConnection: true };
-            return (await sender.sendProbe(probe)) !== undefined;
-        },
+        set,
+        limits,
+        services,
+        sender,
+        seed: crypto.randomInt(2 ** 31),
+        listActiveVms: role.listActiveVms,
+        listPeers: members.listPeers,
     });
     const routeMetrics = metrics.createRouteMetrics({
         getConfigurationVersion: () => table?.version,
@@ -217,11 +216,17 @@
             crashes,
             logger,
             metrics: routeMetrics,
+            onDidLoseTargets,
             recordCrash: (fingerprint, target) => void recordCrash(fingerprint, target),
         },
+        relay,
+        isCutOff: reach.isCutOff,
         getTable: () => table,
         recordRequest: (end, latencyMs) => {
-            requestRate.record();
+            // The VM that a request is passed on to counts it.
+            if (end !== "relayed") {
+                requestRate.record();
+            }
             routeMetrics.recordRequest(end, latencyMs);
         },
     });
@@ -289,6 +294,7 @@
             state.onDidChangeTargets(handleTargets);
             limits.onDidChange(members.sendLimit);
             notices.onDidLeave(members.sendLeaving);
+            reach.onDidChange(members.sendHello);
             targets.onDidFreeSlot(service => queue.dispatch(service));
             await listenForLookups();
             await frontend?.listen();
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -46,6 +46,12 @@
     readonly isIdempotent: boolean;
 }
 
+export interface RelayOptions extends Omit<AttemptOptions, "registration"> {
+    /** Address for clients of the other VM. */
+    readonly address: shared.Address;
+    readonly maxTargets: number;
+}
+
 export interface Probe {
     readonly registration: routes.Registration;
     readonly path: string;
@@ -55,6 +61,8 @@
 
 export interface TargetSender {
     start(options: AttemptOptions): Attempt;
+    /** Passes a request on to another VM. */
+    startRelayed(options: RelayOptions): Attempt;
     /** Asks a target for its health and load; undefined if it does not respond in time. */
     sendProbe(probe: Probe): Promise<types.ResponseHead | undefined>;
 }
@@ -92,12 +100,11 @@
 }): TargetSender => {
     const { pool, dialect, scheduler } = options;
 
-    const formatRequest = (attempt: AttemptOptions): Uint8Array[] => {
-        const { request, registration } = attempt;
-        const headers = dialect.formatAttemptHeaders(request.headers, {
-            target: registration.id,
-            remainingMs: Math.max(1, Math.floor(attempt.getRemainingMs())),
-        });
+    const computeRemainingMs = ({ getRemainingMs }: Pick<AttemptOptions, "getRemainingMs">): number =>
+        Math.max(1, Math.floor(getRemainingMs()));
+
+    const formatRequest = (request: OutgoingRequest, formattedHeaders: readonly string[]): Uint8Array[] => {
+        const headers = [...formattedHeaders];
         if (hasBody(request.method, request.body)) {
             headers.push("Content-Length", String(request.body.length));
         }
@@ -105,7 +112,7 @@
         return request.body.length > 0 ? [head, request.body] : [head];
     };
 
-    const sendRequest = (
+    const sendToTarget = (
         connection: targetConnection.TargetConnection,
         registration: routes.Registration,
         request: targetConnection.ConnectionRequest,
@@ -122,8 +129,17 @@
         });
     };
 
-    const start = (attempt: AttemptOptions): Attempt => {
-        const { address } = attempt.registration;
+    const startRequest = (attempt: {
+        readonly address: shared.Address;
+        readonly request: OutgoingRequest;
+        readonly isIdempotent: boolean;
+        formatHeaders(): readonly string[];
+        send(
+            connection: targetConnection.TargetConnection,
+            request: targetConnection.ConnectionRequest,
+        ): Promise<targetConnection.SendResult>;
+    }): Attempt => {
+        const { address } = attempt;
         let connection: targetConnection.TargetConnection | undefined;
         let isAborted = false;
         let isSent = false;
@@ -142,8 +158,8 @@
             }
             isSent = true;
             const { id, method } = attempt.request;
-            const request = { bytes: formatRequest(attempt), id, method };
-            const result = await sendRequest(connection, attempt.registration, request);
+            const bytes = formatRequest(attempt.request, attempt.formatHeaders());
+            const result = await attempt.send(connection, { bytes, id, method });
             const released = connection;
             if (result.kind === "response") {
                 void result.response.received.then(() => pool.release(released));
@@ -167,6 +183,31 @@
         };
     };
 
+    const start = (attempt: AttemptOptions): Attempt => {
+        const { registration, request } = attempt;
+        return startRequest({
+            ...attempt,
+            address: registration.address,
+            formatHeaders: () =>
+                dialect.formatAttemptHeaders(request.headers, {
+                    target: registration.id,
+                    remainingMs: computeRemainingMs(attempt),
+                }),
+            send: (connection, sent) => sendToTarget(connection, registration, sent),
+        });
+    };
+
+    const startRelayed = (relayed: RelayOptions): Attempt =>
+        startRequest({
+            ...relayed,
+            formatHeaders: () =>
+                dialect.formatRelayHeaders(relayed.request.headers, {
+                    maxTargets: relayed.maxTargets,
+                    remainingMs: computeRemainingMs(relayed),
+                }),
+            send: (connection, sent) => connection.send(sent),
+        });
+
     const sendProbe = async (probe: Probe): Promise<types.ResponseHead | undefined> => {
         const { registration } = probe;
         const maxIdleMs = probe.onNewConnection ? -Infinity : Infinity;
@@ -176,12 +217,12 @@
         }
         const timer = scheduler.schedule(probe.timeoutMs, () => connection.dispose());
         const bytes = [formatHead("GET", probe.path, ["Host", registration.address])];
-        const result = await sendRequest(connection, registration, { bytes, id: undefined, method: "GET" });
+        const result = await sendToTarget(connection, registration, { bytes, id: undefined, method: "GET" });
         timer.dispose();
         pool.release(connection);
         // The response to a probe is unsigned, so that its body is never streamed.
         return result.kind === "response" ? result.response.head : undefined;
     };
 
-    return { start, sendProbe };
+    return { start, startRelayed, sendProbe };
 };
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -145,6 +145,7 @@
             id: map.get("x-id"),
             host: map.get("host") ?? "",
             clientTimeoutMs: timeoutText === undefined ? undefined : Number(timeoutText),
+            relayedMaxTargets: map.has("x-relayed") ? Number(map.get("x-relayed")) : undefined,
         };
     },
     formatAttemptHeaders: (headers, attempt) => [
@@ -154,6 +155,10 @@
         "x-target",
         attempt.target,
     ],
+    formatRelayHeaders: (headers, relayed) => [
+        ...headers,
+        ...["x-left", String(relayed.remainingMs), "x-relayed", String(relayed.maxTargets)],
+    ],
     parseResponseHead: (statusCode, headers) => {
         const map = toHeaderMap(headers);
         return {
