--- a/src/common/routes/targetReach.test.ts
+++ b/src/common/routes/targetReach.test.ts
@@ -12,21 +12,24 @@
     );
     const unreachable = new Set<string>();
     const changes: boolean[] = [];
+    const checkedZones = new Set<string>();
     let checks = 0;
     const reach = targetReach.createTargetReach({
         scheduler,
         random: random.createRandom(5),
         logger: silentLogger.createSilentLogger(),
+        zone: fixture.zone,
         listTargets: () => targets,
         check: target => {
             checks++;
+            checkedZones.add(target.zone);
             return Promise.resolve(!unreachable.has(target.id));
         },
     });
     reach.onDidChange(isCutOff => changes.push(isCutOff));
     reach.start();
     const cut = (count = targetCount): void => targets.slice(0, count).forEach(({ id }) => unreachable.add(id));
-    return { scheduler, reach, changes, unreachable, cut, countChecks: () => checks };
+    return { scheduler, reach, changes, unreachable, cut, checkedZones, countChecks: () => checks };
 };
 
 test("a VM that reaches no target notices it within its check interval", async t => {
@@ -41,7 +44,7 @@
 
 test("a VM that reaches some targets is not cut off", async t => {
     const { scheduler, reach, cut } = createSetup(8);
-    cut(3);
+    cut(5);
     await scheduler.advance(30_000);
     t.false(reach.isCutOff());
 });
@@ -89,8 +92,9 @@
     t.true(countChecks() - before <= 7);
 });
 
-test("at intervals, one target is checked", async t => {
-    const { scheduler, countChecks } = createSetup(8);
+test("at intervals, one target of the VM's zone is checked", async t => {
+    const { scheduler, checkedZones, countChecks } = createSetup(8);
     await scheduler.advance(10_000);
+    t.deepEqual([...checkedZones], [fixture.zone]);
     t.true(countChecks() >= 9 && countChecks() <= 11);
 });
--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -37,6 +37,7 @@
     readonly scheduler: shared.Scheduler;
     readonly random: shared.Random;
     readonly logger: shared.Logger;
+    readonly zone: shared.ZoneName;
     /** Targets that may be checked. */
     listTargets(): readonly types.Registration[];
     /** Opens a connection to a target; resolves to whether the target responds on it. */
@@ -126,8 +127,15 @@
         return runningCheck;
     };
 
+    /** Picks a target in the VM's zone, if there is one, as traffic between zones is billed. */
+    const pickNearTarget = (): types.Registration | undefined => {
+        const targets = options.listTargets();
+        const near = targets.filter(({ zone }) => zone === options.zone);
+        return pickSample(near.length > 0 ? near : targets, 1, random)[0];
+    };
+
     const checkAtInterval = async (): Promise<void> => {
-        const [target] = isCutOff ? [] : pickSample(options.listTargets(), 1, random);
+        const target = isCutOff ? undefined : pickNearTarget();
         if (isCutOff || (target !== undefined && !(await options.check(target)))) {
             await checkSample();
         }
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -60,6 +60,7 @@
         scheduler,
         random: source,
         logger,
+        zone: settings.zone,
         listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
         check: async registration => {
             const path = services.get(registration.service)?.healthPath ?? "/";
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -287,7 +287,7 @@
         const queuedAtMs = scheduler.now();
         const pick = await targetWait.waitForTarget({
             queue: options.queue,
-            clock: scheduler,
+            scheduler,
             service,
             priority: route.priority,
             maxWaitMs: timing.computeMaxWaitMs(),
