Do not take overloaded targets for a partition

Found by reading. If connections open and other responses arrive during the check, the VM reaches targets; connections that cannot be opened still count, as in a partition in which only old ones live on. 'a VM whose targets respond to requests, but too late to checks, is not cut off' fails without the change.

--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -33,6 +33,9 @@
     readonly onDidChange: shared.Event<boolean>;
 }
 
+/** "silent" if the connection was opened, but no response arrived in time. */
+export type CheckResult = "response" | "silent" | "unreachable";
+
 export interface TargetReachOptions {
     readonly scheduler: shared.Scheduler;
     readonly random: shared.Random;
@@ -40,8 +43,8 @@
     readonly zone: shared.ZoneName;
     /** Targets that may be checked. */
     listTargets(): readonly types.Registration[];
-    /** Opens a connection to a target; resolves to whether the target responds on it. */
-    check(target: types.Registration): Promise<boolean>;
+    /** Opens a connection to a target and waits for a response on it. */
+    check(target: types.Registration): Promise<CheckResult>;
 }
 
 /**
@@ -100,9 +103,15 @@
         changeEmitter.fire(next);
     };
 
-    const applyResults = (checked: number, reached: number): void => {
+    /** Overloaded targets respond to a check too late, but go on responding to requests. */
+    const isOverloaded = (results: readonly CheckResult[], startedAtMs: number): boolean =>
+        results.includes("silent") && respondedAtMs > startedAtMs;
+
+    const applyResults = (results: readonly CheckResult[], startedAtMs: number): void => {
+        const checked = results.length;
+        const reached = results.filter(result => result === "response").length;
         if (!isCutOff) {
-            if (reached === 0 && checked >= minFailedTargets) {
+            if (reached === 0 && checked >= minFailedTargets && !isOverloaded(results, startedAtMs)) {
                 setCutOff(true, checked, reached);
             }
             return;
@@ -115,9 +124,8 @@
 
     const runSampleCheck = async (): Promise<boolean> => {
         const sample = pickSample(options.listTargets(), maxCheckedTargets, random);
-        const results = await Promise.all(sample.map(options.check));
-        const reached = results.filter(isReached => isReached).length;
-        applyResults(sample.length, reached);
+        const startedAtMs = scheduler.now();
+        applyResults(await Promise.all(sample.map(options.check)), startedAtMs);
         return !isCutOff;
     };
 
@@ -136,7 +144,7 @@
 
     const checkAtInterval = async (): Promise<void> => {
         const target = isCutOff ? undefined : pickNearTarget();
-        if (isCutOff || (target !== undefined && !(await options.check(target)))) {
+        if (isCutOff || (target !== undefined && (await options.check(target)) !== "response")) {
             await checkSample();
         }
         scheduleCheck(isCutOff ? cutOffCheckIntervalMs : checkIntervalMs);
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -65,7 +65,7 @@
         check: async registration => {
             const path = services.get(registration.service)?.healthPath ?? "/";
             const probe = { registration, path, timeoutMs: checkTimeoutMs, onNewConnection: true };
-            return (await sender.sendProbe(probe)) !== undefined;
+            return (await sender.sendProbe(probe)).kind;
         },
     });
     reach.onDidChange(isCutOff => {
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -62,7 +62,7 @@
             .map(({ peer }) => peer);
 
     /** Sends a request to one VM; undefined if it was not reached. */
-    const offer = async (
+    const sendToPeer = async (
         peer: routes.Peer,
         request: exchangeRequest.ExchangeRequest,
         maxTargets: number,
@@ -103,7 +103,7 @@
         run: async (request, maxTargets) => {
             const startedAtMs = scheduler.now();
             for (const peer of listOfferedPeers()) {
-                const end = await offer(peer, request, maxTargets);
+                const end = await sendToPeer(peer, request, maxTargets);
                 logger.info("relay: request passed on", {
                     request: request.outgoing.id,
                     route: request.route.name,
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -40,14 +40,18 @@
             return;
         }
         targets.recordProbe(registration.id);
-        const head = await sender.sendProbe({
+        const result = await sender.sendProbe({
             registration,
             path,
             timeoutMs: probeTimeoutMs,
             onNewConnection: false,
         });
-        options.metrics.recordProbe(head !== undefined);
-        if (head === undefined || (head.target !== undefined && head.target !== registration.id)) {
+        options.metrics.recordProbe(result.kind === "response");
+        if (result.kind !== "response") {
+            return;
+        }
+        const { head } = result;
+        if (head.target !== undefined && head.target !== registration.id) {
             return;
         }
         if (head.load !== undefined) {
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -59,12 +59,19 @@
     readonly onNewConnection: boolean;
 }
 
+export type ProbeResult =
+    | { readonly kind: "response"; readonly head: types.ResponseHead }
+    /** No connection could be opened. */
+    | { readonly kind: "unreachable" }
+    /** No response in time, or the connection broke. */
+    | { readonly kind: "silent" };
+
 export interface TargetSender {
     start(options: AttemptOptions): Attempt;
     /** Passes a request on to another VM. */
     startRelayed(options: RelayOptions): Attempt;
-    /** Asks a target for its health and load; undefined if it does not respond in time. */
-    sendProbe(probe: Probe): Promise<types.ResponseHead | undefined>;
+    /** Asks a target for its health and load. */
+    sendProbe(probe: Probe): Promise<ProbeResult>;
 }
 
 /** Escapes nothing: URLs and headers contain no line breaks, as the parsers for clients and targets reject them. */
@@ -208,12 +215,12 @@
             send: (connection, sent) => connection.send(sent),
         });
 
-    const sendProbe = async (probe: Probe): Promise<types.ResponseHead | undefined> => {
+    const sendProbe = async (probe: Probe): Promise<ProbeResult> => {
         const { registration } = probe;
         const maxIdleMs = probe.onNewConnection ? -Infinity : Infinity;
         const connection = await pool.acquire({ address: registration.address, maxIdleMs });
         if (connection === undefined) {
-            return undefined;
+            return { kind: "unreachable" };
         }
         const timer = scheduler.schedule(probe.timeoutMs, () => connection.dispose());
         const bytes = [formatHead("GET", probe.path, ["Host", registration.address])];
@@ -221,7 +228,7 @@
         timer.dispose();
         pool.release(connection);
         // The response to a probe is unsigned, so that its body is never streamed.
-        return result.kind === "response" ? result.response.head : undefined;
+        return result.kind === "response" ? { kind: "response", head: result.response.head } : { kind: "silent" };
     };
 
     return { start, startRelayed, sendProbe };
