Do not refuse a request at another VM that may have run before

An idempotent request that was in flight when its VM lost all targets is passed on to another VM as a retry. If that one refused it with 503, the client was told that it had not run, which is known of the second VM's attempts only. It fails with 502 now. Found by reading the change; 'the other VM's refusal does not tell that a request has not run if it may have run before' fails without it.

--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -17,7 +17,11 @@
 };
 
 /** Runs one request; each VM to which it is offered takes the next step as its result. */
-const run = async (peers: readonly routes.Peer[], steps: readonly (targetSender.AttemptResult | undefined)[]) => {
+const run = async (
+    peers: readonly routes.Peer[],
+    steps: readonly (targetSender.AttemptResult | undefined)[],
+    mayHaveRun = false,
+) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const offered: string[] = [];
     const remainingSteps = [...steps];
@@ -56,7 +60,7 @@
                 configurationVersion: 1,
                 signal: new AbortController().signal,
             },
-            2,
+            { maxTargets: 2, mayHaveRun },
         )
         .then(relayEnd => (end = relayEnd));
     await scheduler.advance(0);
@@ -94,3 +98,9 @@
     await scheduler.advance(100);
     t.like(getEnd(), { kind: "failed", statusCode: 504 });
 });
+
+// Guards against requests that are refused as not run by a VM that does not know of earlier attempts.
+test("the other VM's refusal does not tell that a request has not run if it may have run before", async t => {
+    const { getEnd } = await run([near], [{ kind: "response", response }], true);
+    t.like(getEnd(), { kind: "failed", statusCode: 502 });
+});
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -14,6 +14,8 @@
 const maxOfferedPeers = 2;
 /** The other VM responds at the deadline; this time allows for the way between the VMs. */
 const deadlineMarginMs = 50;
+/** Statuses of a VM's own responses that promise that the request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
 /** The response of another VM; undefined if the request was sent to none. */
 export type RelayEnd =
@@ -27,10 +29,13 @@
      * Passes a request on.
      *
      * @param request - the request
-     * @param maxTargets - targets at which the other VM may run it
-     * @returns the end; undefined if no VM was reached, so that the request has not run
+     * @param history - targets at which the other VM may run it, and whether it may have run already
+     * @returns the end; undefined if no VM was reached, so that the request has not run there
      */
-    run(request: exchangeRequest.ExchangeRequest, maxTargets: number): Promise<RelayEnd | undefined>;
+    run(
+        request: exchangeRequest.ExchangeRequest,
+        history: Pick<exchangeRequest.Unreached, "maxTargets" | "mayHaveRun">,
+    ): Promise<RelayEnd | undefined>;
 }
 
 export interface PeerRelayOptions {
@@ -43,6 +48,10 @@
     listPeers(): readonly routes.Peer[];
 }
 
+/** Whether the other VM states that the request has not run, which it knows of its own attempts only. */
+const isOwnRefusal = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
+    !head.isSigned && notRunStatuses.has(statusCode);
+
 /**
  * Creates the relay.
  *
@@ -100,10 +109,13 @@
     };
 
     return {
-        run: async (request, maxTargets) => {
+        run: async (request, { maxTargets, mayHaveRun }) => {
             const startedAtMs = scheduler.now();
             for (const peer of listOfferedPeers()) {
                 const end = await sendToPeer(peer, request, maxTargets);
+                if (mayHaveRun && end?.kind === "relayed" && isOwnRefusal(end.response)) {
+                    return { kind: "failed", reason: "refused after it may have run", statusCode: 502 };
+                }
                 logger.info("relay: request passed on", {
                     request: request.outgoing.id,
                     route: request.route.name,
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -109,7 +109,10 @@
     /** Runs a request here, or at another VM if this one reaches no target. */
     const runOrRelay = async (request: exchangeRequest.ExchangeRequest, mayRelay: boolean): Promise<RequestResult> => {
         const { maxTargets } = request.route;
-        const relayed = mayRelay && options.isCutOff() ? await options.relay.run(request, maxTargets) : undefined;
+        const relayed =
+            mayRelay && options.isCutOff()
+                ? await options.relay.run(request, { maxTargets, mayHaveRun: false })
+                : undefined;
         if (relayed !== undefined) {
             return relayed;
         }
@@ -119,7 +122,7 @@
         }
         const reason = "targets not reached";
         return (
-            (mayRelay ? await options.relay.run(request, result.maxTargets) : undefined) ??
+            (mayRelay ? await options.relay.run(request, result) : undefined) ??
             (result.mayHaveRun
                 ? { kind: "failed", reason, statusCode: 502 }
                 : { kind: "refused", reason, retryAfterMs: unconfiguredRetryAfterMs })
