--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -64,10 +64,10 @@
     const sample: types.Registration[] = [];
     const zones = new Set<shared.ZoneName>();
     while (sample.length < count && remaining.length > 0) {
-        const first = random.nextInt(remaining.length);
-        const others = remaining.findIndex(target => !zones.has(target.zone));
-        const isNewZone = !zones.has(remaining[first]?.zone ?? ("" as shared.ZoneName));
-        const [picked] = remaining.splice(isNewZone || others < 0 ? first : others, 1);
+        const randomIndex = random.nextInt(remaining.length);
+        const newZoneIndex = remaining.findIndex(target => !zones.has(target.zone));
+        const isKnownZone = zones.has(remaining[randomIndex]?.zone ?? ("" as shared.ZoneName));
+        const [picked] = remaining.splice(isKnownZone && newZoneIndex >= 0 ? newZoneIndex : randomIndex, 1);
         if (picked !== undefined) {
             sample.push(picked);
             zones.add(picked.zone);
