Do not copy the targets of a service once for each of them

Found by reading the change: targetSet built each service's list anew for each of its targets, which the code that it replaced did not, and the pool built a map of all targets with each change of the store to look up a few limits. Behaviour is as before.

--- a/src/common/routes/targetLimits.test.ts
+++ b/src/common/routes/targetLimits.test.ts
@@ -52,7 +52,7 @@
     limits.recordResponse(target, limitTo(0), 10_000);
     t.is(limits.check(target).kind, "exhausted");
     t.is(limits.check(restarted).kind, "unlimited");
-    limits.retainTargets(new Map([[restarted.id, restarted]]));
+    limits.retainTargets((id, startedAtMs) => id === restarted.id && startedAtMs === restarted.startedAtMs);
     t.is(limits.count(), 0);
 });
 
--- a/src/common/routes/targetLimits.ts
+++ b/src/common/routes/targetLimits.ts
@@ -66,8 +66,8 @@
     recordRequest(registration: types.Registration): void;
     /** Number of targets that have a limit. */
     count(): number;
-    /** Forgets the targets that are not in use any more. */
-    retainTargets(registrations: ReadonlyMap<shared.TargetId, types.Registration>): void;
+    /** Forgets the runs of targets that are not known any more. */
+    retainTargets(isKnown: (id: shared.TargetId, startedAtMs: number) => boolean): void;
     /** Must be called several times per second, so that pauses of this VM are noticed. */
     refresh(): void;
     /** Fires when a response has changed what this VM knows. */
@@ -216,9 +216,9 @@
             }
         },
         count: () => [...entries.values()].filter(entry => entry.perSecond !== null).length,
-        retainTargets: registrations => {
-            for (const [id, entry] of entries) {
-                if (registrations.get(id)?.startedAtMs !== entry.startedAtMs) {
+        retainTargets: isKnown => {
+            for (const [id, { startedAtMs }] of entries) {
+                if (!isKnown(id, startedAtMs)) {
                     entries.delete(id);
                     rates.remove(id);
                 }
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -285,9 +285,8 @@
     return {
         setTargets: registrations => {
             set.setTargets(registrations);
-            const known = new Map(set.listKnown().map(({ registration }) => [registration.id, registration]));
-            limits.retainTargets(known);
-            coldRates.retain(key => known.has(key as shared.TargetId));
+            limits.retainTargets((id, startedAtMs) => set.findRun(id, startedAtMs) !== undefined);
+            coldRates.retain(key => set.find(key as shared.TargetId) !== undefined);
             for (const service of set.listServices()) {
                 freeSlotEmitter.fire(service);
             }
--- a/src/common/routes/targetSet.ts
+++ b/src/common/routes/targetSet.ts
@@ -75,7 +75,9 @@
             for (const entry of known.values()) {
                 if (entry.removedAtMs === undefined) {
                     const { service } = entry.registration;
-                    byService.set(service, [...(byService.get(service) ?? []), entry]);
+                    const entries = byService.get(service) ?? [];
+                    entries.push(entry);
+                    byService.set(service, entries);
                 }
             }
         },
