Ask one place whether a target serves, whether a VM can, and what a cold target takes

Found by reading the change. The targets by which a VM checks its connectivity repeated the conditions of the pool (targetEntry.isServing, isPaused), and the VMs that take passed-on requests those of the active ones (activeVmSelection.canServe). The rates of cold targets were created by the daemon, a fixture and a test with the same constant, unlike those of limited targets: coldTargets does it now, beside targetLimits. Listing the targets to probe also refreshed both rates; the prober asks for that itself. countActiveVms of the role had no use left. Behaviour is as before.

--- a/src/common/routes/activeVmSelection.ts
+++ b/src/common/routes/activeVmSelection.ts
@@ -16,6 +16,14 @@
 /** Total slots of the targets in use, by zone. */
 export type SlotsByZone = ReadonlyMap<shared.ZoneName, number>;
 
+/**
+ * Checks whether a VM can run requests.
+ *
+ * @param peer - the VM
+ * @returns true if it is ready and reaches targets
+ */
+export const canServe = (peer: types.Peer): boolean => peer.isReady && peer.isCutOff !== true;
+
 /** Takes the VM with the most cores; on a tie, the one in the zone with the most slots per active VM. */
 const takeNextVm = (
     ready: types.Peer[],
@@ -45,9 +53,8 @@
     const demand = peers.reduce((sum, peer) => sum + peer.requestsPerSecond, 0);
     // The first VM is the hub. It becomes active last, so that one failure does not affect both roles.
     const [hub, ...followers] = [...peers].sort(peerOrder.comparePeers);
-    const reachesAny = peers.some(peer => peer.isReady && peer.isCutOff !== true);
     // VMs that reach no target are not used while others do.
-    const isUsable = (peer: types.Peer): boolean => peer.isReady && !(reachesAny && peer.isCutOff === true);
+    const isUsable = peers.some(canServe) ? canServe : (peer: types.Peer) => peer.isReady;
     const ready = followers.filter(isUsable);
     const readyHub = hub !== undefined && isUsable(hub) ? hub : undefined;
     const activeVms: types.Peer[] = [];
--- a/src/common/routes/checkableTargets.ts
+++ b/src/common/routes/checkableTargets.ts
@@ -2,6 +2,7 @@
  * Targets by which a VM checks its connectivity.
  */
 import * as shared from "../Types.js";
+import * as targetEntry from "./targetEntry.js";
 import * as targetLimits from "./targetLimits.js";
 import * as targetSet from "./targetSet.js";
 import * as types from "./Types.js";
@@ -21,12 +22,11 @@
     return options.set
         .list()
         .filter(
-            ({ registration, isLeaving, pausedUntilMs, misdirectedUntilMs }) =>
-                registration.state === "ready" &&
-                !isLeaving &&
-                pausedUntilMs <= nowMs &&
-                misdirectedUntilMs <= nowMs &&
-                options.limits.check(registration).kind === "unlimited",
+            entry =>
+                targetEntry.isServing(entry) &&
+                !targetEntry.isPaused(entry, nowMs) &&
+                entry.misdirectedUntilMs <= nowMs &&
+                options.limits.check(entry.registration).kind === "unlimited",
         )
         .map(entry => entry.registration);
 };
--- a/src/common/routes/ownedRates.ts
+++ b/src/common/routes/ownedRates.ts
@@ -154,8 +154,8 @@
             return missing <= 0 ? 0 : untilFillingMs + (missing * 1_000) / rate.perSecond;
         },
         take: (key, perSecond) => {
-            const bucket = findBucket(key, perSecond);
-            if (bucket !== undefined && perSecond !== Infinity) {
+            const bucket = perSecond === Infinity ? undefined : findBucket(key, perSecond);
+            if (bucket !== undefined) {
                 const nowMs = clock.now();
                 const tokens = tokenBucket.computeTokens(bucket, toTokenRate(perSecond), nowMs) - 1;
                 buckets.set(key, { tokens, updatedAtMs: Math.max(nowMs, bucket.updatedAtMs), perSecond });
--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -84,6 +84,23 @@
     probedAtMs: -Infinity,
 });
 
+/**
+ * Checks whether a target takes requests, by its row and by its own responses.
+ *
+ * @param entry - the target
+ * @returns false once it is draining or leaving
+ */
+export const isServing = (entry: TargetEntry): boolean => entry.registration.state === "ready" && !entry.isLeaving;
+
+/**
+ * Checks whether a target has asked this VM for no requests.
+ *
+ * @param entry - the target
+ * @param nowMs - local monotonic time
+ * @returns true until the end of the pause
+ */
+export const isPaused = (entry: TargetEntry, nowMs: number): boolean => nowMs < entry.pausedUntilMs;
+
 /**
  * Checks whether a target is cold.
  *
--- a/src/common/routes/targetPool.test.ts
+++ b/src/common/routes/targetPool.test.ts
@@ -5,7 +5,6 @@
 import * as ids from "../ids.js";
 import * as random from "../random.js";
 import * as shared from "../Types.js";
-import * as ownedRates from "./ownedRates.js";
 import * as targetPool from "./targetPool.js";
 import * as targetSet from "./targetSet.js";
 import * as types from "./Types.js";
@@ -24,7 +23,8 @@
         limits,
         isZoneOut: zone => zonesOut.has(zone),
         getService: () => fixture.createConfiguration(1).services[0],
-        coldRates: fixture.createColdRates(scheduler),
+        vm: fixture.vm,
+        getRateView: fixture.createLoneRateView,
     });
     pool.setTargets(registrations);
     const route = fixture.createRoute();
@@ -133,12 +133,8 @@
             zone: fixture.zone,
             set: targetSet.createTargetSet(scheduler),
             limits: fixture.createTargetLimits(scheduler),
-            coldRates: ownedRates.createOwnedRates({
-                clock: scheduler,
-                vm,
-                minPerOwner: 2,
-                getView: () => ({ owners: vms, share: 1 }),
-            }),
+            vm,
+            getRateView: () => ({ owners: vms, share: 1 }),
             isZoneOut: () => false,
             getService: () => fixture.createConfiguration(1).services[0],
         }),
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -3,6 +3,7 @@
  */
 import * as events from "../events.js";
 import * as shared from "../Types.js";
+import * as coldTargets from "./coldTargets.js";
 import * as latencyEstimates from "./latencyEstimates.js";
 import * as ownedRates from "./ownedRates.js";
 import * as targetCosts from "./targetCosts.js";
@@ -72,13 +73,13 @@
     readonly scheduler: shared.Clock;
     readonly random: shared.Random;
     readonly logger: shared.Logger;
+    readonly vm: shared.VmId;
     readonly zone: shared.ZoneName;
     readonly set: targetSet.TargetSet;
     readonly limits: targetLimits.TargetLimits;
-    /** Rates of requests to cold targets, by target. */
-    readonly coldRates: ownedRates.OwnedRates;
     isZoneOut(zone: shared.ZoneName): boolean;
     getService(name: shared.ServiceName): types.RoutedService | undefined;
+    getRateView(): ownedRates.RateView;
     /** Number of active VMs, which share the rate limit of cold targets. */
 }
 
@@ -101,6 +102,8 @@
      */
     listStale(ageMs: number, mayProbe: (zone: shared.ZoneName) => boolean): readonly types.Registration[];
     recordProbe(id: shared.TargetId): void;
+    /** Must be called several times per second, so that pauses of this VM are noticed. */
+    refreshRates(): void;
     /** Fires with the service when a slot may have become free or a target eligible. */
     readonly onDidFreeSlot: shared.Event<shared.ServiceName>;
 }
@@ -112,23 +115,18 @@
  * @returns the pool
  */
 export const createTargetPool = (options: TargetPoolOptions): TargetPool => {
-    const { scheduler, logger, limits, coldRates, set } = options;
+    const { scheduler, logger, limits, set } = options;
+    const cold = coldTargets.createColdTargets({ ...options, clock: scheduler });
     const estimates = latencyEstimates.createLatencyEstimates();
     const cost = targetCosts.createTargetCosts({ estimates, random: options.random, zone: options.zone });
     const freeSlotEmitter = events.createEmitter<shared.ServiceName>();
 
-    const getColdPerSecond = ({ registration }: targetEntry.TargetEntry): number =>
-        options.getService(registration.service)?.coldPerSecond ?? 0;
-
-    const hasColdCapacity = (entry: targetEntry.TargetEntry): boolean =>
-        coldRates.computeWaitMs(entry.registration.id, getColdPerSecond(entry)) === 0;
-
     const isEligible = (entry: targetEntry.TargetEntry): boolean =>
-        entry.registration.state === "ready" && !entry.isLeaving && !options.isZoneOut(entry.registration.zone);
+        targetEntry.isServing(entry) && !options.isZoneOut(entry.registration.zone);
 
     const hasCapacity = (entry: targetEntry.TargetEntry, inFlight: number, nowMs: number): boolean =>
         inFlight <= entry.registration.slots - minFreeSlots &&
-        (!targetEntry.isCold(entry, nowMs) || hasColdCapacity(entry));
+        (!targetEntry.isCold(entry, nowMs) || cold.hasCapacity(entry.registration));
 
     /** Finds out whether a target's limit, or the pause that it has asked for, forbids to send it a request now. */
     const findWithholding = (
@@ -137,8 +135,8 @@
         request: PickRequest,
         nowMs: number,
     ): Withholding | undefined => {
-        const pauseMs = entry.pausedUntilMs - nowMs;
-        if (pauseMs > 0) {
+        if (targetEntry.isPaused(entry, nowMs)) {
+            const pauseMs = entry.pausedUntilMs - nowMs;
             return { waitMs: pauseMs, retryAfterMs: Math.min(targetLimits.maxRetryAfterMs, pauseMs) };
         }
         switch (limit.kind) {
@@ -207,7 +205,7 @@
         const attempt = { startedAtMs, typicalMs: estimates.getTypicalMs(route) };
         entry.inFlightAttempts.add(attempt);
         if (targetEntry.isCold(entry, startedAtMs)) {
-            coldRates.take(entry.registration.id, getColdPerSecond(entry));
+            cold.recordRequest(entry.registration);
         }
         limits.recordRequest(entry.registration);
         return {
@@ -286,7 +284,7 @@
         setTargets: registrations => {
             set.setTargets(registrations);
             limits.retainTargets((id, startedAtMs) => set.findRun(id, startedAtMs) !== undefined);
-            coldRates.retain(key => set.find(key as shared.TargetId) !== undefined);
+            cold.retainTargets(id => set.find(id) !== undefined);
             for (const service of set.listServices()) {
                 freeSlotEmitter.fire(service);
             }
@@ -324,17 +322,19 @@
                 const maxAgeMs = isLimited ? limitedProbeAfterMs : ageMs;
                 return (
                     mayProbeTarget &&
-                    entry.pausedUntilMs <= nowMs &&
+                    !targetEntry.isPaused(entry, nowMs) &&
                     nowMs - Math.max(entry.loadReportedAtMs, entry.probedAtMs) >= maxAgeMs
                 );
             };
-            limits.refresh();
-            coldRates.refresh();
             return set
                 .list()
                 .filter(entry => isEligible(entry) && isStale(entry))
                 .map(entry => entry.registration);
         },
+        refreshRates: () => {
+            limits.refresh();
+            cold.refresh();
+        },
         recordProbe: id => {
             const entry = set.find(id);
             if (entry !== undefined) {
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -1,6 +1,7 @@
 /**
  * The way from this VM to the targets: whether there is one, and what happens to requests while there is none.
  */
+import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
 import * as checkableTargets from "../../common/routes/checkableTargets.js";
 import * as events from "../../common/events.js";
 import * as random from "../../common/random.js";
@@ -48,7 +49,7 @@
     const source = random.createRandom(options.seed);
     const lostTargetsEmitter = events.createEmitter<void>();
 
-    const isUsable = (peer: routes.Peer): boolean => peer.vm !== settings.vm && peer.isReady && peer.isCutOff !== true;
+    const isUsable = (peer: routes.Peer): boolean => peer.vm !== settings.vm && activeVmSelection.canServe(peer);
 
     /** The active VMs, which clients use too, or any others if none of those is usable. */
     const listUsablePeers = (): readonly routes.Peer[] => {
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -76,7 +76,8 @@
         limits,
         isZoneOut: () => false,
         getService: () => undefined,
-        coldRates: fixture.createColdRates(scheduler),
+        vm: fixture.vm,
+        getRateView: fixture.createLoneRateView,
     });
     const ids = ["a", "b", "c"].slice(0, options.targets ?? 3);
     targets.setTargets(ids.map(id => fixture.createRegistration(id)));
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -7,7 +7,6 @@
 import * as retryBudget from "../../common/limits/retryBudget.js";
 import * as random from "../../common/random.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
-import * as ownedRates from "../../common/routes/ownedRates.js";
 import * as rate from "../../common/routes/rate.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -42,8 +41,6 @@
 /** The process exits this long before the end of the grace period. */
 const graceMarginMs = 500;
 const drainCheckIntervalMs = 100;
-/** Several VMs share the rate of a cold target, so that it gets requests of all zones, if each gets this much of it. */
-const minColdPerOwner = 2;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -131,15 +128,11 @@
         limits,
         random: random.createRandom(crypto.randomInt(2 ** 31)),
         logger,
+        vm: settings.vm,
         zone: settings.zone,
         isZoneOut: zone => state.isZoneOut(zone),
         getService: name => services.get(name),
-        coldRates: ownedRates.createOwnedRates({
-            clock: scheduler,
-            vm: settings.vm,
-            minPerOwner: minColdPerOwner,
-            getView: role.getRateView,
-        }),
+        getRateView: role.getRateView,
     });
     const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
     const crashes = crashRegistry.createCrashRegistry({
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -63,6 +63,7 @@
     };
 
     const sendProbes = (): void => {
+        targets.refreshRates();
         for (const registration of targets.listStale(probeAfterMs, options.mayProbe)) {
             void sendProbe(registration);
         }
--- a/src/node/routes/vmRole.ts
+++ b/src/node/routes/vmRole.ts
@@ -17,8 +17,6 @@
 
 export interface VmRole {
     listActiveVms(): readonly routes.Peer[];
-    /** Number of active VMs, at least 1. */
-    countActiveVms(): number;
     /** The first active VM of a zone probes its targets; the first of all also probes zones without an active VM. */
     mayProbe(zone: shared.ZoneName): boolean;
     /** The active VMs, and this VM's share of the rates that all VMs share. */
@@ -72,8 +70,6 @@
         return activeVms;
     };
 
-    const countActiveVms = (): number => Math.max(1, listActiveVms().length);
-
     const isActive = (): boolean => listActiveVms().some(peer => peer.vm === options.vm);
 
     /** Most VMs together may use all of a rate; a minority may be cut off from others that use it, too. */
@@ -85,7 +81,6 @@
     return {
         listActiveVms,
         getRateView: () => ({ owners: listActiveVms().map(peer => peer.vm), share: computeRateShare() }),
-        countActiveVms,
         mayProbe: zone => {
             if (options.computeRequestRate() < minRequestsPerSecondToProbe) {
                 return false;
@@ -95,7 +90,7 @@
         },
         computeExtraRetryShare: () =>
             options.isConnected() && isActive()
-                ? activeExtraRetryShare / countActiveVms()
+                ? activeExtraRetryShare / listActiveVms().length
                 : standbyExtraRetryShare / options.countKnownPeers(),
     };
 };
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -81,6 +81,9 @@
     unknownValues: [],
 });
 
+/** The view of a VM that has no peers. */
+export const createLoneRateView = (): ownedRates.RateView => ({ owners: [vm], share: 1 });
+
 /**
  * Creates limits of targets, initially none, of a VM that has no peers.
  *
@@ -91,20 +94,11 @@
     targetLimits.createTargetLimits({
         clock,
         vm,
-        getRateView: () => ({ owners: [vm], share: 1 }),
+        getRateView: createLoneRateView,
         logger: silentLogger.createSilentLogger(),
         handleMalformed: () => undefined,
     });
 
-/**
- * Creates the rates of cold targets, of which this VM is the only owner.
- *
- * @param clock - the clock
- * @returns the rates
- */
-export const createColdRates = (clock: shared.Clock): ownedRates.OwnedRates =>
-    ownedRates.createOwnedRates({ clock, vm, minPerOwner: 2, getView: () => ({ owners: [vm], share: 1 }) });
-
 /**
  * Advances the time until the VM knows for long enough that it owns the limited targets.
  *
