Shuffle in one place, name the ends of an exchange, and log each request that is passed on

Found by reading the change. Two places put items into a random order, one of them with a loop that nobody could check at a glance: both use random.shuffle. A request that another VM refused after it might have run was passed on without a log line: that end is now decided before the line is written. Otherwise behaviour is as before; no assertion was changed.

--- a/src/common/random.ts
+++ b/src/common/random.ts
@@ -25,3 +25,16 @@
         nextInt: bound => uniformInt.uniformInt(generator, 0, bound - 1),
     };
 };
+
+/**
+ * Puts items into a random order.
+ *
+ * @param items - the items
+ * @param random - random numbers
+ * @returns a new list
+ */
+export const shuffle = <T>(items: readonly T[], random: types.Random): T[] =>
+    items
+        .map(item => ({ item, order: random.nextFloat() }))
+        .sort((left, right) => left.order - right.order)
+        .map(({ item }) => item);
--- a/src/common/routes/targetLimits.ts
+++ b/src/common/routes/targetLimits.ts
@@ -125,6 +125,10 @@
         return entry?.startedAtMs === startedAtMs ? entry : undefined;
     };
 
+    /** The current limit of a target; null if it has none. */
+    const findPerSecond = (registration: types.Registration): number | null =>
+        findEntry(registration)?.perSecond ?? null;
+
     const setEntry = (report: LimitReport): void => {
         const nowMs = clock.now();
         entries.set(report.target, { ...report, namedAtMs: nowMs, reportedAtMs: nowMs });
@@ -167,7 +171,7 @@
     };
 
     const check = (registration: types.Registration): LimitState => {
-        const perSecond = findEntry(registration)?.perSecond ?? null;
+        const perSecond = findPerSecond(registration);
         if (perSecond === null) {
             return unlimited;
         }
@@ -208,9 +212,9 @@
             }),
         listReports: () => [...entries.values()].map(toReport),
         check,
-        isOwner: registration => rates.isOwner(registration.id, findEntry(registration)?.perSecond ?? 0),
+        isOwner: registration => rates.isOwner(registration.id, findPerSecond(registration) ?? 0),
         recordRequest: registration => {
-            const perSecond = findEntry(registration)?.perSecond ?? null;
+            const perSecond = findPerSecond(registration);
             if (perSecond !== null) {
                 rates.take(registration.id, perSecond);
             }
--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -4,6 +4,7 @@
  * after a failure. Each check uses a new connection, as old ones may live on in a partition.
  */
 import * as events from "../events.js";
+import * as random from "../random.js";
 import * as shared from "../Types.js";
 import * as types from "./Types.js";
 
@@ -47,33 +48,16 @@
     check(target: types.Registration): Promise<CheckResult>;
 }
 
-/**
- * Picks targets at random, from as many zones as possible.
- *
- * @param targets - all targets
- * @param count - how many to pick at most
- * @param random - random numbers
- * @returns the targets
- */
-export const pickSample = (
+/** Picks targets at random, from as many zones as possible. */
+const pickSample = (
     targets: readonly types.Registration[],
     count: number,
-    random: shared.Random,
+    source: shared.Random,
 ): readonly types.Registration[] => {
-    const remaining = [...targets];
-    const sample: types.Registration[] = [];
+    const shuffled = random.shuffle(targets, source);
     const zones = new Set<shared.ZoneName>();
-    while (sample.length < count && remaining.length > 0) {
-        const randomIndex = random.nextInt(remaining.length);
-        const newZoneIndex = remaining.findIndex(target => !zones.has(target.zone));
-        const isKnownZone = zones.has(remaining[randomIndex]?.zone ?? ("" as shared.ZoneName));
-        const [picked] = remaining.splice(isKnownZone && newZoneIndex >= 0 ? newZoneIndex : randomIndex, 1);
-        if (picked !== undefined) {
-            sample.push(picked);
-            zones.add(picked.zone);
-        }
-    }
-    return sample;
+    const firstOfZones = shuffled.filter(({ zone }) => !zones.has(zone) && zones.add(zone));
+    return [...firstOfZones, ...shuffled.filter(target => !firstOfZones.includes(target))].slice(0, count);
 };
 
 /**
@@ -83,7 +67,7 @@
  * @returns the state
  */
 export const createTargetReach = (options: TargetReachOptions): TargetReach => {
-    const { scheduler, random, logger } = options;
+    const { scheduler, logger } = options;
     const changeEmitter = events.createEmitter<boolean>();
     let isCutOff = false;
     let goodChecks = 0;
@@ -123,7 +107,7 @@
     };
 
     const runSampleCheck = async (): Promise<boolean> => {
-        const sample = pickSample(options.listTargets(), maxCheckedTargets, random);
+        const sample = pickSample(options.listTargets(), maxCheckedTargets, options.random);
         const startedAtMs = scheduler.now();
         applyResults(await Promise.all(sample.map(options.check)), startedAtMs);
         return !isCutOff;
@@ -139,7 +123,7 @@
     const pickNearTarget = (): types.Registration | undefined => {
         const targets = options.listTargets();
         const near = targets.filter(({ zone }) => zone === options.zone);
-        return pickSample(near.length > 0 ? near : targets, 1, random)[0];
+        return pickSample(near.length > 0 ? near : targets, 1, options.random)[0];
     };
 
     const checkAtInterval = async (): Promise<void> => {
@@ -163,7 +147,7 @@
     };
 
     return {
-        start: () => scheduleCheck(random.nextFloat() * checkIntervalMs),
+        start: () => scheduleCheck(options.random.nextFloat() * checkIntervalMs),
         isCutOff: () => isCutOff,
         recordResponse: () => {
             respondedAtMs = scheduler.now();
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -92,7 +92,7 @@
         client.abort();
     }
     const lostTargetsEmitter = events.createEmitter<void>();
-    let response: exchangeRequest.FinalResponse | exchangeRequest.Unreached | undefined;
+    let response: exchangeRequest.ExchangeEnd | undefined;
     let respondedAtMs = 0;
     const crashed: string[] = [];
     const ends: exchangeLog.AttemptEnd[] = [];
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -49,13 +49,12 @@
 export const runExchange = (
     options: ExchangeOptions,
     request: exchangeRequest.ExchangeRequest,
-): Promise<exchangeRequest.FinalResponse | exchangeRequest.Unreached> =>
-    new Promise(resolve => createExchange(options, request, resolve).start());
+): Promise<exchangeRequest.ExchangeEnd> => new Promise(resolve => createExchange(options, request, resolve).start());
 
 const createExchange = (
     options: ExchangeOptions,
     request: exchangeRequest.ExchangeRequest,
-    resolve: (response: exchangeRequest.FinalResponse | exchangeRequest.Unreached) => void,
+    resolve: (response: exchangeRequest.ExchangeEnd) => void,
 ): { start(): void } => {
     const { scheduler, targets, budget } = options;
     const { route, service, outgoing } = request;
@@ -95,7 +94,7 @@
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
-    const finish = (response: exchangeRequest.FinalResponse | exchangeRequest.Unreached): void => {
+    const finish = (response: exchangeRequest.ExchangeEnd): void => {
         if (isDone) {
             return;
         }
@@ -203,8 +202,9 @@
         response: targetConnection.TargetResponse,
     ): void => {
         const { head, statusCode } = response;
-        if (head.isRefusal || statusCode === 421) {
-            attempt.reservation.finish({ kind: statusCode === 421 ? "misdirected" : "refused" }, head.load);
+        const isMisdirected = statusCode === targetSender.misdirectedStatus;
+        if (head.isRefusal || isMisdirected) {
+            attempt.reservation.finish({ kind: isMisdirected ? "misdirected" : "refused" }, head.load);
             handleRefusal(attempt);
             return;
         }
--- a/src/node/routes/exchangeRequest.ts
+++ b/src/node/routes/exchangeRequest.ts
@@ -34,3 +34,6 @@
     /** Whether the request may have run. */
     readonly mayHaveRun: boolean;
 }
+
+/** How a request ends at this VM alone. */
+export type ExchangeEnd = FinalResponse | Unreached;
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -2,6 +2,7 @@
  * Passes requests on to other VMs while this VM reaches no target. Clients keep the addresses of VMs for seconds, so that
  * requests still arrive when lookups have stopped naming this VM. A request that was passed on is not passed on again.
  */
+import * as random from "../../common/random.js";
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -20,9 +21,9 @@
 /** The response of another VM; undefined if the request was sent to none. */
 export type RelayEnd =
     | { readonly kind: "relayed"; readonly response: targetConnection.TargetResponse }
-    /** The request may have run. */
-    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 502 | 504 }
-    | { readonly kind: "abandoned" };
+    | Extract<exchangeRequest.FinalResponse, { kind: "failed" | "abandoned" }>;
+
+export type RequestHistory = Omit<exchangeRequest.Unreached, "kind">;
 
 export interface PeerRelay {
     /**
@@ -32,10 +33,7 @@
      * @param history - targets at which the other VM may run it, and whether it may have run already
      * @returns the end; undefined if no VM was reached, so that the request has not run there
      */
-    run(
-        request: exchangeRequest.ExchangeRequest,
-        history: Pick<exchangeRequest.Unreached, "maxTargets" | "mayHaveRun">,
-    ): Promise<RelayEnd | undefined>;
+    run(request: exchangeRequest.ExchangeRequest, history: RequestHistory): Promise<RelayEnd | undefined>;
 }
 
 export interface PeerRelayOptions {
@@ -59,22 +57,22 @@
  * @returns the relay
  */
 export const createPeerRelay = (options: PeerRelayOptions): PeerRelay => {
-    const { scheduler, logger, random } = options;
+    const { scheduler, logger } = options;
 
     /** VMs of the same zone first, otherwise at random, so that the requests are spread over them. */
-    const listOfferedPeers = (): readonly routes.Peer[] =>
-        options
-            .listPeers()
-            .map(peer => ({ peer, order: (peer.zone === options.zone ? 0 : 1) + random.nextFloat() }))
-            .sort((left, right) => left.order - right.order)
-            .slice(0, maxOfferedPeers)
-            .map(({ peer }) => peer);
+    const listOfferedPeers = (): readonly routes.Peer[] => {
+        const isNear = (peer: routes.Peer): number => Number(peer.zone === options.zone);
+        return random
+            .shuffle(options.listPeers(), options.random)
+            .sort((left, right) => isNear(right) - isNear(left))
+            .slice(0, maxOfferedPeers);
+    };
 
     /** Sends a request to one VM; undefined if it was not reached. */
     const sendToPeer = async (
         peer: routes.Peer,
         request: exchangeRequest.ExchangeRequest,
-        maxTargets: number,
+        { maxTargets, mayHaveRun }: RequestHistory,
     ): Promise<RelayEnd | undefined> => {
         const { outgoing, route, deadlineAtMs, signal } = request;
         let hasPassedDeadline = false;
@@ -99,7 +97,9 @@
         }
         switch (result.kind) {
             case "response":
-                return { kind: "relayed", response: result.response };
+                return mayHaveRun && isOwnRefusal(result.response)
+                    ? { kind: "failed", reason: "refused after it may have run", statusCode: 502 }
+                    : { kind: "relayed", response: result.response };
             case "broken":
                 return { kind: "failed", reason: result.reason, statusCode: hasPassedDeadline ? 504 : 502 };
             case "unreachable":
@@ -109,13 +109,10 @@
     };
 
     return {
-        run: async (request, { maxTargets, mayHaveRun }) => {
+        run: async (request, history) => {
             const startedAtMs = scheduler.now();
             for (const peer of listOfferedPeers()) {
-                const end = await sendToPeer(peer, request, maxTargets);
-                if (mayHaveRun && end?.kind === "relayed" && isOwnRefusal(end.response)) {
-                    return { kind: "failed", reason: "refused after it may have run", statusCode: 502 };
-                }
+                const end = await sendToPeer(peer, request, history);
                 logger.info("relay: request passed on", {
                     request: request.outgoing.id,
                     route: request.route.name,
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -13,8 +13,8 @@
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
-/** A VM that has just started receives its configuration within about this time. */
-const unconfiguredRetryAfterMs = 500;
+/** A VM that has just started receives its configuration within about this time, and one that is cut off hears of others. */
+const unavailableRetryAfterMs = 500;
 
 export interface RequestHandlerOptions {
     readonly dialect: types.HttpDialect;
@@ -103,30 +103,27 @@
         fields: shared.LogFields = {},
     ): frontendServer.ClientResponse => {
         logger.warn("exchange: request rejected", { request: id, status: statusCode, reason, ...fields });
-        return formatOwnResponse(id, statusCode, reason, statusCode === 503 ? unconfiguredRetryAfterMs : undefined);
+        return formatOwnResponse(id, statusCode, reason, statusCode === 503 ? unavailableRetryAfterMs : undefined);
     };
 
     /** Runs a request here, or at another VM if this one reaches no target. */
     const runOrRelay = async (request: exchangeRequest.ExchangeRequest, mayRelay: boolean): Promise<RequestResult> => {
+        const relay = async (history: peerRelay.RequestHistory): Promise<RequestResult | undefined> =>
+            mayRelay ? options.relay.run(request, history) : undefined;
         const { maxTargets } = request.route;
-        const relayed =
-            mayRelay && options.isCutOff()
-                ? await options.relay.run(request, { maxTargets, mayHaveRun: false })
-                : undefined;
+        const relayed = options.isCutOff() ? await relay({ maxTargets, mayHaveRun: false }) : undefined;
         if (relayed !== undefined) {
             return relayed;
         }
-        const result = await exchange.runExchange(options.exchange, request);
-        if (result.kind !== "unreached") {
-            return result;
+        const end = await exchange.runExchange(options.exchange, request);
+        if (end.kind !== "unreached") {
+            return end;
         }
         const reason = "targets not reached";
-        return (
-            (mayRelay ? await options.relay.run(request, result) : undefined) ??
-            (result.mayHaveRun
-                ? { kind: "failed", reason, statusCode: 502 }
-                : { kind: "refused", reason, retryAfterMs: unconfiguredRetryAfterMs })
-        );
+        const notRelayed: RequestResult = end.mayHaveRun
+            ? { kind: "failed", reason, statusCode: 502 }
+            : { kind: "refused", reason, retryAfterMs: unavailableRetryAfterMs };
+        return (await relay(end)) ?? notRelayed;
     };
 
     const runRoute = async (routed: RoutedRequest): Promise<RequestResult> => {
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -10,7 +10,7 @@
 /** A non-idempotent request uses a connection that was idle for at most this time, or a new one. */
 const maxNonIdempotentIdleMs = 2_000;
 /** Status with which a target rejects a request that was meant for another one. */
-const misdirectedStatus = 421;
+export const misdirectedStatus = 421;
 
 export interface OutgoingRequest {
     readonly id: string;
