Keep a connection for most of the checks of VMs on standby

Change: a VM that clients use checks on new connections as before, since old ones may live on in a partition. A VM on standby checks the same target on its kept connection, nine times out of ten, which shows a partition that is silent or resets; once it is active, its next check opens a connection again. Checks of several targets after a failure are as before.

--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -1,7 +1,8 @@
 /**
  * Whether this VM reaches targets at all. A VM that is partitioned from all of them cannot tell so from single failures:
  * targets crash and connections break at other times, too. So one target is checked at intervals, and several at once
- * after a failure. Each check uses a new connection, as old ones may live on in a partition.
+ * after a failure. The VMs that clients use check on new connections, as old ones may live on in a partition; VMs on
+ * standby open few, as each one costs the target something.
  */
 import * as events from "../events.js";
 import * as random from "../random.js";
@@ -12,6 +13,8 @@
 /** A VM that reaches no target checks several of them in this interval. */
 const cutOffCheckIntervalMs = 500;
 const maxCheckedTargets = 6;
+/** Checks of a VM on standby between two on new connections. */
+const maxKeptChecks = 9;
 /** Fewer targets may be down at the same time by themselves. */
 const minFailedTargets = 3;
 /** Consecutive checks in which most targets are reached before a VM counts as reaching targets again. */
@@ -44,8 +47,10 @@
     readonly zone: shared.ZoneName;
     /** Targets that may be checked. */
     listTargets(): readonly types.Registration[];
-    /** Opens a connection to a target and waits for a response on it. */
-    check(target: types.Registration): Promise<CheckResult>;
+    /** Whether clients use this VM. */
+    isActive(): boolean;
+    /** Sends a probe to a target and waits for its response. */
+    check(target: types.Registration, onNewConnection: boolean): Promise<CheckResult>;
 }
 
 /** Picks targets at random, from as many zones as possible. */
@@ -73,6 +78,9 @@
     let goodChecks = 0;
     let respondedAtMs = -Infinity;
     let runningCheck: Promise<boolean> | undefined;
+    /** The target that a VM on standby checks, whose connection is kept meanwhile. */
+    let keptTarget: shared.TargetId | undefined;
+    let keptChecks = 0;
     let timer: shared.Disposable | undefined;
     let isDisposed = false;
 
@@ -109,7 +117,7 @@
     const runSampleCheck = async (): Promise<boolean> => {
         const sample = pickSample(options.listTargets(), maxCheckedTargets, options.random);
         const startedAtMs = scheduler.now();
-        applyResults(await Promise.all(sample.map(options.check)), startedAtMs);
+        applyResults(await Promise.all(sample.map(target => options.check(target, true))), startedAtMs);
         return !isCutOff;
     };
 
@@ -120,15 +128,24 @@
     };
 
     /** Picks a target in the VM's zone, if there is one, as traffic between zones is billed. */
-    const pickNearTarget = (): types.Registration | undefined => {
-        const targets = options.listTargets();
+    const pickNearTarget = (targets: readonly types.Registration[]): types.Registration | undefined => {
         const near = targets.filter(({ zone }) => zone === options.zone);
         return pickSample(near.length > 0 ? near : targets, 1, options.random)[0];
     };
 
+    /** Checks one target; returns whether this tells nothing against this VM. */
+    const checkNearTarget = async (): Promise<boolean> => {
+        const targets = options.listTargets();
+        const mayKeep = !options.isActive() && keptChecks < maxKeptChecks;
+        const kept = mayKeep ? targets.find(({ id }) => id === keptTarget) : undefined;
+        const target = kept ?? pickNearTarget(targets);
+        keptTarget = target?.id;
+        keptChecks = kept === undefined ? 0 : keptChecks + 1;
+        return target === undefined || (await options.check(target, kept === undefined)) === "response";
+    };
+
     const checkAtInterval = async (): Promise<void> => {
-        const target = isCutOff ? undefined : pickNearTarget();
-        if (isCutOff || (target !== undefined && (await options.check(target)) !== "response")) {
+        if (isCutOff || !(await checkNearTarget())) {
             await checkSample();
         }
         scheduleCheck(isCutOff ? cutOffCheckIntervalMs : checkIntervalMs);
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -34,6 +34,8 @@
     readonly sender: targetSender.TargetSender;
     /** Seed of the random numbers. */
     readonly seed: number;
+    /** Whether clients use this VM. */
+    isActive(): boolean;
     listActiveVms(): readonly routes.Peer[];
     listPeers(): readonly routes.Peer[];
 }
@@ -63,9 +65,10 @@
         logger,
         zone: settings.zone,
         listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
-        check: async registration => {
+        isActive: options.isActive,
+        check: async (registration, onNewConnection) => {
             const path = services.get(registration.service)?.healthPath ?? "/";
-            const probe = { registration, path, timeoutMs: checkTimeoutMs, onNewConnection: true };
+            const probe = { registration, path, timeoutMs: checkTimeoutMs, onNewConnection };
             return (await sender.sendProbe(probe)).kind;
         },
     });
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -173,6 +173,7 @@
         services,
         sender,
         seed: crypto.randomInt(2 ** 31),
+        isActive: role.isActive,
         listActiveVms: role.listActiveVms,
         listPeers: members.listPeers,
     });
--- a/src/node/routes/vmRole.ts
+++ b/src/node/routes/vmRole.ts
@@ -17,6 +17,8 @@
 
 export interface VmRole {
     listActiveVms(): readonly routes.Peer[];
+    /** Whether this VM is an active one. */
+    isActive(): boolean;
     /** The first active VM of a zone probes its targets; the first of all also probes zones without an active VM. */
     mayProbe(zone: shared.ZoneName): boolean;
     /** The active VMs, and this VM's share of the rates that all VMs share. */
@@ -80,6 +82,7 @@
 
     return {
         listActiveVms,
+        isActive,
         getRateView: () => ({ owners: listActiveVms().map(peer => peer.vm), share: computeRateShare() }),
         mayProbe: zone => {
             if (options.computeRequestRate() < minRequestsPerSecondToProbe) {
