Log and count crashes, those that are not counted, and requests refused for them

No line told whether a crash was counted, dropped or reported, so the hypotheses could not be told apart.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -36,6 +36,8 @@
     mergeCount(fingerprint: string, count: number): void;
     /** Whether requests with this fingerprint are refused. */
     isBlocked(fingerprint: string): boolean;
+    /** Number of fingerprints whose requests are refused. */
+    countBlocked(): number;
     list(): readonly CrashCount[];
     /** Whether there are no entries, in which case no fingerprint needs to be computed. */
     isEmpty(): boolean;
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -12,6 +12,7 @@
         getConfigurationVersion: () => 12,
         computeStoreAgeMs: () => Infinity,
         countTargets: () => 26,
+        countBlockedRequests: () => 2,
         countLimitedTargets: () => 0,
         countLeavingTargets: () => 0,
         isCutOff: () => false,
@@ -38,6 +39,7 @@
     routeMetrics.recordAttempt("answered");
     routeMetrics.recordHedge();
     routeMetrics.recordProbe(false);
+    routeMetrics.recordCrash("unconfirmed");
     const text = await routeMetrics.format();
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.1",end="served"\} 0/);
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.15",end="served"\} 1/);
@@ -45,6 +47,8 @@
     t.regex(text, /tarragonpath_attempts_total\{end="answered"\} 1/);
     t.regex(text, /tarragonpath_hedges_total 1/);
     t.regex(text, /tarragonpath_probes_total\{answered="false"\} 1/);
+    t.regex(text, /tarragonpath_crashes_total\{end="unconfirmed"\} 1/);
+    t.regex(text, /tarragonpath_blocked_requests 2/);
     t.regex(text, /tarragonpath_configuration_version 12/);
     t.regex(text, /tarragonpath_store_age_seconds \+Inf/);
 });
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -12,6 +12,9 @@
 /** How a request ended for the client. */
 export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route";
 
+/** Whether a crash was counted against its request; without a way to the targets it cannot be confirmed. */
+export type CrashEnd = "counted" | "unconfirmed";
+
 /** Values that are read on each scrape. */
 export interface MetricSources {
     /** Version of the current configuration; undefined before the first. */
@@ -19,6 +22,8 @@
     /** Age of this VM's own view of the store; infinite if this VM does not follow the store. */
     computeStoreAgeMs(): number;
     countTargets(): number;
+    /** Requests, by their fingerprints, that are refused as they crash targets. */
+    countBlockedRequests(): number;
     /** Targets that have named a limit on their requests. */
     countLimitedTargets(): number;
     /** Registered targets that have said that they are leaving. */
@@ -40,6 +45,8 @@
     recordLimited(): void;
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
+    /** Counts a target that has ended under a request, or seems to have. */
+    recordCrash(end: CrashEnd): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
     recordUnknownValue(field: string): void;
     /** Counts a header of a target whose value is malformed. */
@@ -69,6 +76,7 @@
         () => sources.computeStoreAgeMs() / 1_000,
     );
     add("targets", "Targets in use.", sources.countTargets);
+    add("blocked_requests", "Requests that are refused as they crash targets.", sources.countBlockedRequests);
     add("limited_targets", "Targets that have named a limit on their requests.", sources.countLimitedTargets);
     add("leaving_targets", "Registered targets that have said that they are leaving.", sources.countLeavingTargets);
     add("cut_off", "Whether this VM reaches no target.", () => Number(sources.isCutOff()));
@@ -140,6 +148,12 @@
         labelNames: ["field"],
         registers,
     });
+    const crashes = new promClient.Counter({
+        name: `${namePrefix}crashes_total`,
+        help: "Targets that have ended under a request, by whether this was counted against the request.",
+        labelNames: ["end"],
+        registers,
+    });
     const limitedAttempts = new promClient.Counter({
         name: `${namePrefix}limited_attempts_total`,
         help: "Attempts that were not made because of the targets' limits.",
@@ -169,6 +183,7 @@
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
+        recordCrash: end => crashes.inc({ end }),
         recordLimited: () => limitedAttempts.inc(),
         recordStreamedBody: end => {
             streamedBodies.observe({ end: end.kind }, end.durationMs / 1_000);
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -140,6 +140,7 @@
             bodyStart: body,
         });
         if (options.exchange.crashes.isBlocked(fingerprint)) {
+            logger.warn("crash: request refused", { request: id, fingerprint, service });
             return { kind: "failed", reason: "request crashes targets", statusCode: 502 };
         }
         const allowedMs = Math.min(route.timeoutMs, routed.clientTimeoutMs ?? Infinity);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -94,7 +94,11 @@
             leaving: notices.applyLeaving(reports.leaving),
         }),
         listTargetReports: () => ({ limits: limits.listReports(), leaving: notices.listLeaving() }),
-        handleCrashes: reports => reports.forEach(report => crashes.recordCrash(report.fingerprint, report.target)),
+        handleCrashes: reports =>
+            reports.forEach(({ fingerprint, target }) => {
+                const count = crashes.recordCrash(fingerprint, target);
+                logger.info("crash: reported by a peer", { fingerprint, target, count });
+            }),
     });
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
     const role = vmRole.createVmRole({
@@ -186,6 +190,7 @@
         countClientConnections: () => frontend?.countConnections() ?? 0,
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
+        countBlockedRequests: crashes.countBlocked,
         countLeavingTargets: notices.countLeaving,
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
@@ -202,8 +207,13 @@
     /** A partition also breaks connections; without this check, it would show as crashes that all requests cause. */
     const recordCrash = async (fingerprint: string, target: shared.TargetId): Promise<void> => {
         if (await reach.confirm()) {
-            crashes.recordCrash(fingerprint, target);
+            const count = crashes.recordCrash(fingerprint, target);
             members.sendCrash({ fingerprint, target });
+            logger.warn("crash: counted", { fingerprint, target, count });
+            routeMetrics.recordCrash("counted");
+        } else {
+            logger.warn("crash: not counted, as no target is reached", { fingerprint, target });
+            routeMetrics.recordCrash("unconfirmed");
         }
     };
 
