--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -32,10 +32,15 @@
     | { readonly kind: "drain"; readonly target: number }
     /** The same, but the target says so in its responses only. */
     | { readonly kind: "leave"; readonly target: number }
+    /** A request that crashes each target that runs it comes again and again, at all VMs in turn. */
+    | { readonly kind: "crashing-request"; readonly mode: CrashMode; readonly gapMs: number; readonly forMs: number }
     /** Switches the moving route to the other service. */
     | { readonly kind: "configuration" }
     | { readonly kind: "zone-out"; readonly zone: number; readonly forMs: number };
 
+/** How a target ends: its connections are reset, fall silent, or break off in the middle of a response. */
+export type CrashMode = "reset" | "silent" | "mid-response";
+
 export type VmSignal = "SIGKILL" | "SIGTERM" | "SIGSTOP" | "SIGHUP";
 
 export interface PlannedFault {
@@ -127,6 +132,12 @@
     readonly sinceMs: number;
 }
 
+/** A request has ended the target that ran it. */
+export interface CrashRecord {
+    readonly id: string;
+    readonly atMs: number;
+}
+
 /** Change that the store has committed and the VMs must follow. */
 export type CommittedChange =
     | { readonly kind: "leaving"; readonly atMs: number; readonly target: string }
@@ -137,6 +148,7 @@
     readonly calls: readonly CallerRecord[];
     readonly runs: readonly RunRecord[];
     readonly arrivals: readonly ArrivalRecord[];
+    readonly crashes: readonly CrashRecord[];
     readonly committedChanges: readonly CommittedChange[];
     readonly disturbances: readonly Disturbance[];
     readonly partitions: readonly Partition[];
@@ -172,6 +184,10 @@
     /** ... or fail at most this many requests and this share of the requests at all VMs. */
     readonly partitionedExtra: number;
     readonly partitionedFailureShare: number;
+    /** Number of crashes under a request, over all VMs, after which it must not be sent any more, ... */
+    readonly crashLimit: number;
+    /** ... apart from this number of requests. */
+    readonly crashExtra: number;
 }
 
 export type SoakRule =
@@ -191,6 +207,7 @@
     | "leaving"
     | "pause"
     | "partition"
+    | "crash"
     | "recovery"
     | "process";
 
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -20,6 +20,8 @@
     partitionedShare: 2 / 3,
     partitionedExtra: 10,
     partitionedFailureShare: 0.02,
+    crashLimit: 3,
+    crashExtra: 3,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -65,6 +67,7 @@
 const findRules = (history: Partial<types.SoakHistory>): readonly types.SoakRule[] => {
     const full: types.SoakHistory = {
         arrivals: [],
+        crashes: [],
         committedChanges: [],
         disturbances: [],
         partitions: [],
@@ -214,3 +217,19 @@
     const failing = createCalls(0, 503, 40);
     t.deepEqual(findRules({ calls: [...failing, ...createCalls(1, 503, 12)], partitions }), []);
 });
+
+test("a request that has crashed three targets must not reach targets in more than three requests later", t => {
+    const path = "/crash/reset/1";
+    const createHistory = (lateCount: number) => {
+        const times = [20_000, 20_100, 20_200, ...Array.from({ length: lateCount }, (_, index) => 23_300 + index)];
+        return {
+            calls: times.map(sentAtMs => createCall(`r${sentAtMs}`, { path, sentAtMs, outcome: { kind: "closed" } })),
+            arrivals: times.map(atMs => createArrival(`r${atMs}`, { atMs })),
+            crashes: times.map(atMs => ({ id: `r${atMs}`, atMs })),
+        };
+    };
+    const disturbance = { fromMs: 20_500, toMs: 20_600, vm: 0, completesRequests: false };
+    t.false(findRules(createHistory(3)).includes("crash"));
+    t.true(findRules(createHistory(4)).includes("crash"));
+    t.false(findRules({ ...createHistory(4), disturbances: [disturbance] }).includes("crash"));
+});
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -202,6 +202,7 @@
     targetChecks.findRequestsWhileLeaving,
     targetChecks.findRequestsInPauses,
     targetChecks.findPartitionedCallers,
+    targetChecks.findRepeatedCrashes,
     findMissingRecovery,
 ];
 
--- a/src/testing/soak/historyChecks.ts
+++ b/src/testing/soak/historyChecks.ts
@@ -8,6 +8,18 @@
 
 /** Window in which rates per second are checked. */
 export const rateWindowMs = 1_000;
+const crashingPathPrefix = "/crash/";
+
+/** Returns the path of a request that crashes the targets that run it. */
+export const toCrashingPath = (mode: types.CrashMode, name: string): string => `${crashingPathPrefix}${mode}/${name}`;
+
+/** Returns whether a request crashes the targets that run it, so that it cannot be served. */
+export const isCrashingPath = (path: string): boolean => path.startsWith(crashingPathPrefix);
+
+/** Returns how a request crashes the targets that run it; undefined for other requests. */
+export const parseCrashMode = (path: string): types.CrashMode | undefined =>
+    (["reset", "silent", "mid-response"] as const).find(mode => path.startsWith(`${crashingPathPrefix}${mode}/`));
+
 /** Groups items by a key. */
 export const groupBy = <T>(items: readonly T[], getKey: (item: T) => string): ReadonlyMap<string, T[]> => {
     const groups = new Map<string, T[]>();
--- a/src/testing/soak/targetChecks.ts
+++ b/src/testing/soak/targetChecks.ts
@@ -116,7 +116,8 @@
             return [];
         }
         const calls = history.calls.filter(
-            ({ sentAtMs, endedAtMs, vm }) =>
+            ({ path, sentAtMs, endedAtMs, vm }) =>
+                !historyChecks.isCrashingPath(path) &&
                 sentAtMs > partition.fromMs + bounds.contactMs &&
                 sentAtMs < partition.toMs &&
                 !historyChecks.isDisturbed(history, partition.fromMs, endedAtMs, vm),
@@ -140,3 +141,30 @@
               ]
             : [];
     });
+
+/** Finds requests that reached targets although equal ones had crashed several targets long before. */
+export const findRepeatedCrashes: historyChecks.Check = (history, bounds) => {
+    const violations: types.SoakViolation[] = [];
+    const calls = new Map(history.calls.map(call => [call.id, call]));
+    for (const [path, crashes] of historyChecks.groupBy(history.crashes, ({ id }) => calls.get(id)?.path ?? "")) {
+        const limitAtMs = crashes.map(({ atMs }) => atMs).sort((left, right) => left - right)[bounds.crashLimit - 1];
+        const late = history.arrivals.filter(({ id, atMs }) => {
+            const call = calls.get(id);
+            return (
+                call?.path === path &&
+                atMs > (limitAtMs ?? Infinity) + bounds.contactMs &&
+                !historyChecks.isDisturbed(history, atMs - bounds.contactMs, atMs, call.vm)
+            );
+        });
+        const lateRequests = new Set(late.map(({ id }) => id));
+        if (lateRequests.size > bounds.crashExtra) {
+            violations.push({
+                rule: "crash",
+                message:
+                    `${path} reached targets in ${lateRequests.size} more requests after ${bounds.crashLimit} crashes; ` +
+                    `${crashes.length} crashes in all`,
+            });
+        }
+    }
+    return violations;
+};
--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -25,6 +25,8 @@
     readonly setState: (state: LinkState) => void;
     /** Sets the state for the connections from one host; undefined lets the common state apply to them again. */
     readonly setStateOf: (host: string, state: LinkState | undefined) => void;
+    /** Without a listener, new connections are refused; the state of the open ones does not change. */
+    readonly setListening: (isListening: boolean) => void;
     readonly countBytes: () => number;
     readonly close: () => Promise<void>;
 }
@@ -154,11 +156,19 @@
         url: `http://${address}`,
         setState,
         setStateOf,
+        setListening: isListening => {
+            if (isListening && !server.listening) {
+                server.listen(ids.splitAddress(address));
+            } else if (!isListening && server.listening) {
+                server.close();
+            }
+        },
         countBytes: () => bytes,
         close: () =>
             new Promise(resolve => {
                 hostStates.clear();
                 setState({ kind: "cut" });
+                // An error only says that the relay did not listen.
                 server.close(() => resolve());
             }),
     };
