Count crashes while new connections to targets fail and open ones live on

Callers' requests that crash targets were sent again without end while all VMs were partitioned from targets in such a way: a VM whose new connections fail counts as cut off, and a cut-off VM dropped each crash as a possible effect of the partition.

A VM that counts as cut off now waits up to a second for a response of another target. A response shows that open connections live on, so the one that broke was the target's doing; in a partition that breaks or silences all connections there is none, as before.

--- a/src/common/routes/targetReach.test.ts
+++ b/src/common/routes/targetReach.test.ts
@@ -108,9 +108,10 @@
     const before = countChecks();
     const confirmations = [reach.confirm(), reach.confirm()];
     await scheduler.advance(200);
-    t.deepEqual(await Promise.all(confirmations), [false, false]);
     t.true(reach.isCutOff());
     t.true(countChecks() - before <= 7);
+    await scheduler.advance(800);
+    t.deepEqual(await Promise.all(confirmations), [false, false]);
 });
 
 test("at intervals, one target of the VM's zone is checked", async t => {
@@ -164,3 +165,19 @@
     await scheduler.advance(1_100);
     t.true(reach.isCutOff());
 });
+
+// Guards against crashes that are not counted while new connections fail and open ones live on.
+test("a failure concerns one target if others respond later, although the VM counts as cut off", async t => {
+    const { scheduler, reach, cut } = createSetup(8);
+    cut();
+    await scheduler.advance(1_100);
+    t.true(reach.isCutOff());
+    const confirmation = reach.confirm();
+    await scheduler.advance(500);
+    reach.recordResponse();
+    await scheduler.advance(500);
+    t.true(await confirmation);
+    const unconfirmed = reach.confirm();
+    await scheduler.advance(1_000);
+    t.false(await unconfirmed);
+});
--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -21,6 +21,8 @@
 const checksToReturn = 2;
 /** Responses of other targets within this time show that a failure concerned one target. */
 const responseWaitMs = 100;
+/** The same for a VM that counts as cut off, on which new connections tell nothing: open ones may live on. */
+const cutOffResponseWaitMs = 1_000;
 
 export interface TargetReach extends shared.Disposable {
     start(): void;
@@ -157,10 +159,16 @@
         }
     };
 
+    const wait = (delayMs: number): Promise<void> => new Promise(resolve => void scheduler.schedule(delayMs, resolve));
+
     const confirm = async (): Promise<boolean> => {
         const failedAtMs = scheduler.now();
-        await new Promise<void>(resolve => void scheduler.schedule(responseWaitMs, resolve));
-        return isCutOff ? false : respondedAtMs > failedAtMs || checkSample();
+        await wait(responseWaitMs);
+        if (respondedAtMs > failedAtMs || (!isCutOff && (await checkSample()))) {
+            return true;
+        }
+        await wait(failedAtMs + cutOffResponseWaitMs - scheduler.now());
+        return respondedAtMs > failedAtMs;
     };
 
     return {
