Keep crash counts on VMs that join, restart or find a new hub

Each start of a VM, and each change of the hub, let a request crash targets again: reports of crashes went over the connections that lived at that moment.

Crashes are now one more kind of target report, which VMs exchange when they connect. A response clears the crashes before it on all VMs, also those of a request that is refused: equal requests in flight at targets that are killed would block a harmless one otherwise.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -36,9 +36,46 @@
     mergeCount(fingerprint: string, count: number): void;
     /** Whether requests with this fingerprint are refused. */
     isBlocked(fingerprint: string): boolean;
-    /** Number of fingerprints whose requests are refused. */
-    countBlocked(): number;
     list(): readonly CrashCount[];
     /** Whether there are no entries, in which case no fingerprint needs to be computed. */
     isEmpty(): boolean;
 }
+
+/** Runs of targets that have ended under a request since it was last responded to. */
+export interface CrashReport {
+    readonly fingerprint: string;
+    /** Responses that have cleared earlier crashes; a report with a greater number replaces the others. */
+    readonly responses: number;
+    readonly targetRuns: readonly string[];
+    /** Time after which the report is obsolete, in milliseconds. */
+    readonly expiresInMs: number;
+}
+
+/** Counts the targets that have ended under equal requests at all VMs. */
+export interface RequestCrashes {
+    /**
+     * Counts the end of a target, unless that is known already: equal requests in flight at it count once.
+     *
+     * @param fingerprint - fingerprint of the request that it was running
+     * @param target - the run of the target that has ended
+     * @returns the number of targets that have ended under the request
+     */
+    recordCrash(fingerprint: string, target: { readonly id: types.TargetId; readonly startedAtMs: number }): number;
+    /** Records that a target has responded, and thus has not ended under the request, which clears earlier crashes. */
+    recordResponse(fingerprint: string): void;
+    /**
+     * Merges reports of peers.
+     *
+     * @param reports - in any order
+     * @returns those that contained anything new
+     */
+    applyReports(reports: readonly CrashReport[]): readonly CrashReport[];
+    /** All that is known, for a peer that joins. */
+    listReports(): readonly CrashReport[];
+    /** Whether requests with this fingerprint are refused. */
+    isBlocked(fingerprint: string): boolean;
+    /** Number of fingerprints whose requests are refused. */
+    countBlocked(): number;
+    /** Fires when this VM has seen a crash, or a response that clears crashes. */
+    readonly onDidChange: types.Event<CrashReport>;
+}
--- a/src/common/crashes/crashRegistry.ts
+++ b/src/common/crashes/crashRegistry.ts
@@ -97,10 +97,6 @@
             }
         },
         isBlocked: fingerprint => getCount(fingerprint) >= limit,
-        countBlocked: () => {
-            removeExpired();
-            return [...entries.values()].filter(({ count }) => count >= limit).length;
-        },
         list: () => {
             removeExpired();
             return [...entries].map(([fingerprint, entry]) => ({ fingerprint, count: entry.count }));
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import * as events from "../../common/events.js";
-import * as crashRegistry from "../../common/crashes/crashRegistry.js";
+import * as requestCrashes from "../../common/crashes/requestCrashes.js";
 import * as random from "../../common/random.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as targetSet from "../../common/routes/targetSet.js";
@@ -86,7 +86,12 @@
     );
     const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
     targets.onDidFreeSlot(service => queue.dispatch(service));
-    const crashes = crashRegistry.createCrashRegistry({ scheduler, limit: 3, maxEntries: 10, retentionMs: 60_000 });
+    const crashes = requestCrashes.createRequestCrashes({
+        clock: scheduler,
+        limit: 3,
+        maxEntries: 10,
+        retentionMs: 60_000,
+    });
     const client = new AbortController();
     if (options.isClientDisconnected === true) {
         client.abort();
@@ -124,7 +129,7 @@
                     recordStreamedBody: () => undefined,
                 },
                 onDidLoseTargets: lostTargetsEmitter.event,
-                recordCrash: (_, target) => crashed.push(target),
+                recordCrash: (_, { id }) => crashed.push(id),
             },
             {
                 outgoing: { id: "r1", method: "GET", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -6,6 +6,7 @@
 import * as routing from "../../common/routing/Types.js";
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as targetPool from "../../common/routes/targetPool.js";
+import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
@@ -30,13 +31,13 @@
     readonly queue: admissionQueue.AdmissionQueue<targetPool.PickResult>;
     readonly sender: Pick<targetSender.TargetSender, "start">;
     readonly budget: routing.RetryBudget;
-    readonly crashes: crashes.CrashRegistry;
+    readonly crashes: Pick<crashes.RequestCrashes, "recordResponse" | "isBlocked">;
     readonly logger: shared.Logger;
     readonly metrics: exchangeLog.ExchangeMetrics;
     /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
     readonly onDidLoseTargets: shared.Event<void>;
     /** Called when the request broke the connection to a target. */
-    recordCrash(fingerprint: string, target: shared.TargetId): void;
+    recordCrash(fingerprint: string, registration: routes.Registration): void;
 }
 
 /**
@@ -258,7 +259,7 @@
                 break;
             case "broken":
                 attempt.reservation.finish({ kind: "broken" }, undefined);
-                options.recordCrash(request.fingerprint, attempt.reservation.registration.id);
+                options.recordCrash(request.fingerprint, attempt.reservation.registration);
                 handleFailedRun(attempt, result.reason);
                 break;
         }
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -45,7 +45,6 @@
     sendPeerMet(peer: routes.Peer): void;
     sendHello(): void;
     sendTargetReports(reports: peerChannel.TargetReports): void;
-    sendCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
 export interface HubLinkOptions {
@@ -317,7 +316,6 @@
         sendPeerMet: peer => hub?.channel.send("peer.met", { peer }),
         sendHello: announceOwnPeer,
         sendTargetReports: reports => hub?.channel.send("target.reports", reports),
-        sendCrashes: reports => hub?.channel.send("crash.reports", { reports }),
         dispose: () => {
             isDisposed = true;
             timers.forEach(timer => timer.dispose());
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import * as ids from "../../common/ids.js";
+import * as requestCrashes from "../../common/crashes/requestCrashes.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -79,6 +80,12 @@
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     const limits = fixture.createTargetLimits(scheduler);
     const leaving = new Set<shared.TargetId>();
+    const crashes = requestCrashes.createRequestCrashes({
+        clock: scheduler,
+        limit: 3,
+        maxEntries: 10,
+        retentionMs: 60_000,
+    });
     const member = membership.createMembership({
         settings: {
             vm,
@@ -111,17 +118,19 @@
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
             leaving: reports.leaving.filter(({ target }) => !leaving.has(target) && leaving.add(target)),
+            crashes: crashes.applyReports(reports.crashes ?? []),
         }),
         listTargetReports: () => ({
             limits: limits.listReports(),
             leaving: [...leaving].map(target => ({ target, startedAtMs: 1 })),
+            crashes: crashes.listReports(),
         }),
-        handleCrashes: () => undefined,
     });
     if (options.isStarted !== false) {
         await member.start();
     }
     limits.onDidChange(member.sendLimit);
+    crashes.onDidChange(member.sendCrash);
     return {
         vm,
         port: options.port,
@@ -129,6 +138,7 @@
         state,
         limits,
         leaving,
+        crashes,
         getVersion: () => state.getConfiguration()?.version,
     };
 };
@@ -283,3 +293,22 @@
     t.true(await waitUntil(() => remaining.every(vm => vm.limits.count() === 0), 1_000));
     remaining.forEach(vm => vm.member.dispose());
 });
+
+// Guards against requests that crash further targets at VMs that have joined, restarted or found a new hub since.
+test("crashes that VMs have seen count on all VMs, on one that joins later, and under a new hub", async t => {
+    const { store, vms } = await startVms(3);
+    t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3)));
+    const [hub, first, second] = vms;
+    first?.crashes.recordCrash("f", fixture.createRegistration("t1"));
+    second?.crashes.recordCrash("f", fixture.createRegistration("t2"));
+    t.true(await waitUntil(() => vms.every(vm => vm.crashes.listReports()[0]?.targetRuns.length === 2), 1_000));
+    const [port = 0] = await acquirePorts(1);
+    const joined = await startVm("vm-9", { store, port, seeds: vms.map(vm => vm.port) });
+    t.true(await waitUntil(() => joined.crashes.listReports()[0]?.targetRuns.length === 2));
+    hub?.member.dispose();
+    // At this moment, no VM has a hub yet.
+    joined.crashes.recordCrash("f", fixture.createRegistration("t3"));
+    const remaining = [first, second, joined].filter(vm => vm !== undefined);
+    t.true(await waitUntil(() => remaining.every(vm => vm.crashes.isBlocked("f"))));
+    remaining.forEach(vm => vm.member.dispose());
+});
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,6 +1,7 @@
 /**
  * Membership of this VM: registers it, follows a hub or the store, and forwards changes to its followers.
  */
+import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as rate from "../../common/routes/rate.js";
@@ -37,7 +38,7 @@
     /** Sends a changed limit of a target to all VMs, together with what else changes at about the same time. */
     sendLimit(report: targetLimits.LimitReport): void;
     sendLeaving(report: routes.LeavingReport): void;
-    sendCrash(report: peerChannel.CrashReport): void;
+    sendCrash(report: crashTypes.CrashReport): void;
 }
 
 export interface MembershipOptions {
@@ -54,7 +55,6 @@
     /** Applies reports about targets; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
     listTargetReports(): peerChannel.TargetReports;
-    handleCrashes(reports: readonly peerChannel.CrashReport[]): void;
 }
 
 /**
@@ -70,6 +70,7 @@
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
     const pendingLeaving: routes.LeavingReport[] = [];
+    const pendingCrashes = new Map<string, crashTypes.CrashReport>();
     let reportTimer: shared.Disposable | undefined;
 
     const getOwnPeer = (): routes.Peer => ({
@@ -136,7 +137,6 @@
                 hasSnapshots ? void state.applyUpdate(update) : void state.applyChanges(update.changes),
             );
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
-            channel.on("crash.reports", ({ reports }) => options.handleCrashes(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
         handleConnected: () => {
@@ -156,8 +156,13 @@
 
     const sendPendingReports = (): void => {
         reportTimer = undefined;
-        const reports = { limits: [...pendingLimits.values()], leaving: pendingLeaving.splice(0) };
+        const reports = {
+            limits: [...pendingLimits.values()],
+            leaving: pendingLeaving.splice(0),
+            crashes: [...pendingCrashes.values()],
+        };
         pendingLimits.clear();
+        pendingCrashes.clear();
         link.sendTargetReports(reports);
         hub?.pushTargetReports(reports);
     };
@@ -191,7 +196,6 @@
 
     return {
         start: async () => {
-            hub?.onDidReceiveCrashes(options.handleCrashes);
             await hub?.listen();
             link.start();
             timer = scheduler.schedule(firstStoreLookupDelayMs, () => void findPeersInStore());
@@ -210,8 +214,8 @@
             scheduleReports();
         },
         sendCrash: report => {
-            link.sendCrashes([report]);
-            hub?.pushCrashes([report]);
+            pendingCrashes.set(report.fingerprint, report);
+            scheduleReports();
         },
         dispose: () => {
             timer?.dispose();
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -3,6 +3,7 @@
  */
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
+import * as crashTypes from "../../common/crashes/Types.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
@@ -12,11 +13,6 @@
 const maxSendBufferBytes = 4 * 1024 * 1024;
 const maxLineBytes = 8 * 1024 * 1024;
 
-export interface CrashReport {
-    readonly fingerprint: string;
-    readonly target: shared.TargetId;
-}
-
 export interface HubHeartbeat extends peerOrder.PeerChanges {
     /** False if the VM follows a hub itself; other VMs can then only find that hub through it. */
     readonly isHub: boolean;
@@ -27,8 +23,19 @@
 export interface TargetReports {
     readonly limits: readonly targetLimits.LimitReport[];
     readonly leaving: readonly routes.LeavingReport[];
+    /** Requests under which targets have ended; VMs of earlier versions do not send them. */
+    readonly crashes?: readonly crashTypes.CrashReport[];
 }
 
+/**
+ * Checks whether reports contain anything.
+ *
+ * @param reports - the reports
+ * @returns true if there are none
+ */
+export const isEmpty = ({ limits, leaving, crashes = [] }: TargetReports): boolean =>
+    limits.length + leaving.length + crashes.length === 0;
+
 /** Notifications by method. */
 export interface PeerMessages {
     /** A VM joins, or its own record has changed. */
@@ -43,7 +50,6 @@
     readonly "state.update": routes.StateUpdate;
     /** What targets have said about themselves: changes, or all that is known to a VM that joins. */
     readonly "target.reports": TargetReports;
-    readonly "crash.reports": { readonly reports: readonly CrashReport[] };
 }
 
 export type PeerMethod = keyof PeerMessages;
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -4,7 +4,6 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
-import * as events from "../../common/events.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -22,8 +21,6 @@
     closeFollowers(): void;
     pushUpdate(update: routes.StateUpdate): void;
     pushTargetReports(reports: peerChannel.TargetReports): void;
-    pushCrashes(reports: readonly peerChannel.CrashReport[]): void;
-    readonly onDidReceiveCrashes: shared.Event<readonly peerChannel.CrashReport[]>;
 }
 
 export interface PeerHubOptions {
@@ -69,7 +66,6 @@
     const followers = new Set<Follower>();
     /** Peers at the last heartbeat. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
-    const crashEmitter = events.createEmitter<readonly peerChannel.CrashReport[]>();
 
     const isAlive = (follower: Follower): boolean =>
         scheduler.now() - follower.channel.getLastSeenAtMs() < heartbeatIntervalMs * maxMissedHeartbeats;
@@ -149,14 +145,10 @@
         follower.channel.on("peer.beat", () => undefined);
         follower.channel.on("target.reports", params => {
             const reports = options.handleTargetReports(params);
-            if (reports.limits.length + reports.leaving.length > 0) {
+            if (!peerChannel.isEmpty(reports)) {
                 push("target.reports", reports, follower);
             }
         });
-        follower.channel.on("crash.reports", params => {
-            crashEmitter.fire(params.reports);
-            push("crash.reports", params, follower);
-        });
     };
 
     const sendHeartbeats = (): void => {
@@ -194,8 +186,6 @@
         },
         pushUpdate: update => push("state.update", update),
         pushTargetReports: reports => push("target.reports", reports),
-        pushCrashes: reports => push("crash.reports", { reports }),
-        onDidReceiveCrashes: crashEmitter.event,
         dispose: () => {
             timer.dispose();
             server.close();
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -2,7 +2,6 @@
  * The entry daemon for requests that are routed by host and path: wires up its components and runs them until stopped.
  */
 import * as crypto from "node:crypto";
-import * as crashRegistry from "../../common/crashes/crashRegistry.js";
 import * as ids from "../../common/ids.js";
 import * as retryBudget from "../../common/limits/retryBudget.js";
 import * as random from "../../common/random.js";
@@ -18,6 +17,7 @@
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
 import * as connectivity from "./connectivity.js";
+import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
 import * as vmRole from "./vmRole.js";
 import * as frontendServer from "./frontendServer.js";
@@ -30,10 +30,6 @@
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
 
-/** Number of target crashes, over all VMs, after which a request is refused. */
-const crashLimit = 3;
-const maxCrashEntries = 10_000;
-const crashRetentionMs = 60_000;
 /** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
 const retryBoundShare = 0.7;
 /** Clients keep a lookup response for up to this many times its lifetime. */
@@ -92,13 +88,13 @@
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
             leaving: notices.applyLeaving(reports.leaving),
+            crashes: crashes.applyReports(reports.crashes ?? []),
+        }),
+        listTargetReports: () => ({
+            limits: limits.listReports(),
+            leaving: notices.listLeaving(),
+            crashes: crashes.listReports(),
         }),
-        listTargetReports: () => ({ limits: limits.listReports(), leaving: notices.listLeaving() }),
-        handleCrashes: reports =>
-            reports.forEach(({ fingerprint, target }) => {
-                const count = crashes.recordCrash(fingerprint, target);
-                logger.info("crash: reported by a peer", { fingerprint, target, count });
-            }),
     });
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
     const role = vmRole.createVmRole({
@@ -139,12 +135,6 @@
         getRateView: role.getRateView,
     });
     const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
-    const crashes = crashRegistry.createCrashRegistry({
-        scheduler,
-        limit: crashLimit,
-        maxEntries: maxCrashEntries,
-        retentionMs: crashRetentionMs,
-    });
     const budget = retryBudget.createRetryBudget({
         scheduler,
         getPolicy: () => {
@@ -190,11 +180,12 @@
         countClientConnections: () => frontend?.countConnections() ?? 0,
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
-        countBlockedRequests: crashes.countBlocked,
+        countBlockedRequests: () => crashes.countBlocked(),
         countLeavingTargets: notices.countLeaving,
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
     });
+    const crashes = crashMonitor.createCrashMonitor({ clock: scheduler, logger, reach, metrics: routeMetrics });
     const prober = targetProber.createTargetProber({
         scheduler,
         targets,
@@ -204,19 +195,6 @@
         mayProbe: role.mayProbe,
     });
 
-    /** A partition also breaks connections; without this check, it would show as crashes that all requests cause. */
-    const recordCrash = async (fingerprint: string, target: shared.TargetId): Promise<void> => {
-        if (await reach.confirm()) {
-            const count = crashes.recordCrash(fingerprint, target);
-            members.sendCrash({ fingerprint, target });
-            logger.warn("crash: counted", { fingerprint, target, count });
-            routeMetrics.recordCrash("counted");
-        } else {
-            logger.warn("crash: not counted, as no target is reached", { fingerprint, target });
-            routeMetrics.recordCrash("unconfirmed");
-        }
-    };
-
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
@@ -229,7 +207,7 @@
             logger,
             metrics: routeMetrics,
             onDidLoseTargets,
-            recordCrash: (fingerprint, target) => void recordCrash(fingerprint, target),
+            recordCrash: (fingerprint, registration) => void crashes.recordBroken(fingerprint, registration),
         },
         relay,
         isCutOff: reach.isCutOff,
@@ -306,6 +284,7 @@
             state.onDidChangeTargets(handleTargets);
             limits.onDidChange(members.sendLimit);
             notices.onDidLeave(members.sendLeaving);
+            crashes.onDidChange(members.sendCrash);
             reach.onDidChange(members.sendHello);
             targets.onDidFreeSlot(service => queue.dispatch(service));
             await listenForLookups();
