Count targets that end in the middle of a response against its request

A streamed body that broke off counted as a failure of the target only, and its head had cleared the request's earlier crashes.

A response now clears crashes once it is whole, and a body that breaks off counts like a connection that breaks before the head.

--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -2,15 +2,13 @@
  * Runs one request to completion: picks targets, retries and hedges where the route and the retry budget allow it, and
  * responds at the deadline at the latest.
  */
-import * as crashes from "../../common/crashes/Types.js";
-import * as routing from "../../common/routing/Types.js";
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as routes from "../../common/routes/Types.js";
-import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
+import * as exchangeOptions from "./exchangeOptions.js";
 import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeTiming from "./exchangeTiming.js";
 import * as runningAttempts from "./runningAttempts.js";
@@ -25,21 +23,6 @@
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
 
-export interface ExchangeOptions {
-    readonly scheduler: shared.Scheduler;
-    readonly targets: targetPool.TargetPool;
-    readonly queue: admissionQueue.AdmissionQueue<targetPool.PickResult>;
-    readonly sender: Pick<targetSender.TargetSender, "start">;
-    readonly budget: routing.RetryBudget;
-    readonly crashes: Pick<crashes.RequestCrashes, "recordResponse" | "isBlocked">;
-    readonly logger: shared.Logger;
-    readonly metrics: exchangeLog.ExchangeMetrics;
-    /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
-    readonly onDidLoseTargets: shared.Event<void>;
-    /** Called when the request broke the connection to a target. */
-    recordCrash(fingerprint: string, registration: routes.Registration): void;
-}
-
 /**
  * Runs a request.
  *
@@ -48,12 +31,12 @@
  * @returns the final response for the client
  */
 export const runExchange = (
-    options: ExchangeOptions,
+    options: exchangeOptions.ExchangeOptions,
     request: exchangeRequest.ExchangeRequest,
 ): Promise<exchangeRequest.ExchangeEnd> => new Promise(resolve => createExchange(options, request, resolve).start());
 
 const createExchange = (
-    options: ExchangeOptions,
+    options: exchangeOptions.ExchangeOptions,
     request: exchangeRequest.ExchangeRequest,
     resolve: (response: exchangeRequest.ExchangeEnd) => void,
 ): { start(): void } => {
@@ -209,7 +192,6 @@
             handleRefusal(attempt);
             return;
         }
-        options.crashes.recordResponse(request.fingerprint);
         const isWhole = head.isSigned && !head.isEncoded;
         const isFailure = statusCode >= 500 || !isWhole;
         const latencyMs = scheduler.now() - attempt.startedAtMs;
@@ -220,6 +202,9 @@
             response,
             target: attempt.reservation.registration.id,
         };
+        if (isWhole && response.body.kind === "whole") {
+            options.crashes.recordResponse(request.fingerprint);
+        }
         if (isFailure) {
             failure = isWhole ? final : failure;
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
@@ -238,13 +223,21 @@
             limits: request,
             handleEnd: end => {
                 log.logBody(attempt.reservation, end);
-                if (end.kind === "broken") {
-                    targets.recordBrokenBody(attempt.reservation.registration.id);
-                }
+                handleBodyEnd(attempt.reservation.registration, end);
             },
         });
     };
 
+    /** A target may also end in the middle of a response. */
+    const handleBodyEnd = (registration: routes.Registration, end: bodyForwarding.BodyEnd): void => {
+        if (end.kind === "broken") {
+            targets.recordBrokenBody(registration.id);
+            options.recordCrash(request.fingerprint, registration);
+        } else if (end.kind === "whole") {
+            options.crashes.recordResponse(request.fingerprint);
+        }
+    };
+
     const handleResult = (attempt: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
         switch (result.kind) {
             case "response":
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -6,6 +6,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as exchange from "./exchange.js";
+import * as exchangeOptions from "./exchangeOptions.js";
 import * as exchangeRequest from "./exchangeRequest.js";
 import * as frontendServer from "./frontendServer.js";
 import * as metrics from "./metrics.js";
@@ -18,7 +19,7 @@
 
 export interface RequestHandlerOptions {
     readonly dialect: types.HttpDialect;
-    readonly exchange: exchange.ExchangeOptions;
+    readonly exchange: exchangeOptions.ExchangeOptions;
     readonly relay: peerRelay.PeerRelay;
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
