Count targets that fall silent under a request, and none that live

An attempt that ended at the deadline, with its client, or with this VM's way to the targets left no trace.

A request that is lost in one of these ways, or whose connection breaks, now leads to one check of the target on a new connection. It counts if the target takes no connection or another one has its address. So connections that a living target resets, as some do when they are full, count no longer; three of them in one request blocked it for a minute. Requests that are lost together share the check, and a target that has responded since is not asked.

--- a/src/common/routes/targetEntry.ts
+++ b/src/common/routes/targetEntry.ts
@@ -55,6 +55,8 @@
     /** When the registration disappeared; undefined while the target is registered. */
     removedAtMs: number | undefined;
     probedAtMs: number;
+    /** When the target last responded to anything. */
+    respondedAtMs: number;
 }
 
 /**
@@ -82,6 +84,7 @@
     isLeaving: false,
     removedAtMs: undefined,
     probedAtMs: -Infinity,
+    respondedAtMs: -Infinity,
 });
 
 /**
--- a/src/common/routes/targetNotices.ts
+++ b/src/common/routes/targetNotices.ts
@@ -77,6 +77,10 @@
     return {
         recordResponse: (registration, { pause, isLeaving }) => {
             const report = { target: registration.id, startedAtMs: registration.startedAtMs };
+            const entry = set.findRun(registration.id, registration.startedAtMs);
+            if (entry !== undefined) {
+                entry.respondedAtMs = options.clock.now();
+            }
             if (isLeaving && markLeaving(report)) {
                 leaveEmitter.fire(report);
             }
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -22,6 +22,14 @@
     readonly relay: peerRelay.PeerRelay;
     /** Fires when this VM has noticed that it reaches no target, and another VM does. */
     readonly onDidLoseTargets: shared.Event<void>;
+    /**
+     * Finds out whether a target has ended: it takes no connections, or another one has its address.
+     *
+     * @param registration - the target
+     * @param lostAtMs - when a request to it was lost
+     * @returns false if it lives, or may live
+     */
+    hasEnded(registration: routes.Registration, lostAtMs: number): Promise<boolean>;
 }
 
 export interface ConnectivityOptions {
@@ -59,18 +67,39 @@
         return activeVms.length > 0 ? activeVms : options.listPeers().filter(isUsable);
     };
 
+    const probe = (registration: routes.Registration, onNewConnection: boolean): Promise<targetSender.ProbeResult> => {
+        const path = services.get(registration.service)?.healthPath ?? "/";
+        return sender.sendProbe({ registration, path, timeoutMs: checkTimeoutMs, onNewConnection });
+    };
+
+    const listTargets = (): readonly routes.Registration[] =>
+        checkableTargets.listCheckableTargets({ set, limits, clock: scheduler });
+
+    const hasEnded = async (registration: routes.Registration, lostAtMs: number): Promise<boolean> => {
+        // Many requests end late while targets are overloaded; those that go on responding are not asked.
+        const run = set.findRun(registration.id, registration.startedAtMs);
+        if (run !== undefined && run.respondedAtMs > lostAtMs) {
+            return false;
+        }
+        const result = await probe(registration, true);
+        switch (result.kind) {
+            case "response":
+                return result.head.target !== undefined && result.head.target !== registration.id;
+            case "unreachable":
+                return true;
+            case "silent":
+                return false;
+        }
+    };
+
     const reach = targetReach.createTargetReach({
         scheduler,
         random: source,
         logger,
         zone: settings.zone,
-        listTargets: () => checkableTargets.listCheckableTargets({ set, limits, clock: scheduler }),
+        listTargets,
         isActive: options.isActive,
-        check: async (registration, onNewConnection) => {
-            const path = services.get(registration.service)?.healthPath ?? "/";
-            const probe = { registration, path, timeoutMs: checkTimeoutMs, onNewConnection };
-            return (await sender.sendProbe(probe)).kind;
-        },
+        check: async (registration, onNewConnection) => (await probe(registration, onNewConnection)).kind,
     });
     reach.onDidChange(isCutOff => {
         if (isCutOff && listUsablePeers().length > 0) {
@@ -85,5 +114,5 @@
         sender,
         listPeers: listUsablePeers,
     });
-    return { reach, relay, onDidLoseTargets: lostTargetsEmitter.event };
+    return { reach, relay, onDidLoseTargets: lostTargetsEmitter.event, hasEnded };
 };
--- a/src/node/routes/crashMonitor.ts
+++ b/src/node/routes/crashMonitor.ts
@@ -15,21 +15,30 @@
 
 export interface CrashMonitor extends Omit<crashTypes.RequestCrashes, "recordCrash"> {
     /**
-     * Counts a connection that broke under a request, if that was the target's doing.
+     * Counts a target that was running a request and has broken the connection, or not responded, if it has ended.
      *
      * @param fingerprint - fingerprint of the request
      * @param registration - the target
      */
-    recordBroken(fingerprint: string, registration: routes.Registration): Promise<void>;
+    recordLoss(fingerprint: string, registration: routes.Registration): Promise<void>;
 }
 
 export interface CrashMonitorOptions {
     readonly clock: shared.Clock;
     readonly logger: shared.Logger;
-    readonly reach: Pick<targetReach.TargetReach, "confirm">;
+    readonly connectivity: {
+        readonly reach: Pick<targetReach.TargetReach, "confirm">;
+        hasEnded(registration: routes.Registration, lostAtMs: number): Promise<boolean>;
+    };
     readonly metrics: Pick<metrics.RouteMetrics, "recordCrash">;
 }
 
+interface LossCheck {
+    readonly result: Promise<metrics.CrashEnd>;
+    /** When the last request was lost that waits for the check. */
+    readonly lostAtMs: number;
+}
+
 /**
  * Creates a monitor that knows no crashes.
  *
@@ -38,6 +47,7 @@
  */
 export const createCrashMonitor = (options: CrashMonitorOptions): CrashMonitor => {
     const { logger } = options;
+    const { reach, hasEnded } = options.connectivity;
     const crashes = requestCrashes.createRequestCrashes({
         clock: options.clock,
         limit: crashLimit,
@@ -48,18 +58,45 @@
     const logReport = ({ fingerprint, responses, targetRuns }: crashTypes.CrashReport): void =>
         logger.info("crash: reported by a peer", { fingerprint, count: targetRuns.length, responses });
 
+    /** Checks of targets that are about to start, by target, as all requests in flight at a target are lost at once. */
+    const checks = new Map<shared.TargetId, LossCheck>();
+
+    /** A partition also breaks connections; without these checks, it would show as crashes that all requests cause. */
+    const runCheck = async (registration: routes.Registration): Promise<metrics.CrashEnd> => {
+        const isConfirmed = await reach.confirm();
+        const lostAtMs = checks.get(registration.id)?.lostAtMs ?? options.clock.now();
+        // A later loss needs a check of its own, as the target may end after it has responded to this one.
+        checks.delete(registration.id);
+        if (!isConfirmed) {
+            return "unconfirmed";
+        }
+        return (await hasEnded(registration, lostAtMs)) ? "counted" : "alive";
+    };
+
+    const checkLoss = (registration: routes.Registration): Promise<metrics.CrashEnd> => {
+        const result = checks.get(registration.id)?.result ?? runCheck(registration);
+        checks.set(registration.id, { result, lostAtMs: options.clock.now() });
+        return result;
+    };
+
     return {
         ...crashes,
-        /** A partition also breaks connections; without this check, it would show as crashes that all requests cause. */
-        recordBroken: async (fingerprint, registration) => {
+        recordLoss: async (fingerprint, registration) => {
             const target = registration.id;
-            if (await options.reach.confirm()) {
-                const count = crashes.recordCrash(fingerprint, registration);
-                logger.warn("crash: counted", { fingerprint, target, count });
-                options.metrics.recordCrash("counted");
-            } else {
-                logger.warn("crash: not counted, as no target is reached", { fingerprint, target });
-                options.metrics.recordCrash("unconfirmed");
+            const end = await checkLoss(registration);
+            options.metrics.recordCrash(end);
+            switch (end) {
+                case "counted": {
+                    const count = crashes.recordCrash(fingerprint, registration);
+                    logger.warn("crash: counted", { fingerprint, target, count });
+                    break;
+                }
+                case "alive":
+                    logger.info("crash: not counted, as the target lives", { fingerprint, target });
+                    break;
+                case "unconfirmed":
+                    logger.warn("crash: not counted, as no target is reached", { fingerprint, target });
+                    break;
             }
         },
         applyReports: reports => {
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -109,7 +109,12 @@
             const result = new Promise<targetSender.AttemptResult>(
                 resolve => void scheduler.schedule(step.afterMs, () => resolve(step.result)),
             );
-            return { result, abort: () => void aborted++, abortIfUnsent: () => void abortedUnsent++ };
+            return {
+                result,
+                isSent: () => true,
+                abort: () => void aborted++,
+                abortIfUnsent: () => void abortedUnsent++,
+            };
         },
     };
     void exchange
@@ -129,7 +134,7 @@
                     recordStreamedBody: () => undefined,
                 },
                 onDidLoseTargets: lostTargetsEmitter.event,
-                recordCrash: (_, { id }) => crashed.push(id),
+                recordLoss: (_, { id }) => crashed.push(id),
             },
             {
                 outgoing: { id: "r1", method: "GET", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -23,6 +23,12 @@
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
 
+/** Why attempts that still run are stopped, by how their request has ended. */
+const stopReasons: Readonly<Partial<Record<exchangeRequest.ExchangeEnd["kind"], runningAttempts.StopReason>>> = {
+    abandoned: "client left",
+    unreached: "targets lost",
+};
+
 /**
  * Runs a request.
  *
@@ -90,7 +96,7 @@
         if (response.kind === "abandoned" && !isIdempotent) {
             running.abortUnsent();
         } else {
-            running.stopAll("not needed");
+            running.stopAll(stopReasons[response.kind] ?? "not needed");
         }
         resolve(response);
     };
@@ -232,7 +238,7 @@
     const handleBodyEnd = (registration: routes.Registration, end: bodyForwarding.BodyEnd): void => {
         if (end.kind === "broken") {
             targets.recordBrokenBody(registration.id);
-            options.recordCrash(request.fingerprint, registration);
+            options.recordLoss(request.fingerprint, registration);
         } else if (end.kind === "whole") {
             options.crashes.recordResponse(request.fingerprint);
         }
@@ -252,7 +258,7 @@
                 break;
             case "broken":
                 attempt.reservation.finish({ kind: "broken" }, undefined);
-                options.recordCrash(request.fingerprint, attempt.reservation.registration);
+                options.recordLoss(request.fingerprint, attempt.reservation.registration);
                 handleFailedRun(attempt, result.reason);
                 break;
         }
@@ -262,6 +268,7 @@
         clock: scheduler,
         log,
         handleResult,
+        handleNoResponse: ({ reservation }) => options.recordLoss(request.fingerprint, reservation.registration),
         send: reservation =>
             options.sender.start({
                 registration: reservation.registration,
--- a/src/node/routes/exchangeOptions.ts
+++ b/src/node/routes/exchangeOptions.ts
@@ -21,6 +21,6 @@
     readonly metrics: exchangeLog.ExchangeMetrics;
     /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
     readonly onDidLoseTargets: shared.Event<void>;
-    /** Called when the request broke the connection to a target. */
-    recordCrash(fingerprint: string, registration: routes.Registration): void;
+    /** Called when a target that was running the request has broken the connection, or has not responded in time. */
+    recordLoss(fingerprint: string, registration: routes.Registration): void;
 }
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -12,8 +12,8 @@
 /** How a request ended for the client. */
 export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route";
 
-/** Whether a crash was counted against its request; without a way to the targets it cannot be confirmed. */
-export type CrashEnd = "counted" | "unconfirmed";
+/** Whether a target that was lost under a request has ended; without a way to the targets this cannot be confirmed. */
+export type CrashEnd = "counted" | "alive" | "unconfirmed";
 
 /** Values that are read on each scrape. */
 export interface MetricSources {
@@ -150,7 +150,7 @@
     });
     const crashes = new promClient.Counter({
         name: `${namePrefix}crashes_total`,
-        help: "Targets that have ended under a request, by whether this was counted against the request.",
+        help: "Targets that were lost under a request, by whether this was counted against the request.",
         labelNames: ["end"],
         registers,
     });
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -43,6 +43,7 @@
                     result,
                     abort: () => resolveResult({ kind: "broken", reason: "closed here" }),
                     abortIfUnsent: () => undefined,
+                    isSent: () => true,
                 };
             },
         },
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -158,7 +158,7 @@
             notices.recordResponse(registration, notice);
         },
     });
-    const { reach, relay, onDidLoseTargets } = connectivity.createConnectivity({
+    const { reach, relay, onDidLoseTargets, hasEnded } = connectivity.createConnectivity({
         settings,
         scheduler,
         logger,
@@ -185,7 +185,12 @@
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
     });
-    const crashes = crashMonitor.createCrashMonitor({ clock: scheduler, logger, reach, metrics: routeMetrics });
+    const crashes = crashMonitor.createCrashMonitor({
+        clock: scheduler,
+        logger,
+        connectivity: { reach, hasEnded },
+        metrics: routeMetrics,
+    });
     const prober = targetProber.createTargetProber({
         scheduler,
         targets,
@@ -207,7 +212,7 @@
             logger,
             metrics: routeMetrics,
             onDidLoseTargets,
-            recordCrash: (fingerprint, registration) => void crashes.recordBroken(fingerprint, registration),
+            recordLoss: (fingerprint, registration) => void crashes.recordLoss(fingerprint, registration),
         },
         relay,
         isCutOff: reach.isCutOff,
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -6,8 +6,8 @@
 import * as exchangeLog from "./exchangeLog.js";
 import * as targetSender from "./targetSender.js";
 
-/** Why attempts are stopped: the deadline has passed, or their response is no longer needed. */
-export type StopReason = "deadline" | "not needed";
+/** Why attempts are stopped: no response has come in time, or it is no longer needed. */
+export type StopReason = "deadline" | "client left" | "targets lost" | "not needed";
 
 export interface RunningAttempt {
     readonly reservation: targetPool.Reservation;
@@ -39,6 +39,8 @@
     send(reservation: targetPool.Reservation): targetSender.Attempt;
     /** Called once for each attempt that was not stopped. */
     handleResult(attempt: RunningAttempt, result: targetSender.AttemptResult): void;
+    /** Called for each attempt that was sent and had no response when it was stopped, although one was needed. */
+    handleNoResponse(attempt: RunningAttempt): void;
 }): RunningAttempts => {
     const { clock, log } = options;
     const entries = new Set<Entry>();
@@ -54,6 +56,9 @@
     const stop = (entry: Entry, reason: StopReason): void => {
         entry.hasEnded = true;
         entries.delete(entry);
+        if (entry.attempt.isSent() && reason !== "not needed") {
+            options.handleNoResponse(entry);
+        }
         entry.attempt.abort();
         entry.reservation.finish(reason === "deadline" ? { kind: "silent" } : { kind: "cancelled" }, undefined);
         const afterMs = Math.round(clock.now() - entry.startedAtMs);
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -32,6 +32,8 @@
 
 export interface Attempt {
     readonly result: Promise<AttemptResult>;
+    /** Whether the request has been sent, so that it may have run. */
+    isSent(): boolean;
     /** Aborts the attempt and closes its connection, so that the target drops the request. */
     abort(): void;
     /** Aborts the attempt unless its request was already sent. */
@@ -178,6 +180,7 @@
 
         return {
             result: run(),
+            isSent: () => isSent,
             abort: () => {
                 isAborted = true;
                 if (isSent) {
