Check before each attempt whether a request crashes targets

A request was compared with the known crashes when it arrived, and then waited for a slot, was retried or hedged without regard to what had become known since: up to its deadline, which uploads set to half a minute.

--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -23,12 +23,6 @@
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
 
-/** Why attempts that still run are stopped, by how their request has ended. */
-const stopReasons: Readonly<Partial<Record<exchangeRequest.ExchangeEnd["kind"], runningAttempts.StopReason>>> = {
-    abandoned: "client left",
-    unreached: "targets lost",
-};
-
 /**
  * Runs a request.
  *
@@ -81,6 +75,9 @@
             isRepeat: runs > 0 || refusals > 0,
         });
 
+    /** Other requests may have crashed targets since this one arrived. */
+    const isBlocked = (): boolean => options.crashes.isBlocked(request.fingerprint);
+
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
@@ -96,7 +93,7 @@
         if (response.kind === "abandoned" && !isIdempotent) {
             running.abortUnsent();
         } else {
-            running.stopAll(stopReasons[response.kind] ?? "not needed");
+            running.stopAll(runningAttempts.toStopReason(response));
         }
         resolve(response);
     };
@@ -111,7 +108,7 @@
         }
         if (failure !== undefined) {
             finish(failure);
-        } else if (runs > 0) {
+        } else if (runs > 0 || isBlocked()) {
             finish({ kind: "failed", reason, statusCode: 502 });
         } else {
             refuse(reason, afterMs);
@@ -130,7 +127,7 @@
     const handleClientAbort = (): void => finish({ kind: "abandoned" });
 
     const mayRepeat = (): boolean =>
-        !isDone && runs < route.maxTargets && timing.hasTimeForAttempt() && budget.takeRetry(service);
+        !isDone && !isBlocked() && runs < route.maxTargets && timing.hasTimeForAttempt() && budget.takeRetry(service);
 
     /** A request that has run, or may have, goes on at another VM only as a retry. */
     const handleLostTargets = (): void => {
@@ -295,10 +292,11 @@
             signal: queueAbort.signal,
             pick: isLast => pickTarget(isLast ? Infinity : timing.computeRemainingObjectiveMs()),
         });
-        if (isDone) {
+        if (isDone || isBlocked()) {
             if (pick?.kind === "target") {
                 pick.reservation.finish({ kind: "cancelled" }, undefined);
             }
+            giveUp("request crashes targets");
         } else if (pick?.kind === "target") {
             startAttempt(pick.reservation);
         } else if (pick?.kind === "limited") {
@@ -313,7 +311,7 @@
     const hedge = (): void => {
         // A slot that is free now belongs to the requests that wait for their first attempt.
         const isSaturated = options.queue.count(service) > 0;
-        if (isDone || running.count() !== 1 || runs >= route.maxTargets || isSaturated) {
+        if (isDone || isBlocked() || running.count() !== 1 || runs >= route.maxTargets || isSaturated) {
             return;
         }
         const pick = pickTarget(timing.computeRemainingObjectiveMs());
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -3,12 +3,32 @@
  */
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as shared from "../../common/Types.js";
+import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as targetSender from "./targetSender.js";
 
 /** Why attempts are stopped: no response has come in time, or it is no longer needed. */
 export type StopReason = "deadline" | "client left" | "targets lost" | "not needed";
 
+/**
+ * Returns why the attempts that still run are stopped when their request ends.
+ *
+ * @param end - how the request has ended
+ * @returns the reason
+ */
+export const toStopReason = (end: exchangeRequest.ExchangeEnd): StopReason => {
+    switch (end.kind) {
+        case "abandoned":
+            return "client left";
+        case "unreached":
+            return "targets lost";
+        case "target":
+        case "refused":
+        case "failed":
+            return "not needed";
+    }
+};
+
 export interface RunningAttempt {
     readonly reservation: targetPool.Reservation;
     readonly startedAtMs: number;
--- /dev/null
+++ b/src/testing/routes/exchangeFixture.ts
@@ -0,0 +1,179 @@
+/**
+ * Runs single exchanges in tests, with scripted results of attempts.
+ */
+import * as events from "../../common/events.js";
+import * as requestCrashes from "../../common/crashes/requestCrashes.js";
+import * as random from "../../common/random.js";
+import * as targetPool from "../../common/routes/targetPool.js";
+import * as targetSet from "../../common/routes/targetSet.js";
+import * as routes from "../../common/routes/Types.js";
+import * as admissionQueue from "../../common/routes/admissionQueue.js";
+import * as fixture from "./fixture.js";
+import * as silentLogger from "../silentLogger.js";
+import * as virtualScheduler from "../virtualScheduler.js";
+import * as exchange from "../../node/routes/exchange.js";
+import * as exchangeRequest from "../../node/routes/exchangeRequest.js";
+import * as exchangeLog from "../../node/routes/exchangeLog.js";
+import * as targetSender from "../../node/routes/targetSender.js";
+
+export type Step = { readonly afterMs: number; readonly result: targetSender.AttemptResult };
+
+export const createResponse = (fields: {
+    readonly status?: number;
+    readonly isSigned?: boolean;
+    readonly isRefusal?: boolean;
+}): targetSender.AttemptResult => ({
+    kind: "response",
+    response: {
+        statusCode: fields.status ?? 200,
+        body: { kind: "whole", bytes: Buffer.from("body") },
+        isDelimited: true,
+        received: Promise.resolve(),
+        head: {
+            id: "r1",
+            isSigned: fields.isSigned ?? true,
+            isRefusal: fields.isRefusal ?? false,
+            load: undefined,
+            notice: fixture.noNotice,
+            idleTimeoutMs: undefined,
+            coldLeftMs: undefined,
+            target: undefined,
+            forwardedHeaders: [],
+            isEncoded: false,
+        },
+    },
+});
+
+export const ok = (afterMs: number): Step => ({ afterMs, result: createResponse({}) });
+export const refusal: Step = { afterMs: 5, result: createResponse({ status: 503, isSigned: false, isRefusal: true }) };
+export const broken: Step = { afterMs: 5, result: { kind: "broken", reason: "ECONNRESET" } };
+export const unreachable: Step = { afterMs: 5, result: { kind: "unreachable" } };
+export const noResponse: Step = { afterMs: 1_000_000, result: { kind: "broken", reason: "never" } };
+
+/** Runs one request; each attempt takes the next step as its result. */
+export const run = (
+    steps: readonly Step[],
+    options: {
+        readonly route?: Partial<routes.Route>;
+        readonly budget?: number;
+        readonly targets?: number;
+        readonly isClientDisconnected?: boolean;
+        /** Targets that take no requests. */
+        readonly limitedTargets?: readonly string[];
+    } = {},
+) => {
+    const scheduler = virtualScheduler.createVirtualScheduler(1_000);
+    const remainingSteps = [...steps];
+    const sent: string[] = [];
+    let aborted = 0;
+    let abortedUnsent = 0;
+    let budget = options.budget ?? 10;
+    const limits = fixture.createTargetLimits(scheduler);
+    const targets = targetPool.createTargetPool({
+        scheduler,
+        random: random.createRandom(3),
+        logger: silentLogger.createSilentLogger(),
+        zone: fixture.zone,
+        set: targetSet.createTargetSet(scheduler),
+        limits,
+        isZoneOut: () => false,
+        getService: () => undefined,
+        vm: fixture.vm,
+        getRateView: fixture.createLoneRateView,
+    });
+    const ids = ["a", "b", "c"].slice(0, options.targets ?? 3);
+    targets.setTargets(ids.map(id => fixture.createRegistration(id)));
+    (options.limitedTargets ?? []).forEach(id =>
+        limits.recordResponse(fixture.createRegistration(id), { kind: "limited", perSecond: 0 }, scheduler.now()),
+    );
+    const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
+    targets.onDidFreeSlot(service => queue.dispatch(service));
+    const crashes = requestCrashes.createRequestCrashes({
+        clock: scheduler,
+        limit: 3,
+        maxEntries: 10,
+        retentionMs: 60_000,
+    });
+    const client = new AbortController();
+    if (options.isClientDisconnected === true) {
+        client.abort();
+    }
+    const lostTargetsEmitter = events.createEmitter<void>();
+    let response: exchangeRequest.ExchangeEnd | undefined;
+    let respondedAtMs = 0;
+    const crashed: string[] = [];
+    const ends: exchangeLog.AttemptEnd[] = [];
+    let hedges = 0;
+    const sender: Pick<targetSender.TargetSender, "start"> = {
+        start: ({ registration }) => {
+            sent.push(registration.id);
+            const step = remainingSteps.shift() ?? noResponse;
+            const result = new Promise<targetSender.AttemptResult>(
+                resolve => void scheduler.schedule(step.afterMs, () => resolve(step.result)),
+            );
+            return {
+                result,
+                isSent: () => true,
+                abort: () => void aborted++,
+                abortIfUnsent: () => void abortedUnsent++,
+            };
+        },
+    };
+    void exchange
+        .runExchange(
+            {
+                scheduler,
+                targets,
+                queue,
+                sender,
+                budget: { recordCall: () => undefined, takeRetry: () => budget-- > 0 },
+                crashes,
+                logger: silentLogger.createSilentLogger(),
+                metrics: {
+                    recordAttempt: end => void ends.push(end),
+                    recordHedge: () => void hedges++,
+                    recordLimited: () => undefined,
+                    recordStreamedBody: () => undefined,
+                },
+                onDidLoseTargets: lostTargetsEmitter.event,
+                recordLoss: (_, { id }) => crashed.push(id),
+            },
+            {
+                outgoing: { id: "r1", method: "GET", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
+                route: fixture.createRoute(options.route),
+                service: fixture.service,
+                deadlineAtMs: 2_000,
+                fingerprint: "f",
+                configurationVersion: 1,
+                signal: client.signal,
+            },
+        )
+        .then(final => {
+            response = final;
+            respondedAtMs = scheduler.now() - 1_000;
+        });
+    return {
+        advance: scheduler.advance,
+        /** Adds a request that waits for a slot and finds none suitable. */
+        addWaitingRequest: () =>
+            void queue.wait({
+                service: fixture.service,
+                priority: 0,
+                maxWaitMs: 10_000,
+                signal: new AbortController().signal,
+                take: () => undefined,
+            }),
+        /** Crashes at other VMs under equal requests. */
+        reportCrashes: () => ["x", "y", "z"].forEach(id => crashes.recordCrash("f", fixture.createRegistration(id))),
+        loseTargets: () => lostTargetsEmitter.fire(),
+        abortClient: () => client.abort(),
+        getResponse: () => response,
+        getRespondedAtMs: () => respondedAtMs,
+        sent,
+        crashed,
+        ends,
+        countHedges: () => hedges,
+        countAborted: () => aborted,
+        countAbortedUnsent: () => abortedUnsent,
+    };
+};
