Count crashes under equal requests in all services of a host together

The fingerprint of a request contained the service, so that a request whose route is split, or moved by a configuration, could crash three targets in each service. Calls of the entry daemon name their service themselves, and are as before.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -5,7 +5,8 @@
 
 /** Parts that identify a request; requests with equal parts are treated as the same. */
 export interface FingerprintParts {
-    readonly service: string;
+    /** Host or service that the request is addressed to; what a host's requests are routed to may change or be split. */
+    readonly addressee: string;
     readonly method: string;
     readonly path: string;
     /** Query including the leading `?`, or empty. */
--- a/src/common/crashes/crashes.test.ts
+++ b/src/common/crashes/crashes.test.ts
@@ -63,7 +63,7 @@
 
 test("the fingerprint depends on every part, but only on the first 64 KiB of the body", t => {
     const parts = {
-        service: "s",
+        addressee: "s",
         method: "POST",
         path: "/a",
         query: "",
@@ -78,7 +78,7 @@
     head[0] = 1;
     const changes = [
         { bodyStart: head },
-        { service: "t" },
+        { addressee: "t" },
         { method: "PUT" },
         { path: "/b" },
         { path: "/", query: "a" },
--- a/src/common/crashes/fingerprint.ts
+++ b/src/common/crashes/fingerprint.ts
@@ -14,7 +14,7 @@
  * @returns SHA-256 in lower-case hexadecimal
  */
 export const computeFingerprint = (parts: types.FingerprintParts): string => {
-    const fields = [parts.service, parts.method, parts.path, parts.query, String(parts.bodyLength)];
+    const fields = [parts.addressee, parts.method, parts.path, parts.query, String(parts.bodyLength)];
     // JSON delimits the fields, so that moving a character from one field to the next changes the fingerprint.
     return crypto
         .createHash("sha256")
--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -58,7 +58,7 @@
 
 const computeFingerprint = (call: front.Call): string =>
     fingerprints.computeFingerprint({
-        service: call.head.service,
+        addressee: call.head.service,
         method: call.head.method,
         path: call.head.path,
         query: "",
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -39,6 +39,7 @@
     readonly id: string;
     readonly clientTimeoutMs: number | undefined;
     readonly relayedMaxTargets: number | undefined;
+    readonly host: string;
     readonly route: routes.Route;
     readonly service: shared.ServiceName;
     readonly configurationVersion: number;
@@ -133,7 +134,7 @@
         const { method, url, headers, body, signal } = request;
         const { path, query } = splitUrl(url);
         const fingerprint = fingerprints.computeFingerprint({
-            service,
+            addressee: routed.host,
             method,
             path,
             query,
@@ -176,7 +177,8 @@
     const handle = async (
         request: frontendServer.ClientRequest,
     ): Promise<frontendServer.ClientResponse | undefined> => {
-        const { id, host, clientTimeoutMs, relayedMaxTargets } = dialect.parseRequestHead(request.headers);
+        const { id, clientTimeoutMs, relayedMaxTargets, ...head } = dialect.parseRequestHead(request.headers);
+        const host = stripPort(head.host);
         const table = options.getTable();
         if (table === undefined) {
             return refuseRequest(id, 503, "no configuration yet");
@@ -184,14 +186,14 @@
         if (id === undefined) {
             return refuseRequest(undefined, 400, "no request id", { host, url: request.url });
         }
-        const route = table.find(stripPort(host), splitUrl(request.url).path);
+        const route = table.find(host, splitUrl(request.url).path);
         const service = route === undefined ? undefined : table.pickService(route);
         if (route === undefined || service === undefined) {
             options.recordRequest("no-route", scheduler.now() - request.receivedAtMs);
             return refuseRequest(id, 404, "no route", { host, url: request.url, configuration: table.version });
         }
         const configurationVersion = table.version;
-        const routed = { request, id, clientTimeoutMs, relayedMaxTargets, route, service, configurationVersion };
+        const routed = { request, id, clientTimeoutMs, relayedMaxTargets, host, route, service, configurationVersion };
         const response = await runRoute(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
         logEnd(routed, response, latencyMs);
