Refuse requests that have crashed targets for ten minutes

After a minute without a crash, a request could crash three more targets, and so on each minute for as long as it came. The bound has no end in time. The new test fails with the minute; a response to an equal request still in flight clears the entry at once, whatever its age.

--- a/src/node/routes/crashMonitor.test.ts
+++ b/src/node/routes/crashMonitor.test.ts
@@ -23,6 +23,7 @@
         },
         metrics: { recordCrash: end => void ends.push(end) },
     });
+    const advance = (ms: number): void => void (time.nowMs += ms);
     const lose = async (...ids: readonly string[]): Promise<void> => {
         for (const id of ids) {
             const losses = [1, 2].map(() => monitor.recordLoss("f", fixture.createRegistration(id)));
@@ -35,6 +36,7 @@
         ends,
         ended,
         lose,
+        advance,
         setConfirmed: (next: boolean) => void (isConfirmed = next),
         countChecks: () => checks,
     };
@@ -60,3 +62,14 @@
     t.deepEqual([...new Set(ends)], ["alive", "unconfirmed"]);
     t.is(monitor.listReports().length, 0);
 });
+
+// Guards against a request that still comes after a minute and may crash targets again each minute.
+test("a request that has crashed targets is refused for ten minutes", async t => {
+    const { monitor, ended, lose, advance } = createSetup();
+    ["a", "b", "c"].forEach(id => ended.add(id));
+    await lose("a", "b", "c");
+    advance(599_000);
+    t.true(monitor.isBlocked("f"));
+    advance(1_000);
+    t.false(monitor.isBlocked("f"));
+});
--- a/src/node/routes/crashMonitor.ts
+++ b/src/node/routes/crashMonitor.ts
@@ -11,7 +11,8 @@
 /** Number of target crashes, over all VMs, after which a request is refused. */
 const crashLimit = 3;
 const maxEntries = 2_000;
-const retentionMs = 60_000;
+/** Each expiry lets a request that still comes crash as many targets again. */
+const retentionMs = 600_000;
 
 export interface CrashMonitor extends Omit<crashTypes.RequestCrashes, "recordCrash"> {
     /**
