--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -23,6 +23,9 @@
 const linkDelayMs = 40;
 /** Partitions shorter than the time that VMs have to notice them show nothing. */
 const minPartitionMs = 3_000;
+/** Long enough for requests after the third crash and the time in which VMs may learn of it. */
+const minCrashingMs = 6_000;
+const minCrashGapMs = 200;
 
 type CreateFault = (source: shared.Random, size: SoakSize) => types.Fault;
 
@@ -117,6 +120,12 @@
     (source, size) => ({ kind: "crash", target: source.nextInt(size.targets), forMs: pickDurationMs(source) }),
     (source, size) => ({ kind: "drain", target: source.nextInt(size.targets) }),
     (source, size) => ({ kind: "leave", target: source.nextInt(size.targets) }),
+    source => ({
+        kind: "crashing-request",
+        mode: pickOne(source, ["reset", "silent", "mid-response"] as const),
+        gapMs: minCrashGapMs + source.nextInt(minCrashGapMs),
+        forMs: minCrashingMs + pickDurationMs(source),
+    }),
     () => ({ kind: "configuration" }),
     (source, size) => ({ kind: "zone-out", zone: source.nextInt(size.zones), forMs: 2 * maxFaultMs }),
 ];
