--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -16,6 +16,8 @@
     getConfiguration(): types.RouteConfiguration | undefined;
     isZoneOut(zone: shared.ZoneName): boolean;
     listTargets(): Iterable<types.Registration>;
+    /** Number of changes that were ignored, as what they change is known in a newer version. */
+    countIgnoredChanges(): number;
     /** Snapshots of all tables, for a peer that joins. */
     listSnapshots(): readonly types.StateSnapshot[];
     /**
@@ -109,6 +111,7 @@
     const configurationEmitter = events.createEmitter<types.RouteConfiguration>();
     const targetsEmitter = events.createEmitter<void>();
     let configuration: types.RouteConfiguration | undefined;
+    let ignoredChanges = 0;
 
     const setTarget = (change: types.StateChange & { kind: "target" }): void => {
         expiryTimers.get(change.id)?.dispose();
@@ -134,6 +137,14 @@
         // A row that is not known although its table is complete has been removed since.
         const knownVersion = known?.version ?? completeVersions[getTable(change)];
         if (knownVersion >= change.version) {
+            if (known === undefined || !isSameContent(known, change)) {
+                ignoredChanges++;
+                logger.info("state: change ignored as old", {
+                    row: toRowKey(change),
+                    version: change.version,
+                    knownVersion,
+                });
+            }
             return false;
         }
         if (known !== undefined && isSameContent(known, change)) {
@@ -245,6 +256,7 @@
         },
         listTargets: () => targets.values(),
         listSnapshots: () => [toSnapshot("operators"), toSnapshot("targets")],
+        countIgnoredChanges: () => ignoredChanges,
         applyChanges,
         applyUpdate,
         applySnapshot: (snapshot, isStoreUnstable) =>
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -21,6 +21,7 @@
         countClientConnections: () => 4,
         countTargetConnectionsOpened: () => 9,
         countDroppedLogLines: () => 0,
+        countIgnoredChanges: () => 5,
     });
 
 const listenOnFreePort = (): Promise<{ readonly server: net.Server; readonly address: shared.Address }> =>
@@ -56,7 +57,9 @@
 test("counters read from a source do not add up over two scrapes", async t => {
     const routeMetrics = createMetrics();
     await routeMetrics.format();
-    t.regex(await routeMetrics.format(), /tarragonpath_target_connections_opened_total 9/);
+    const text = await routeMetrics.format();
+    t.regex(text, /tarragonpath_target_connections_opened_total 9/);
+    t.regex(text, /tarragonpath_ignored_changes_total 5/);
 });
 
 test("metrics are served at their path", async t => {
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -35,6 +35,7 @@
     countClientConnections(): number;
     countTargetConnectionsOpened(): number;
     countDroppedLogLines(): number;
+    countIgnoredChanges(): number;
 }
 
 export interface RouteMetrics {
@@ -178,6 +179,12 @@
         "Log lines beyond the bound of a second.",
         sources.countDroppedLogLines,
     );
+    addCounter(
+        registry,
+        "ignored_changes_total",
+        "Changes of the shared state that were ignored as old.",
+        sources.countIgnoredChanges,
+    );
     return {
         contentType: registry.contentType,
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -184,6 +184,7 @@
         countLeavingTargets: notices.countLeaving,
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
+        countIgnoredChanges: state.countIgnoredChanges,
     });
     const crashes = crashMonitor.createCrashMonitor({
         clock: scheduler,
