Order changes by the store's era first, and keep what it had confirmed

The class is an order by a number that another system may give out twice.

A version is now an era and a sequence, in a type that only rowVersion compares. What the store confirmed stays in force: the configuration by its own number, draining targets by their run, and evacuations and removals until they are written again, or for six seconds, by when rows of targets that left have expired. VMs register again, as the copy may lack them.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -76,8 +76,13 @@
     readonly startedAtMs: number;
 }
 
-/** Version of a row; a greater one is newer, across all tables. */
-export type RowVersion = number;
+/** Version of a row, across all tables; versions are compared by `rowVersion` only. */
+export interface RowVersion {
+    /** Rises each time the store returns from a copy; the versions of a greater era are newer than all before. */
+    readonly era: number;
+    /** The store's count of changes, which may go back in a new era. */
+    readonly sequence: number;
+}
 
 /** One change of the state that the entry VMs share. A change without content is a removal. */
 export type StateChange =
--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -20,8 +20,12 @@
 
 test("a configuration with a lower version does not replace the current one", t => {
     const state = createState();
-    state.applyChanges([{ kind: "configuration", version: 5, configuration: fixture.createConfiguration(9) }]);
-    state.applyChanges([{ kind: "configuration", version: 6, configuration: fixture.createConfiguration(8) }]);
+    state.applyChanges([
+        { kind: "configuration", version: fixture.createVersion(5), configuration: fixture.createConfiguration(9) },
+    ]);
+    state.applyChanges([
+        { kind: "configuration", version: fixture.createVersion(6), configuration: fixture.createConfiguration(8) },
+    ]);
     t.is(state.getConfiguration()?.version, 9);
 });
 
@@ -30,12 +34,12 @@
     state.applyChanges([
         fixture.createTargetChange(3, fixture.createRegistration("old")),
         fixture.createTargetChange(9, fixture.createRegistration("new")),
-        { kind: "zone", version: 2, zone: fixture.zone, isOut: true },
+        { kind: "zone", version: fixture.createVersion(2), zone: fixture.zone, isOut: true },
     ]);
-    state.applySnapshot({ table: "targets", version: 7, changes: [] }, false);
+    state.applySnapshot({ table: "targets", version: fixture.createVersion(7), changes: [] }, false);
     t.deepEqual(listTargetIds(state), ["new"]);
     t.true(state.isZoneOut(fixture.zone));
-    state.applySnapshot({ table: "operators", version: 10, changes: [] }, false);
+    state.applySnapshot({ table: "operators", version: fixture.createVersion(10), changes: [] }, false);
     t.false(state.isZoneOut(fixture.zone));
 });
 
@@ -49,7 +53,13 @@
     const scheduler = virtualScheduler.createVirtualScheduler();
     const state = createState(scheduler);
     const createExpiry = (version: number, id: string) =>
-        ({ kind: "target", version, id: ids.toTargetId(id), registration: undefined, isLapse: true }) as const;
+        ({
+            kind: "target",
+            version: fixture.createVersion(version),
+            id: ids.toTargetId(id),
+            registration: undefined,
+            isLapse: true,
+        }) as const;
     state.applyChanges([
         fixture.createTargetChange(1, fixture.createRegistration("back")),
         fixture.createTargetChange(1, fixture.createRegistration("gone")),
@@ -72,8 +82,8 @@
 test("a peer that joins gets all existing rows", t => {
     const source = createState();
     source.applyChanges([
-        { kind: "configuration", version: 1, configuration: fixture.createConfiguration(3) },
-        { kind: "zone", version: 2, zone: fixture.zone, isOut: true },
+        { kind: "configuration", version: fixture.createVersion(1), configuration: fixture.createConfiguration(3) },
+        { kind: "zone", version: fixture.createVersion(2), zone: fixture.zone, isOut: true },
         fixture.createTargetChange(3, fixture.createRegistration("a")),
         fixture.createTargetChange(4, undefined, ids.toTargetId("b")),
     ]);
@@ -97,14 +107,14 @@
     const outdated = createState();
     outdated.applyChanges([
         fixture.createTargetChange(3, fixture.createRegistration("left")),
-        { kind: "zone", version: 4, zone: fixture.zone, isOut: true },
+        { kind: "zone", version: fixture.createVersion(4), zone: fixture.zone, isOut: true },
         fixture.createTargetChange(5, fixture.createRegistration("kept")),
     ]);
     // A VM that has just started knows nothing of the removals at versions 6 and 7.
     const restarted = createState();
     const kept = fixture.createTargetChange(5, fixture.createRegistration("kept"));
-    restarted.applySnapshot({ table: "targets", version: 8, changes: [kept] }, false);
-    restarted.applySnapshot({ table: "operators", version: 8, changes: [] }, false);
+    restarted.applySnapshot({ table: "targets", version: fixture.createVersion(8), changes: [kept] }, false);
+    restarted.applySnapshot({ table: "operators", version: fixture.createVersion(8), changes: [] }, false);
     outdated.listSnapshots().forEach(snapshot => restarted.applySnapshot(snapshot, false));
     t.deepEqual(listTargetIds(restarted), ["kept"]);
     t.false(restarted.isZoneOut(fixture.zone));
@@ -114,7 +124,7 @@
 
 test("a snapshot of a source whose last changes came without a version up to which they are complete loses no row", t => {
     const source = createState();
-    source.applySnapshot({ table: "targets", version: 5, changes: [] }, false);
+    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, false);
     source.applyChanges([fixture.createTargetChange(9, fixture.createRegistration("late"))]);
     const joined = createState();
     source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
@@ -125,10 +135,13 @@
 
 test("an update moves the version up to which a table is complete", t => {
     const source = createState();
-    source.applySnapshot({ table: "targets", version: 5, changes: [] }, false);
+    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, false);
     const added = fixture.createTargetChange(7, fixture.createRegistration("a"));
-    source.applyUpdate({ table: "targets", version: 9, changes: [added] });
-    t.is(source.listSnapshots().find(snapshot => snapshot.table === "targets")?.version, 9);
+    source.applyUpdate({ table: "targets", version: fixture.createVersion(9), changes: [added] });
+    t.deepEqual(
+        source.listSnapshots().find(snapshot => snapshot.table === "targets")?.version,
+        fixture.createVersion(9),
+    );
     source.applyChanges([fixture.createTargetChange(8, fixture.createRegistration("outdated"))]);
     t.deepEqual(listTargetIds(source), ["a"]);
 });
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -1,9 +1,12 @@
 /**
  * The state that all entry VMs share: configuration, zones out of service, targets. Changes may arrive from several
- * sources and in any order; the version of a row decides which one is newer.
+ * sources and in any order; the version of a row decides which one is newer. When the store has returned from a copy, what
+ * it had confirmed before stays in force until it is written again.
  */
 import * as events from "../events.js";
 import * as shared from "../Types.js";
+import * as rowVersion from "./rowVersion.js";
+import * as stateChanges from "./stateChanges.js";
 import * as types from "./Types.js";
 
 /**
@@ -11,6 +14,11 @@
  * within 2 s after the store recovers; the rest is the time until the row is read.
  */
 const expiryGraceMs = 2_500;
+/**
+ * How long a row of a copy that takes back a confirmed removal or evacuation is ignored, unless it is written again. Rows of
+ * targets that have left expire in this time, after three heartbeats of 1.5 s.
+ */
+const restoreGraceMs = 6_000;
 
 export interface SharedState {
     getConfiguration(): types.RouteConfiguration | undefined;
@@ -42,55 +50,15 @@
      * @returns the changes that had an effect
      */
     applySnapshot(snapshot: types.StateSnapshot, isStoreUnstable: boolean): readonly types.StateChange[];
+    /** The store's era by which a table is known; 0 before the first. */
+    getEra(table: types.StateTable): number;
+    /** Fires when rows of a copy that were ignored at first have come into force. */
+    readonly onDidSettle: shared.Event<types.StateUpdate>;
     readonly onDidChangeConfiguration: shared.Event<types.RouteConfiguration>;
     /** Fires when a target was added, changed or removed, or a zone was taken out of service or put back. */
     readonly onDidChangeTargets: shared.Event<void>;
 }
 
-const toRowKey = (change: types.StateChange): string => {
-    switch (change.kind) {
-        case "configuration":
-            return "configuration";
-        case "zone":
-            return `zone/${change.zone}`;
-        case "target":
-            return `target/${change.id}`;
-    }
-};
-
-const isRemoval = (change: types.StateChange): boolean => {
-    switch (change.kind) {
-        case "configuration":
-            return change.configuration === undefined;
-        case "zone":
-            return !change.isOut;
-        case "target":
-            return change.registration === undefined;
-    }
-};
-
-const getTable = (change: types.StateChange): types.StateTable => (change.kind === "target" ? "targets" : "operators");
-
-/** Targets rewrite their rows as heartbeats; then only the version differs. */
-const isSameContent = (known: types.StateChange, change: types.StateChange): boolean =>
-    JSON.stringify({ ...known, version: 0 }) === JSON.stringify({ ...change, version: 0 });
-
-const toRemoval = (
-    change: types.StateChange,
-    version: types.RowVersion,
-    isExpired: boolean,
-): types.StateChange | undefined => {
-    switch (change.kind) {
-        case "configuration":
-            // A configuration is never removed, only replaced.
-            return undefined;
-        case "zone":
-            return { kind: "zone", version, zone: change.zone, isOut: false };
-        case "target":
-            return { kind: "target", version, id: change.id, registration: undefined, isLapse: isExpired };
-    }
-};
-
 /**
  * Creates an empty state.
  *
@@ -106,7 +74,17 @@
     /** Targets in use: registered, or with a row that expired a short time ago. */
     const targets = new Map<shared.TargetId, types.Registration>();
     /** Versions up to which this VM knows all changes of a table. */
-    const completeVersions: Record<types.StateTable, types.RowVersion> = { operators: 0, targets: 0 };
+    const completeVersions: Record<types.StateTable, types.RowVersion> = {
+        operators: rowVersion.noVersion,
+        targets: rowVersion.noVersion,
+    };
+    /** Rows of a copy that take back what was confirmed, by table and row. */
+    const heldChanges: Record<types.StateTable, Map<string, types.StateChange>> = {
+        operators: new Map(),
+        targets: new Map(),
+    };
+    const settleTimers = new Map<types.StateTable, shared.Disposable>();
+    const settleEmitter = events.createEmitter<types.StateUpdate>();
     const expiryTimers = new Map<shared.TargetId, shared.Disposable>();
     const configurationEmitter = events.createEmitter<types.RouteConfiguration>();
     const targetsEmitter = events.createEmitter<void>();
@@ -131,35 +109,48 @@
         }
     };
 
+    const recordIgnored = (change: types.StateChange, knownVersion: types.RowVersion): void => {
+        ignoredChanges++;
+        logger.info("state: change ignored as old", {
+            row: stateChanges.toRowKey(change),
+            version: rowVersion.formatVersion(change.version),
+            knownVersion: rowVersion.formatVersion(knownVersion),
+        });
+    };
+
+    /** The operator numbers the configurations, so that their numbers hold also if the store has returned from a copy. */
+    const admitConfiguration = (change: types.StateChange & { kind: "configuration" }, isNewRow: boolean): boolean => {
+        const number = change.configuration?.version ?? -1;
+        const knownNumber = configuration?.version ?? -1;
+        return number > knownNumber || (number === knownNumber && isNewRow);
+    };
+
     /** Returns whether a change is newer and has an effect; for unchanged content it only records the newer version. */
     const admitChange = (change: types.StateChange): boolean => {
-        const known = rows.get(toRowKey(change));
+        const known = rows.get(stateChanges.toRowKey(change));
         // A row that is not known although its table is complete has been removed since.
-        const knownVersion = known?.version ?? completeVersions[getTable(change)];
-        if (knownVersion >= change.version) {
-            if (known === undefined || !isSameContent(known, change)) {
-                ignoredChanges++;
-                logger.info("state: change ignored as old", {
-                    row: toRowKey(change),
-                    version: change.version,
-                    knownVersion,
-                });
-            }
-            return false;
-        }
-        if (known !== undefined && isSameContent(known, change)) {
+        const knownVersion = known?.version ?? completeVersions[stateChanges.getTable(change)];
+        const isNewRow = rowVersion.isNewer(change.version, knownVersion);
+        if (known !== undefined && stateChanges.isSameContent(known, change)) {
             // Records the newer version, so that changes written in between are ignored if they arrive later.
-            rows.set(toRowKey(change), change);
+            rows.set(stateChanges.toRowKey(change), isNewRow ? change : known);
             return false;
         }
-        if (change.kind !== "configuration") {
-            return true;
+        const isAdmitted =
+            change.kind === "configuration"
+                ? admitConfiguration(change, isNewRow)
+                : known === undefined
+                  ? isNewRow
+                  : stateChanges.hasBegunDraining(change, known) ||
+                    (isNewRow && !stateChanges.hasBegunDraining(known, change));
+        if (!isAdmitted) {
+            recordIgnored(change, knownVersion);
         }
-        return change.configuration !== undefined && change.configuration.version > (configuration?.version ?? -1);
+        return isAdmitted;
     };
 
     const logChange = (change: types.StateChange): void => {
-        const { version } = change;
+        const version = rowVersion.formatVersion(change.version);
         switch (change.kind) {
             case "configuration":
                 break;
@@ -176,7 +167,8 @@
     };
 
     const logTargetChange = (change: types.StateChange & { kind: "target" }): void => {
-        const { id, version, registration } = change;
+        const { id, registration } = change;
+        const version = rowVersion.formatVersion(change.version);
         const known = targets.get(id);
         if (registration === undefined) {
             if (known !== undefined) {
@@ -199,7 +191,9 @@
 
     const applyChange = (change: types.StateChange): void => {
         logChange(change);
-        rows.set(toRowKey(change), change);
+        const key = stateChanges.toRowKey(change);
+        const version = rowVersion.pickNewer(change.version, rows.get(key)?.version ?? change.version);
+        rows.set(key, { ...change, version });
         if (change.kind === "configuration" && change.configuration !== undefined) {
             configuration = change.configuration;
             configurationEmitter.fire(configuration);
@@ -222,12 +216,13 @@
         return applied;
     };
 
-    const listRemovals = (snapshot: types.StateSnapshot, isStoreUnstable: boolean): types.StateChange[] => {
-        const present = new Set(snapshot.changes.map(toRowKey));
+    const listRemovals = (snapshot: types.StateSnapshot, areExpired: boolean): types.StateChange[] => {
+        const present = new Set(snapshot.changes.map(stateChanges.toRowKey));
         const removals: types.StateChange[] = [];
         for (const [key, row] of rows) {
-            const isUnaffected = present.has(key) || isRemoval(row) || getTable(row) !== snapshot.table;
-            const removal = isUnaffected ? undefined : toRemoval(row, snapshot.version, isStoreUnstable);
+            const isUnaffected =
+                present.has(key) || stateChanges.isRemoval(row) || stateChanges.getTable(row) !== snapshot.table;
+            const removal = isUnaffected ? undefined : stateChanges.toRemoval(row, snapshot.version, areExpired);
             if (removal !== undefined) {
                 removals.push(removal);
             }
@@ -235,16 +230,66 @@
         return removals;
     };
 
+    /** Whether a change of a copy takes back that a zone is out of service, or that a target has left. */
+    const isTakenBack = (change: types.StateChange): boolean => {
+        const known = rows.get(stateChanges.toRowKey(change));
+        switch (change.kind) {
+            case "configuration":
+                return false;
+            case "zone":
+                return known !== undefined && !stateChanges.isRemoval(known) && stateChanges.isRemoval(change);
+            case "target":
+                return (
+                    known?.kind === "target" &&
+                    stateChanges.isRemoval(known) &&
+                    known.isLapse !== true &&
+                    !stateChanges.isRemoval(change)
+                );
+        }
+    };
+
+    const settle = (table: types.StateTable): void => {
+        const held = [...heldChanges[table].values()];
+        heldChanges[table].clear();
+        const changes = applyChanges(held);
+        if (changes.length > 0) {
+            settleEmitter.fire({ table, version: completeVersions[table], changes });
+        }
+    };
+
+    /** Holds back the changes of a copy that take back what was confirmed; returns the others. */
+    const holdChanges = (table: types.StateTable, changes: readonly types.StateChange[]): types.StateChange[] => {
+        const held = changes.filter(isTakenBack);
+        heldChanges[table] = new Map(held.map(change => [stateChanges.toRowKey(change), change]));
+        logger.warn("state: table restored from a copy", { table, rows: changes.length, held: held.length });
+        settleTimers.get(table)?.dispose();
+        settleTimers.set(
+            table,
+            scheduler.schedule(restoreGraceMs, () => settle(table)),
+        );
+        return changes.filter(change => !held.includes(change));
+    };
+
+    const applySnapshot = (snapshot: types.StateSnapshot, isStoreUnstable: boolean): readonly types.StateChange[] => {
+        const { table, version } = snapshot;
+        const known = completeVersions[table];
+        const isRestored = rowVersion.isNewer(known, rowVersion.noVersion) && version.era > known.era;
+        const changes = [...snapshot.changes, ...listRemovals(snapshot, isStoreUnstable || isRestored)];
+        return applyUpdate({ ...snapshot, changes: isRestored ? holdChanges(table, changes) : changes });
+    };
+
     /** Later changes may be known, too, but others before them may not. */
     const toSnapshot = (table: types.StateTable): types.StateSnapshot => ({
         table,
         version: completeVersions[table],
-        changes: [...rows.values()].filter(change => getTable(change) === table && !isRemoval(change)),
+        changes: [...rows.values()].filter(
+            change => stateChanges.getTable(change) === table && !stateChanges.isRemoval(change),
+        ),
     });
 
     const applyUpdate = ({ table, version, changes }: types.StateUpdate): readonly types.StateChange[] => {
         const applied = applyChanges(changes);
-        completeVersions[table] = Math.max(completeVersions[table], version);
+        completeVersions[table] = rowVersion.pickNewer(completeVersions[table], version);
         return applied;
     };
 
@@ -252,18 +297,16 @@
         getConfiguration: () => configuration,
         isZoneOut: zone => {
             const change = rows.get(`zone/${zone}`);
-            return change !== undefined && !isRemoval(change);
+            return change !== undefined && !stateChanges.isRemoval(change);
         },
         listTargets: () => targets.values(),
         listSnapshots: () => [toSnapshot("operators"), toSnapshot("targets")],
         countIgnoredChanges: () => ignoredChanges,
         applyChanges,
         applyUpdate,
-        applySnapshot: (snapshot, isStoreUnstable) =>
-            applyUpdate({
-                ...snapshot,
-                changes: [...snapshot.changes, ...listRemovals(snapshot, isStoreUnstable)],
-            }),
+        applySnapshot,
+        getEra: table => completeVersions[table].era,
+        onDidSettle: settleEmitter.event,
         onDidChangeConfiguration: configurationEmitter.event,
         onDidChangeTargets: targetsEmitter.event,
     };
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -88,7 +88,7 @@
 /** Changes of a table since a version. */
 export type TableChanges =
     | { readonly kind: "changes"; readonly version: routes.RowVersion; readonly changes: readonly routes.StateChange[] }
-    /** The store no longer has the changes since that version. */
+    /** The store no longer has the changes since that version, or has returned from a copy since. */
     | { readonly kind: "history-lost" };
 
 /** The part of the platform's store that the route daemon uses. */
@@ -104,6 +104,8 @@
     /** Registers this VM so that others can find it. */
     registerPeer(peer: routes.Peer, timeoutMs: number): Promise<void>;
     fetchPeers(timeoutMs: number): Promise<readonly routes.Peer[]>;
+    /** Fires when the store has returned from a copy, so that VMs must register again. */
+    readonly onDidRestore: types.Event<void>;
 }
 
 /** Settings of the route daemon. */
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import * as events from "../../common/events.js";
 import * as ids from "../../common/ids.js";
 import * as requestCrashes from "../../common/crashes/requestCrashes.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -20,6 +21,7 @@
     const unreachable = new Set<shared.VmId>();
     const calls = new Map<shared.VmId, number>();
     const registered: routes.Peer[] = [];
+    const restoreEmitter = events.createEmitter<void>();
 
     const connect = (vm: shared.VmId): types.StateStore => {
         const recordCall = (): void => {
@@ -29,19 +31,25 @@
             }
         };
         const listChanges = (table: routes.StateTable): routes.StateChange[] =>
-            table === "operators" ? [{ kind: "configuration", version, configuration }] : [];
+            table === "operators"
+                ? [{ kind: "configuration", version: fixture.createVersion(version), configuration }]
+                : [];
         return {
             fetchSnapshot: table => {
                 recordCall();
-                return Promise.resolve({ table, version, changes: listChanges(table) });
+                return Promise.resolve({ table, version: fixture.createVersion(version), changes: listChanges(table) });
             },
             fetchChanges: async (table, after, waitMs) => {
-                const hasNewVersion = (): boolean => table === "operators" && version > after;
+                const hasNewVersion = (): boolean => table === "operators" && version > after.sequence;
                 for (let waitedMs = 0; waitedMs < waitMs && !hasNewVersion(); waitedMs += 20) {
                     await new Promise(resolve => setTimeout(resolve, 20));
                 }
                 recordCall();
-                return { kind: "changes", version, changes: hasNewVersion() ? listChanges(table) : [] };
+                return {
+                    kind: "changes",
+                    version: fixture.createVersion(version),
+                    changes: hasNewVersion() ? listChanges(table) : [],
+                };
             },
             registerPeer: peer => {
                 recordCall();
@@ -52,6 +60,7 @@
                 recordCall();
                 return Promise.resolve(registered);
             },
+            onDidRestore: restoreEmitter.event,
             dispose: () => undefined,
         };
     };
@@ -61,7 +70,13 @@
         configuration = fixture.createConfiguration(next);
     };
 
-    return { connect, setConfiguration, unreachable, calls };
+    /** Loses the registrations of VMs, as a copy from before does not have them. */
+    const restore = (): void => {
+        registered.splice(0);
+        restoreEmitter.fire();
+    };
+
+    return { connect, setConfiguration, restore, unreachable, calls };
 };
 
 const startVm = async (
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -121,6 +121,14 @@
                   handleTargetReports: options.handleTargetReports,
               });
 
+    /** VMs of earlier versions know no eras and send plain numbers. */
+    const toVersioned = (update: routes.StateUpdate): routes.StateUpdate => {
+        const toVersion = (version: routes.RowVersion | number): routes.RowVersion =>
+            typeof version === "number" ? { era: state.getEra(update.table), sequence: version } : version;
+        const changes = update.changes.map(change => ({ ...change, version: toVersion(change.version) }));
+        return { table: update.table, version: toVersion(update.version), changes };
+    };
+
     const link = hubLink.createHubLink({
         scheduler,
         logger,
@@ -130,11 +138,13 @@
             let hasSnapshots = false;
             channel.on("state.snapshots", ({ snapshots }) => {
                 hasSnapshots = true;
-                snapshots.forEach(snapshot => state.applySnapshot(snapshot, false));
+                snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot), false));
             });
             // Without the snapshots before them, changes do not make a table complete.
             channel.on("state.update", update =>
-                hasSnapshots ? void state.applyUpdate(update) : void state.applyChanges(update.changes),
+                hasSnapshots
+                    ? void state.applyUpdate(toVersioned(update))
+                    : void state.applyChanges(toVersioned(update).changes),
             );
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
@@ -194,8 +204,17 @@
         timer = scheduler.schedule(storeLookupIntervalMs, () => void findPeersInStore());
     };
 
+    /** The copy that the store has returned from may lack this VM. */
+    const registerAgain = (): void => {
+        isRegistered = false;
+        timer?.dispose();
+        timer = scheduler.schedule(firstStoreLookupDelayMs, () => void findPeersInStore());
+    };
+
     return {
         start: async () => {
+            state.onDidSettle(update => hub?.pushUpdate(update));
+            store.onDidRestore(registerAgain);
             await hub?.listen();
             link.start();
             timer = scheduler.schedule(firstStoreLookupDelayMs, () => void findPeersInStore());
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -23,7 +23,7 @@
             snapshots++;
             const changes =
                 table === "targets" ? initialTargets.map(entry => fixture.createTargetChange(1, entry)) : [];
-            return Promise.resolve({ table, version: 1, changes });
+            return Promise.resolve({ table, version: fixture.createVersion(1), changes });
         },
         fetchChanges: (table, after) => {
             if (isSilent) {
@@ -44,6 +44,7 @@
         },
         registerPeer: () => Promise.resolve(),
         fetchPeers: () => Promise.resolve([]),
+        onDidRestore: () => ({ dispose: () => undefined }),
         dispose: () => undefined,
     };
     const published: routes.StateChange[] = [];
@@ -75,7 +76,7 @@
 
 const removeTarget = (version: number, id: string): types.TableChanges => ({
     kind: "changes",
-    version,
+    version: fixture.createVersion(version),
     changes: [fixture.createTargetChange(version, undefined, ids.toTargetId(id))],
 });
 
@@ -108,7 +109,7 @@
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     const changed: routes.StateChange = {
         kind: "configuration",
-        version: 5,
+        version: fixture.createVersion(5),
         configuration: fixture.createConfiguration(5),
     };
     const call = <T>(waitMs: number, timeoutMs: number, createResult: () => T): Promise<T> =>
@@ -123,17 +124,19 @@
         });
     const follower = storeFollower.createStoreFollower({
         store: {
-            fetchSnapshot: (table, timeoutMs) => call(0, timeoutMs, () => ({ table, version: 1, changes: [] })),
+            fetchSnapshot: (table, timeoutMs) =>
+                call(0, timeoutMs, () => ({ table, version: fixture.createVersion(1), changes: [] })),
             fetchChanges: (table, after, waitMs, timeoutMs) => {
-                const hasChange = table === "operators" && scheduler.now() >= toMs && after < 5;
+                const hasChange = table === "operators" && scheduler.now() >= toMs && after.sequence < 5;
                 return call(hasChange ? 0 : waitMs, timeoutMs, () =>
                     hasChange
-                        ? { kind: "changes", version: 5, changes: [changed] }
+                        ? { kind: "changes", version: fixture.createVersion(5), changes: [changed] }
                         : { kind: "changes", version: after, changes: [] },
                 );
             },
             registerPeer: () => Promise.resolve(),
             fetchPeers: () => Promise.resolve([]),
+            onDidRestore: () => ({ dispose: () => undefined }),
             dispose: () => undefined,
         },
         state,
@@ -188,5 +191,5 @@
     setup.follower.stop();
     await setup.scheduler.advance(1_000);
     t.deepEqual(setup.listIds(), ["b"]);
-    t.is(setup.published.at(-1)?.version, 5);
+    t.deepEqual(setup.published.at(-1)?.version, fixture.createVersion(5));
 });
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -2,6 +2,7 @@
  * Polls the store's tables and applies their changes to the shared state.
  */
 import * as errorText from "../../common/errors/errorText.js";
+import * as rowVersion from "../../common/routes/rowVersion.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -128,7 +129,7 @@
                 break;
             }
             case "history-lost":
-                logger.warn("state: history lost", { table: table.table, after });
+                logger.warn("state: history lost", { table: table.table, after: rowVersion.formatVersion(after) });
                 await fetchTableSnapshot(table);
                 break;
         }
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -53,19 +53,32 @@
     ...fields,
 });
 
+/**
+ * Creates a version of the store's first era.
+ *
+ * @param sequence - the store's count of changes
+ * @returns the version
+ */
+export const createVersion = (sequence: number): routes.RowVersion => ({ era: 1, sequence });
+
 /**
  * Creates the change of a target's row.
  *
- * @param version - the row's version
+ * @param version - the row's version, or its sequence in the first era
  * @param registration - the row's content; undefined for a removal
  * @param id - the target's id, needed only for a removal
  * @returns the change
  */
 export const createTargetChange = (
-    version: number,
+    version: number | routes.RowVersion,
     registration: routes.Registration | undefined,
     id = registration?.id ?? ids.toTargetId("none"),
-): routes.StateChange => ({ kind: "target", version, id, registration });
+): routes.StateChange => ({
+    kind: "target",
+    version: typeof version === "number" ? createVersion(version) : version,
+    id,
+    registration,
+});
 
 /**
  * Creates a configuration with one route.
--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -14,6 +14,8 @@
     /** After `forMs`, a VM that got SIGKILL or SIGTERM is started again, and one that got SIGSTOP gets SIGCONT. */
     | { readonly kind: "signal"; readonly vm: number; readonly signal: VmSignal; readonly forMs: number }
     | { readonly kind: "store"; readonly mode: StoreMode; readonly forMs: number }
+    /** The store is away and returns from a copy. */
+    | { readonly kind: "store-restore"; readonly agoMs: number; readonly forMs: number }
     | { readonly kind: "store-link"; readonly vm: number; readonly state: relay.LinkState; readonly forMs: number }
     /** Partitions VMs from all targets: some, or those that callers use when the fault begins. */
     | {
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -21,6 +21,7 @@
 const minFaultMs = 300;
 const maxFaultMs = 4_000;
 const linkDelayMs = 40;
+const maxCopyAgeMs = 10_000;
 /** Partitions shorter than the time that VMs have to notice them show nothing. */
 const minPartitionMs = 3_000;
 /** Long enough for requests after the third crash and the time in which VMs may learn of it. */
@@ -83,6 +84,11 @@
         mode: pickOne(source, ["busy", "silent", "slow", "lost-answers", "no-history"] as const),
         forMs: pickDurationMs(source),
     }),
+    source => ({
+        kind: "store-restore",
+        agoMs: Math.round(source.nextFloat() * maxCopyAgeMs),
+        forMs: pickDurationMs(source),
+    }),
     (source, size) => ({
         kind: "partition",
         vms: source.nextInt(2) === 0 ? "used" : pickSome(source, size.vms),
