--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -104,6 +104,8 @@
     /** Registers this VM so that others can find it. */
     registerPeer(peer: routes.Peer, timeoutMs: number): Promise<void>;
     fetchPeers(timeoutMs: number): Promise<readonly routes.Peer[]>;
+    /** Number of rows that were skipped as malformed. */
+    countMalformedRows(): number;
     /** Fires when the store has returned from a copy, so that VMs must register again. */
     readonly onDidRestore: types.Event<void>;
 }
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -60,6 +60,7 @@
                 recordCall();
                 return Promise.resolve(registered);
             },
+            countMalformedRows: () => 0,
             onDidRestore: restoreEmitter.event,
             dispose: () => undefined,
         };
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -22,6 +22,7 @@
         countTargetConnectionsOpened: () => 9,
         countDroppedLogLines: () => 0,
         countIgnoredChanges: () => 5,
+        countMalformedRows: () => 6,
     });
 
 const listenOnFreePort = (): Promise<{ readonly server: net.Server; readonly address: shared.Address }> =>
@@ -60,6 +61,7 @@
     const text = await routeMetrics.format();
     t.regex(text, /tarragonpath_target_connections_opened_total 9/);
     t.regex(text, /tarragonpath_ignored_changes_total 5/);
+    t.regex(text, /tarragonpath_malformed_rows_total 6/);
 });
 
 test("metrics are served at their path", async t => {
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -36,6 +36,7 @@
     countTargetConnectionsOpened(): number;
     countDroppedLogLines(): number;
     countIgnoredChanges(): number;
+    countMalformedRows(): number;
 }
 
 export interface RouteMetrics {
@@ -185,6 +186,12 @@
         "Changes of the shared state that were ignored as old.",
         sources.countIgnoredChanges,
     );
+    addCounter(
+        registry,
+        "malformed_rows_total",
+        "Rows of the store that were skipped as malformed, each time they were read.",
+        sources.countMalformedRows,
+    );
     return {
         contentType: registry.contentType,
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -185,6 +185,7 @@
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
         countIgnoredChanges: state.countIgnoredChanges,
+        countMalformedRows: store.countMalformedRows,
     });
     const crashes = crashMonitor.createCrashMonitor({
         clock: scheduler,
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -44,6 +44,7 @@
         },
         registerPeer: () => Promise.resolve(),
         fetchPeers: () => Promise.resolve([]),
+        countMalformedRows: () => 0,
         onDidRestore: () => ({ dispose: () => undefined }),
         dispose: () => undefined,
     };
@@ -136,6 +137,7 @@
             },
             registerPeer: () => Promise.resolve(),
             fetchPeers: () => Promise.resolve([]),
+            countMalformedRows: () => 0,
             onDidRestore: () => ({ dispose: () => undefined }),
             dispose: () => undefined,
         },
--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -36,6 +36,8 @@
     | { readonly kind: "leave"; readonly target: number }
     /** A request that crashes each target that runs it comes again and again, at all VMs in turn. */
     | { readonly kind: "crashing-request"; readonly mode: CrashMode; readonly gapMs: number; readonly forMs: number }
+    /** Another writer leaves entries in all tables that cannot be used. */
+    | { readonly kind: "odd-entries" }
     /** Switches the moving route to the other service. */
     | { readonly kind: "configuration" }
     | { readonly kind: "zone-out"; readonly zone: number; readonly forMs: number };
