Count requests in a pause by the VM that has sent them to the target

The rule counts what reaches a target from a machine, and the check counted by the VM that the caller asked.

Targets now see the sending VM's address through the relays, and the check uses it; a request that is passed on to a VM that was asked counts there, which it did not before.

--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -122,6 +122,8 @@
     readonly atMs: number;
     readonly target: string;
     readonly service: string;
+    /** Host of the VM that has sent it; another one if the caller's VM has passed it on. */
+    readonly senderHost: string;
     readonly isCold: boolean;
     readonly limit: TargetLimit | undefined;
     /** Whether all responses say that the target is leaving. */
@@ -156,6 +158,8 @@
     readonly committedChanges: readonly CommittedChange[];
     readonly disturbances: readonly Disturbance[];
     readonly partitions: readonly Partition[];
+    /** Hosts from which the VMs send, in the order of the VMs. */
+    readonly vmHosts: readonly string[];
     /** No fault is active from this time on. */
     readonly faultsEndedAtMs: number;
     readonly endedAtMs: number;
--- a/src/testing/soak/targetChecks.ts
+++ b/src/testing/soak/targetChecks.ts
@@ -89,12 +89,11 @@
 /** Finds VMs that send to a target although it has refused a request of theirs and asked for a pause. */
 export const findRequestsInPauses: historyChecks.Check = (history, bounds) => {
     const violations: types.SoakViolation[] = [];
-    const calls = new Map(history.calls.map(call => [call.id, call]));
     for (const arrivals of historyChecks
-        .groupBy(history.arrivals, ({ id, target }) => `${target}/${calls.get(id)?.vm}`)
+        .groupBy(history.arrivals, ({ target, senderHost }) => `${target}/${senderHost}`)
         .values()) {
-        for (const { id, target, atMs, pauseMs } of arrivals) {
-            const vm = calls.get(id)?.vm;
+        for (const { senderHost, target, atMs, pauseMs } of arrivals) {
+            const vm = history.vmHosts.indexOf(senderHost);
             const untilMs = atMs + (pauseMs ?? 0);
             const late = arrivals.filter(other => other.atMs > atMs + bounds.pauseDelayMs && other.atMs < untilMs);
             if (late.length > bounds.pauseExtra && !historyChecks.isDisturbed(history, atMs, untilMs, vm)) {
--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -31,6 +31,8 @@
     readonly close: () => Promise<void>;
 }
 
+const loopbackHost = "127.0.0.1";
+
 interface HeldAction {
     readonly host: string;
     readonly isTowardTarget: boolean;
@@ -120,7 +122,12 @@
             clientSocket.resetAndDestroy();
             return;
         }
-        const targetSocket = net.connect({ host, port, allowHalfOpen: true, noDelay: true });
+        // The target sees where the connection comes from.
+        const localAddress = host === loopbackHost && clientHost.startsWith("127.") ? clientHost : undefined;
+        const targetSocket = net.connect({
+            ...{ host, port, allowHalfOpen: true, noDelay: true },
+            ...(localAddress === undefined ? {} : { localAddress }),
+        });
         addPipe(clientSocket, targetSocket, clientHost, true);
         addPipe(targetSocket, clientSocket, clientHost, false);
     });
