Schedule one lookup of peers at a time after the store was restored

Found on reading the change: a lookup or registration whose own response shows the new era scheduled the next lookup, and so did the restore, so that each one added a series of calls to the store. The new test finds 2 lookups in 4 s where 1 is due, and 1 now. That a hub registers again had no test; it has one, which passed before this change, too.

--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -22,6 +22,8 @@
     const calls = new Map<shared.VmId, number>();
     const registered: routes.Peer[] = [];
     const restoreEmitter = events.createEmitter<void>();
+    let isRestoring = false;
+    let lookups = 0;
 
     const connect = (vm: shared.VmId): types.StateStore => {
         const recordCall = (): void => {
@@ -53,11 +55,16 @@
             },
             registerPeer: peer => {
                 recordCall();
+                if (isRestoring) {
+                    isRestoring = false;
+                    restore();
+                }
                 registered.push(peer);
                 return Promise.resolve();
             },
             fetchPeers: () => {
                 recordCall();
+                lookups++;
                 return Promise.resolve(registered);
             },
             countMalformedRows: () => 0,
@@ -77,7 +84,12 @@
         restoreEmitter.fire();
     };
 
-    return { connect, setConfiguration, restore, unreachable, calls };
+    const restoreAtNextRegistration = (): void => void (isRestoring = true);
+
+    return {
+        ...{ connect, setConfiguration, restore, restoreAtNextRegistration, unreachable, calls, registered },
+        countLookups: () => lookups,
+    };
 };
 
 const startVm = async (
@@ -328,3 +340,27 @@
     t.true(await waitUntil(() => remaining.every(vm => vm.crashes.isBlocked("f"))));
     remaining.forEach(vm => vm.member.dispose());
 });
+
+// Guards against VMs that new ones cannot find, as the copy that the store has returned from lacks their rows.
+test("a hub registers again after the store has returned from a copy", async t => {
+    const { store, vms } = await startVms(1);
+    const [hub] = vms;
+    t.true(await waitUntil(() => store.registered.length === 1));
+    store.restore();
+    store.restore();
+    t.true(await waitUntil(() => store.registered.length === 1, 3_000));
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    t.is(store.registered.length, 1);
+    hub?.member.dispose();
+});
+
+// Guards against calls to the store that double with each restore.
+test("a registration that shows that the store has returned from a copy starts no second series of lookups", async t => {
+    const { store, vms } = await startVms(1);
+    const [hub] = vms;
+    store.restoreAtNextRegistration();
+    t.true(await waitUntil(() => store.countLookups() === 1));
+    await new Promise(resolve => setTimeout(resolve, 4_000));
+    t.is(store.countLookups(), 1);
+    hub?.member.dispose();
+});
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -201,14 +201,19 @@
             const reason = errorText.toErrorText(error);
             logger.warn("peer: store unreachable", { reason });
         }
-        timer = scheduler.schedule(storeLookupIntervalMs, () => void findPeersInStore());
+        scheduleLookup(storeLookupIntervalMs);
+    };
+
+    /** At most one lookup is scheduled. */
+    const scheduleLookup = (delayMs: number): void => {
+        timer?.dispose();
+        timer = scheduler.schedule(delayMs, () => void findPeersInStore());
     };
 
     /** The copy that the store has returned from may lack this VM. */
     const registerAgain = (): void => {
         isRegistered = false;
-        timer?.dispose();
-        timer = scheduler.schedule(firstStoreLookupDelayMs, () => void findPeersInStore());
+        scheduleLookup(firstStoreLookupDelayMs);
     };
 
     return {
@@ -217,7 +222,7 @@
             store.onDidRestore(registerAgain);
             await hub?.listen();
             link.start();
-            timer = scheduler.schedule(firstStoreLookupDelayMs, () => void findPeersInStore());
+            scheduleLookup(firstStoreLookupDelayMs);
         },
         isConnected: hasPeers,
         computeStoreAgeMs,
