--- a/src/common/crashes/requestCrashes.ts
+++ b/src/common/crashes/requestCrashes.ts
@@ -94,9 +94,8 @@
         if (isNew) {
             // The time that is left comes with the report, so that VMs do not keep an entry alive for each other.
             const expiresAtMs = clock.now() + Math.min(retentionMs, report.expiresInMs);
-            const { responses: reportedResponses } = report;
             setEntry(report.fingerprint, {
-                responses: reportedResponses,
+                responses: report.responses,
                 targetRuns,
                 expiresAtMs: Math.max(expiresAtMs, known?.expiresAtMs ?? 0),
             });
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -78,11 +78,8 @@
         operators: rowVersion.noVersion,
         targets: rowVersion.noVersion,
     };
-    /** Rows of a copy that take back what was confirmed, by table and row. */
-    const heldChanges: Record<types.StateTable, Map<string, types.StateChange>> = {
-        operators: new Map(),
-        targets: new Map(),
-    };
+    /** Rows of a copy that take back what was confirmed. */
+    const heldChanges: Record<types.StateTable, readonly types.StateChange[]> = { operators: [], targets: [] };
     const settleTimers = new Map<types.StateTable, shared.Disposable>();
     const settleEmitter = events.createEmitter<types.StateUpdate>();
     const expiryTimers = new Map<shared.TargetId, shared.Disposable>();
@@ -125,6 +122,13 @@
         return number > knownNumber || (number === knownNumber && isNewRow);
     };
 
+    const admitRow = (change: types.StateChange, known: types.StateChange | undefined, isNewRow: boolean): boolean => {
+        if (known !== undefined && stateChanges.hasBegunDraining(change, known)) {
+            return true;
+        }
+        return isNewRow && (known === undefined || !stateChanges.hasBegunDraining(known, change));
+    };
+
     /** Returns whether a change is newer and has an effect; for unchanged content it only records the newer version. */
     const admitChange = (change: types.StateChange): boolean => {
         const known = rows.get(stateChanges.toRowKey(change));
@@ -137,12 +141,7 @@
             return false;
         }
         const isAdmitted =
-            change.kind === "configuration"
-                ? admitConfiguration(change, isNewRow)
-                : known === undefined
-                  ? isNewRow
-                  : stateChanges.hasBegunDraining(change, known) ||
-                    (isNewRow && !stateChanges.hasBegunDraining(known, change));
+            change.kind === "configuration" ? admitConfiguration(change, isNewRow) : admitRow(change, known, isNewRow);
         if (!isAdmitted) {
             recordIgnored(change, knownVersion);
         }
@@ -249,9 +248,8 @@
     };
 
     const settle = (table: types.StateTable): void => {
-        const held = [...heldChanges[table].values()];
-        heldChanges[table].clear();
-        const changes = applyChanges(held);
+        const changes = applyChanges(heldChanges[table]);
+        heldChanges[table] = [];
         if (changes.length > 0) {
             settleEmitter.fire({ table, version: completeVersions[table], changes });
         }
@@ -260,7 +258,7 @@
     /** Holds back the changes of a copy that take back what was confirmed; returns the others. */
     const holdChanges = (table: types.StateTable, changes: readonly types.StateChange[]): types.StateChange[] => {
         const held = changes.filter(isTakenBack);
-        heldChanges[table] = new Map(held.map(change => [stateChanges.toRowKey(change), change]));
+        heldChanges[table] = held;
         logger.warn("state: table restored from a copy", { table, rows: changes.length, held: held.length });
         settleTimers.get(table)?.dispose();
         settleTimers.set(
