--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -38,7 +38,7 @@
     | { readonly kind: "crashing-request"; readonly mode: CrashMode; readonly gapMs: number; readonly forMs: number }
     /** Another writer leaves entries in all tables that cannot be used. */
     | { readonly kind: "odd-entries" }
-    /** Switches the moving route to the other service. */
+    /** Switches the moving routes to the other service. */
     | { readonly kind: "configuration" }
     | { readonly kind: "zone-out"; readonly zone: number; readonly forMs: number };
 
