Clear crashes under a request only by a success

Callers' requests that crash targets were sent on: any whole response to an equal request cleared the crashes, also a 500 of a target that failed before it got as far as to crash. The new unit test failed before, for each of the statuses 400, 429, 500 and 503. Only a success tells that a target lives through the request, so nothing else clears crashes now.

Targets of the soak test that fail some requests fail crashing ones, too.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -42,10 +42,10 @@
     isEmpty(): boolean;
 }
 
-/** Runs of targets that have ended under a request since it was last responded to. */
+/** Runs of targets that have ended under a request since it was last served. */
 export interface CrashReport {
     readonly fingerprint: string;
-    /** Responses that have cleared earlier crashes; a report with a greater number replaces the others. */
+    /** Successful responses that have cleared earlier crashes; a report with a greater number replaces the others. */
     readonly responses: number;
     readonly targetRuns: readonly string[];
     /** Time after which the report is obsolete, in milliseconds. */
@@ -62,8 +62,11 @@
      * @returns the number of targets that have ended under the request
      */
     recordCrash(fingerprint: string, target: { readonly id: types.TargetId; readonly startedAtMs: number }): number;
-    /** Records that a target has responded, and thus has not ended under the request, which clears earlier crashes. */
-    recordResponse(fingerprint: string): void;
+    /**
+     * Records that a target has served the request, which clears earlier crashes. Another response does not tell whether
+     * the target would have ended under it.
+     */
+    recordSuccess(fingerprint: string): void;
     /**
      * Merges reports of peers.
      *
@@ -77,6 +80,6 @@
     isBlocked(fingerprint: string): boolean;
     /** Number of fingerprints whose requests are refused. */
     countBlocked(): number;
-    /** Fires when this VM has seen a crash, or a response that clears crashes. */
+    /** Fires when this VM has seen a crash, or a success that clears crashes. */
     readonly onDidChange: types.Event<CrashReport>;
 }
--- a/src/common/crashes/requestCrashes.test.ts
+++ b/src/common/crashes/requestCrashes.test.ts
@@ -31,14 +31,14 @@
 });
 
 // Guards against harmless requests that are refused, as targets were killed while they ran equal ones.
-test("a response clears crashes, on all VMs, also of a request that is refused", t => {
+test("a success clears crashes, on all VMs, also of a request that is refused", t => {
     const setup = createSetup();
     const peer = createSetup();
     ["a", "b", "c"].forEach(name => setup.recordCrash("f", toRun(name)));
     const late = setup.listReports();
     peer.applyReports(late);
     t.true(peer.isBlocked("f"));
-    setup.recordResponse("f");
+    setup.recordSuccess("f");
     t.false(setup.isBlocked("f"));
     t.is(peer.applyReports(setup.listReports()).length, 1);
     t.false(peer.isBlocked("f"));
@@ -77,7 +77,7 @@
             const vm = vms[source.nextInt(vms.length)];
             switch (source.nextInt(4)) {
                 case 0:
-                    vm?.recordResponse("f");
+                    vm?.recordSuccess("f");
                     break;
                 case 1:
                     vm?.recordCrash("f", toRun("abcdef"[source.nextInt(6)] ?? ""));
--- a/src/common/crashes/requestCrashes.ts
+++ b/src/common/crashes/requestCrashes.ts
@@ -112,7 +112,7 @@
             }
             return targetRuns.size;
         },
-        recordResponse: fingerprint => {
+        recordSuccess: fingerprint => {
             const known = findEntry(fingerprint);
             if (known !== undefined && known.targetRuns.size > 0) {
                 changeEntry(fingerprint, { responses: known.responses + 1, targetRuns: new Set() });
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -179,14 +179,28 @@
 // Guards against requests that crash targets after others like them have been refused already.
 test("a request that waits, or could be hedged or retried, is not sent any more once it is known to crash targets", async t => {
     const hedged = run([{ ...broken, afterMs: 400 }, ok(10)]);
-    hedged.reportCrashes();
+    hedged.reportCrashes("x", "y", "z");
     await hedged.advance(2_000);
     t.is(hedged.sent.length, 0);
     t.deepEqual(hedged.getResponse(), { kind: "failed", reason: "request crashes targets", statusCode: 502 });
     const retried = run([{ ...broken, afterMs: 50 }, ok(10)]);
     await retried.advance(20);
-    retried.reportCrashes();
+    retried.reportCrashes("x", "y", "z");
     await retried.advance(2_000);
     t.is(retried.sent.length, 1);
     t.is(retried.countHedges(), 0);
 });
+
+// Guards against a request that crashes targets again and again, as some of them fail before they run into the crash.
+test("only a success clears the crashes under a request", async t => {
+    for (const status of [400, 429, 500, 503]) {
+        const failed = run([{ afterMs: 5, result: createResponse({ status }) }], { route: nonIdempotent });
+        failed.reportCrashes("x", "y");
+        await failed.advance(2_000);
+        t.is(failed.countCrashes(), 2, `status ${status}`);
+    }
+    const served = run([ok(5)], { route: nonIdempotent });
+    served.reportCrashes("x", "y");
+    await served.advance(2_000);
+    t.is(served.countCrashes(), 0);
+});
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -205,8 +205,9 @@
             response,
             target: attempt.reservation.registration.id,
         };
-        if (isWhole && response.body.kind === "whole") {
-            options.crashes.recordResponse(request.fingerprint);
+        const isSuccess = !isFailure && statusCode < 400;
+        if (isSuccess && response.body.kind === "whole") {
+            options.crashes.recordSuccess(request.fingerprint);
         }
         if (isFailure) {
             failure = isWhole ? final : failure;
@@ -226,18 +227,22 @@
             limits: request,
             handleEnd: end => {
                 log.logBody(attempt.reservation, end);
-                handleBodyEnd(attempt.reservation.registration, end);
+                handleBodyEnd(attempt.reservation.registration, end, isSuccess);
             },
         });
     };
 
     /** A target may also end in the middle of a response. */
-    const handleBodyEnd = (registration: routes.Registration, end: bodyForwarding.BodyEnd): void => {
+    const handleBodyEnd = (
+        registration: routes.Registration,
+        end: bodyForwarding.BodyEnd,
+        isSuccess: boolean,
+    ): void => {
         if (end.kind === "broken") {
             targets.recordBrokenBody(registration.id);
             options.recordLoss(request.fingerprint, registration);
-        } else if (end.kind === "whole") {
-            options.crashes.recordResponse(request.fingerprint);
+        } else if (end.kind === "whole" && isSuccess) {
+            options.crashes.recordSuccess(request.fingerprint);
         }
     };
 
--- a/src/node/routes/exchangeOptions.ts
+++ b/src/node/routes/exchangeOptions.ts
@@ -16,7 +16,7 @@
     readonly queue: admissionQueue.AdmissionQueue<targetPool.PickResult>;
     readonly sender: Pick<targetSender.TargetSender, "start">;
     readonly budget: routing.RetryBudget;
-    readonly crashes: Pick<crashes.RequestCrashes, "recordResponse" | "isBlocked">;
+    readonly crashes: Pick<crashes.RequestCrashes, "recordSuccess" | "isBlocked">;
     readonly logger: shared.Logger;
     readonly metrics: exchangeLog.ExchangeMetrics;
     /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -17,7 +17,7 @@
         scheduler,
         logger: silentLogger.createSilentLogger(),
         crashes: {
-            recordResponse: () => undefined,
+            recordSuccess: () => undefined,
             isBlocked: fingerprint => {
                 fingerprints.add(fingerprint);
                 return true;
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -164,7 +164,9 @@
                 take: () => undefined,
             }),
         /** Crashes at other VMs under equal requests. */
-        reportCrashes: () => ["x", "y", "z"].forEach(id => crashes.recordCrash("f", fixture.createRegistration(id))),
+        reportCrashes: (...ids: readonly string[]) =>
+            ids.forEach(id => crashes.recordCrash("f", fixture.createRegistration(id))),
+        countCrashes: () => crashes.listReports()[0]?.targetRuns.length ?? 0,
         loseTargets: () => lostTargetsEmitter.fire(),
         abortClient: () => client.abort(),
         getResponse: () => response,
