Keep crashes under a request by service, so that another one clears none

A request that crashes the targets of one part of a split route, and is served by those of another, was sent on without end, as each success cleared all crashes. The new test failed before: a success in the other service cleared two crashes. Reports name the service now; a success clears those of its own, and crashes in all services count together.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -42,9 +42,11 @@
     isEmpty(): boolean;
 }
 
-/** Runs of targets that have ended under a request since it was last served. */
+/** Runs of a service's targets that have ended under a request since one of them last served it. */
 export interface CrashReport {
     readonly fingerprint: string;
+    /** VMs of earlier versions do not say it. */
+    readonly service?: types.ServiceName;
     /** Successful responses that have cleared earlier crashes; a report with a greater number replaces the others. */
     readonly responses: number;
     readonly targetRuns: readonly string[];
@@ -52,6 +54,13 @@
     readonly expiresInMs: number;
 }
 
+/** A target from its start to its end. */
+export interface TargetRun {
+    readonly id: types.TargetId;
+    readonly service: types.ServiceName;
+    readonly startedAtMs: number;
+}
+
 /** Counts the targets that have ended under equal requests at all VMs. */
 export interface RequestCrashes {
     /**
@@ -59,14 +68,14 @@
      *
      * @param fingerprint - fingerprint of the request that it was running
      * @param target - the run of the target that has ended
-     * @returns the number of targets that have ended under the request
+     * @returns the number of targets that have ended under the request, in all services
      */
-    recordCrash(fingerprint: string, target: { readonly id: types.TargetId; readonly startedAtMs: number }): number;
+    recordCrash(fingerprint: string, target: TargetRun): number;
     /**
-     * Records that a target has served the request, which clears earlier crashes. Another response does not tell whether
-     * the target would have ended under it.
+     * Records that a target has served the request, which clears earlier crashes in its service. Another response does not
+     * tell whether the target would have ended under it, and other services run other code.
      */
-    recordSuccess(fingerprint: string): void;
+    recordSuccess(fingerprint: string, service: types.ServiceName): void;
     /**
      * Merges reports of peers.
      *
--- a/src/common/crashes/requestCrashes.test.ts
+++ b/src/common/crashes/requestCrashes.test.ts
@@ -17,7 +17,14 @@
     return { time, ...crashes };
 };
 
-const toRun = (name: string, startedAtMs = 1) => ({ id: ids.toTargetId(name), startedAtMs });
+const service = ids.toServiceName("bookings");
+const otherService = ids.toServiceName("profiles");
+const services = [service, otherService];
+const toRun = (name: string, startedAtMs = 1, ofService = service) => ({
+    id: ids.toTargetId(name),
+    service: ofService,
+    startedAtMs,
+});
 
 test("a request is refused after three targets have ended under it, each counted once", t => {
     const setup = createSetup();
@@ -38,7 +45,7 @@
     const late = setup.listReports();
     peer.applyReports(late);
     t.true(peer.isBlocked("f"));
-    setup.recordSuccess("f");
+    setup.recordSuccess("f", service);
     t.false(setup.isBlocked("f"));
     t.is(peer.applyReports(setup.listReports()).length, 1);
     t.false(peer.isBlocked("f"));
@@ -46,6 +53,21 @@
     t.false(peer.isBlocked("f"));
 });
 
+// Guards against a request that crashes the targets of one part of a split route, and is served by those of another.
+test("a success in one service clears no crashes in another, and crashes in all of them count together", t => {
+    const setup = createSetup();
+    const peer = createSetup();
+    setup.recordCrash("f", toRun("a"));
+    setup.recordCrash("f", toRun("b"));
+    setup.recordSuccess("f", otherService);
+    t.is(setup.recordCrash("f", toRun("c", 1, otherService)), 3);
+    setup.recordSuccess("f", otherService);
+    t.false(setup.isBlocked("f"));
+    t.is(setup.recordCrash("f", toRun("d")), 3);
+    peer.applyReports(setup.listReports());
+    t.true(peer.isBlocked("f"));
+});
+
 test("entries expire although peers repeat them", t => {
     const setup = createSetup();
     const peer = createSetup();
@@ -77,18 +99,23 @@
             const vm = vms[source.nextInt(vms.length)];
             switch (source.nextInt(4)) {
                 case 0:
-                    vm?.recordSuccess("f");
+                    vm?.recordSuccess("f", services[source.nextInt(2)] ?? service);
                     break;
-                case 1:
-                    vm?.recordCrash("f", toRun("abcdef"[source.nextInt(6)] ?? ""));
+                case 1: {
+                    const target = source.nextInt(6);
+                    vm?.recordCrash("f", toRun("abcdef"[target] ?? "", 1, services[target % 2]));
                     break;
+                }
                 default:
                     vm?.applyReports(sent.filter(() => source.nextInt(3) === 0));
             }
         }
         vms.forEach(vm => vm.applyReports(random.shuffle(sent, source)));
         const states = vms.map(vm =>
-            vm.listReports().map(({ responses, targetRuns }) => ({ responses, targetRuns: [...targetRuns].sort() })),
+            vm
+                .listReports()
+                .map(report => `${report.service} ${report.responses} ${[...report.targetRuns].sort().join()}`)
+                .sort(),
         );
         t.deepEqual(states[1], states[0], `seed ${seed}`);
         t.deepEqual(states[2], states[0], `seed ${seed}`);
--- a/src/common/crashes/requestCrashes.ts
+++ b/src/common/crashes/requestCrashes.ts
@@ -15,12 +15,24 @@
     readonly retentionMs: number;
 }
 
-interface Entry {
+/** Crashes in one service. */
+interface ServiceCrashes {
     readonly responses: number;
     readonly targetRuns: ReadonlySet<string>;
+}
+
+interface Entry {
+    readonly services: ReadonlyMap<shared.ServiceName, ServiceCrashes>;
     readonly expiresAtMs: number;
 }
 
+const noCrashes: ServiceCrashes = { responses: 0, targetRuns: new Set() };
+/** Stands for the service in reports that do not name it. */
+const unknownService = "" as shared.ServiceName;
+
+const countCrashes = (entry: Entry | undefined): number =>
+    [...(entry?.services.values() ?? [])].reduce((sum, { targetRuns }) => sum + targetRuns.size, 0);
+
 /**
  * Creates an empty registry.
  *
@@ -38,7 +50,7 @@
         return entry === undefined || entry.expiresAtMs <= clock.now() ? undefined : entry;
     };
 
-    const isAtLimit = (entry: Entry): boolean => entry.targetRuns.size >= limit;
+    const isAtLimit = (entry: Entry): boolean => countCrashes(entry) >= limit;
 
     /** Blocked requests are kept the longest, so that crashes under many others do not let them pass again. */
     const findLeastNeeded = (): string | undefined => {
@@ -69,59 +81,74 @@
         removeExcess();
     };
 
-    const toReport = (fingerprint: string, entry: Entry): types.CrashReport => ({
-        fingerprint,
-        responses: entry.responses,
-        targetRuns: [...entry.targetRuns],
-        expiresInMs: Math.round(entry.expiresAtMs - clock.now()),
-    });
-
-    const changeEntry = (fingerprint: string, fields: Pick<Entry, "responses" | "targetRuns">): void => {
-        const entry = { ...fields, expiresAtMs: clock.now() + retentionMs };
-        setEntry(fingerprint, entry);
-        changeEmitter.fire(toReport(fingerprint, entry));
+    const setService = (
+        fingerprint: string,
+        service: shared.ServiceName,
+        crashes: ServiceCrashes,
+        expiresAtMs: number,
+    ): void => {
+        const known = findEntry(fingerprint);
+        setEntry(fingerprint, {
+            services: new Map(known?.services).set(service, crashes),
+            expiresAtMs: Math.max(expiresAtMs, known?.expiresAtMs ?? 0),
+        });
+    };
+
+    const findCrashes = (fingerprint: string, service: shared.ServiceName): ServiceCrashes =>
+        findEntry(fingerprint)?.services.get(service) ?? noCrashes;
+
+    const toReports = (fingerprint: string, { services, expiresAtMs }: Entry): readonly types.CrashReport[] =>
+        [...services].map(([service, { responses, targetRuns }]) => ({
+            fingerprint,
+            service,
+            responses,
+            targetRuns: [...targetRuns],
+            expiresInMs: Math.round(expiresAtMs - clock.now()),
+        }));
+
+    const changeService = (fingerprint: string, service: shared.ServiceName, crashes: ServiceCrashes): void => {
+        setService(fingerprint, service, crashes, clock.now() + retentionMs);
+        const { responses, targetRuns } = crashes;
+        const report = { fingerprint, service, responses, targetRuns: [...targetRuns], expiresInMs: retentionMs };
+        changeEmitter.fire(report);
     };
 
     const applyReport = (report: types.CrashReport): boolean => {
-        const known = findEntry(report.fingerprint);
-        const responses = known?.responses ?? 0;
-        if (report.expiresInMs <= 0 || report.responses < responses) {
+        const { fingerprint, service = unknownService, responses } = report;
+        const known = findCrashes(fingerprint, service);
+        if (report.expiresInMs <= 0 || responses < known.responses) {
             return false;
         }
-        const knownRuns = report.responses === responses ? (known?.targetRuns ?? []) : [];
+        const knownRuns = responses === known.responses ? known.targetRuns : [];
         const targetRuns = new Set([...knownRuns, ...report.targetRuns]);
-        const isNew = report.responses > responses || targetRuns.size > (known?.targetRuns.size ?? 0);
+        const isNew = responses > known.responses || targetRuns.size > known.targetRuns.size;
         if (isNew) {
             // The time that is left comes with the report, so that VMs do not keep an entry alive for each other.
             const expiresAtMs = clock.now() + Math.min(retentionMs, report.expiresInMs);
-            setEntry(report.fingerprint, {
-                responses: report.responses,
-                targetRuns,
-                expiresAtMs: Math.max(expiresAtMs, known?.expiresAtMs ?? 0),
-            });
+            setService(fingerprint, service, { responses, targetRuns }, expiresAtMs);
         }
         return isNew;
     };
 
     return {
-        recordCrash: (fingerprint, target) => {
-            const known = findEntry(fingerprint);
-            const targetRuns = new Set(known?.targetRuns).add(`${target.id}/${target.startedAtMs}`);
-            if (targetRuns.size > (known?.targetRuns.size ?? 0)) {
-                changeEntry(fingerprint, { responses: known?.responses ?? 0, targetRuns });
+        recordCrash: (fingerprint, { id, service, startedAtMs }) => {
+            const known = findCrashes(fingerprint, service);
+            const targetRuns = new Set(known.targetRuns).add(`${id}/${startedAtMs}`);
+            if (targetRuns.size > known.targetRuns.size) {
+                changeService(fingerprint, service, { responses: known.responses, targetRuns });
             }
-            return targetRuns.size;
+            return countCrashes(findEntry(fingerprint));
         },
-        recordSuccess: fingerprint => {
-            const known = findEntry(fingerprint);
-            if (known !== undefined && known.targetRuns.size > 0) {
-                changeEntry(fingerprint, { responses: known.responses + 1, targetRuns: new Set() });
+        recordSuccess: (fingerprint, service) => {
+            const known = findCrashes(fingerprint, service);
+            if (known.targetRuns.size > 0) {
+                changeService(fingerprint, service, { responses: known.responses + 1, targetRuns: new Set() });
             }
         },
         applyReports: reports => reports.filter(applyReport),
         listReports: () => {
             removeExcess();
-            return [...entries].map(([fingerprint, entry]) => toReport(fingerprint, entry));
+            return [...entries].flatMap(([fingerprint, entry]) => toReports(fingerprint, entry));
         },
         isBlocked: fingerprint => {
             const entry = findEntry(fingerprint);
--- a/src/node/routes/crashMonitor.ts
+++ b/src/node/routes/crashMonitor.ts
@@ -56,8 +56,8 @@
         retentionMs,
     });
 
-    const logReport = ({ fingerprint, responses, targetRuns }: crashTypes.CrashReport): void =>
-        logger.info("crash: reported by a peer", { fingerprint, count: targetRuns.length, responses });
+    const logReport = ({ fingerprint, service, responses, targetRuns }: crashTypes.CrashReport): void =>
+        logger.info("crash: reported by a peer", { fingerprint, service, count: targetRuns.length, responses });
 
     /** Checks of targets that are about to start, by target, as all requests in flight at a target are lost at once. */
     const checks = new Map<shared.TargetId, LossCheck>();
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -207,7 +207,7 @@
         };
         const isSuccess = !isFailure && statusCode < 400;
         if (isSuccess && response.body.kind === "whole") {
-            options.crashes.recordSuccess(request.fingerprint);
+            options.crashes.recordSuccess(request.fingerprint, attempt.reservation.registration.service);
         }
         if (isFailure) {
             failure = isWhole ? final : failure;
@@ -242,7 +242,7 @@
             targets.recordBrokenBody(registration.id);
             options.recordLoss(request.fingerprint, registration);
         } else if (end.kind === "whole" && isSuccess) {
-            options.crashes.recordSuccess(request.fingerprint);
+            options.crashes.recordSuccess(request.fingerprint, registration.service);
         }
     };
 
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -238,7 +238,7 @@
             scheduleReports();
         },
         sendCrash: report => {
-            pendingCrashes.set(report.fingerprint, report);
+            pendingCrashes.set(`${report.fingerprint} ${report.service}`, report);
             scheduleReports();
         },
         dispose: () => {
