Count no crash at a VM that opens no connections to targets while others do

A VM whose new connections to targets are refused, while its open ones live on, took each target that reset an open connection for one that has ended: it asks on a new connection, which is refused. The new test failed before. Such a VM asks other targets on new connections too now; if none takes them, and another VM reaches targets, the loss does not count, as equal requests are passed on to that VM from then on.

--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -36,6 +36,12 @@
      * @returns true if this VM reaches targets
      */
     confirm(): Promise<boolean>;
+    /**
+     * Finds out whether this VM opens connections to targets; open ones may live on in a partition that refuses new ones.
+     *
+     * @returns true if it does
+     */
+    confirmNewConnections(): Promise<boolean>;
     readonly onDidChange: shared.Event<boolean>;
 }
 
@@ -178,6 +184,7 @@
             respondedAtMs = scheduler.now();
         },
         confirm,
+        confirmNewConnections: async () => !isCutOff && (await checkSample()),
         onDidChange: changeEmitter.event,
         dispose: () => {
             isDisposed = true;
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -33,13 +33,13 @@
 }
 
 export interface ConnectivityOptions {
-    readonly settings: types.RouteSettings;
+    readonly settings: Pick<types.RouteSettings, "vm" | "zone">;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     readonly set: targetSet.TargetSet;
     readonly limits: targetLimits.TargetLimits;
     readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
-    readonly sender: targetSender.TargetSender;
+    readonly sender: Pick<targetSender.TargetSender, "sendProbe" | "startRelayed">;
     /** Seed of the random numbers. */
     readonly seed: number;
     /** Whether clients use this VM. */
@@ -86,7 +86,8 @@
             case "response":
                 return result.head.target !== undefined && result.head.target !== registration.id;
             case "unreachable":
-                return true;
+                // A VM that opens no connections cannot tell, but passes equal requests on to VMs that can.
+                return (await reach.confirmNewConnections()) || listUsablePeers().length === 0;
             case "silent":
                 return false;
         }
