Pass requests on to another VM if one does not take them

Requests are passed on with Expect: 100-continue, and their body is held back until the other VM asks for it. One that does not within 150 ms cannot run the request, whether or not that may run twice, so it is offered to the next one. VMs that have not taken a request are tried last for 1.5 s, and standby VMs come after the active ones. The new tests, with a VM that takes connections and reads nothing, failed before: the end was 'failed' at the deadline.

--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -61,11 +61,7 @@
 
     const isUsable = (peer: routes.Peer): boolean => peer.vm !== settings.vm && activeVmSelection.canServe(peer);
 
-    /** The active VMs, which clients use too, or any others if none of those is usable. */
-    const listUsablePeers = (): readonly routes.Peer[] => {
-        const activeVms = options.listActiveVms().filter(isUsable);
-        return activeVms.length > 0 ? activeVms : options.listPeers().filter(isUsable);
-    };
+    const listUsablePeers = (): readonly routes.Peer[] => options.listPeers().filter(isUsable);
 
     const probe = (registration: routes.Registration, onNewConnection: boolean): Promise<targetSender.ProbeResult> => {
         const path = services.get(registration.service)?.healthPath ?? "/";
@@ -114,6 +110,7 @@
         zone: settings.zone,
         sender,
         listPeers: listUsablePeers,
+        listActiveVms: options.listActiveVms,
     });
     return { reach, relay, onDidLoseTargets: lostTargetsEmitter.event, hasEnded };
 };
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -48,6 +48,7 @@
             },
         },
         listPeers: () => peers,
+        listActiveVms: () => peers,
     });
     let end: peerRelay.RelayEnd | undefined | "pending" = "pending";
     void relay
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -11,8 +11,12 @@
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
-/** VMs to which a request is offered; the next one only if no connection to one could be opened. */
-const maxOfferedPeers = 2;
+/** VMs to which a request is offered; the next one only if one does not take it. */
+const maxOfferedPeers = 3;
+/** A VM takes a request within the way there and back, also between zones; one that is frozen does not. */
+const takeTimeoutMs = 150;
+/** A VM that has not taken a request is tried last for this time; VMs that are gone leave the list of peers by then. */
+const avoidanceMs = 1_500;
 /** The other VM responds at the deadline; this time allows for the way between the VMs. */
 const deadlineMarginMs = 50;
 /** Statuses of a VM's own responses that promise that the request has not run. */
@@ -31,7 +35,7 @@
      *
      * @param request - the request
      * @param history - targets at which the other VM may run it, and whether it may have run already
-     * @returns the end; undefined if no VM was reached, so that the request has not run there
+     * @returns the end; undefined if no VM has taken it, so that the request has not run there
      */
     run(request: exchangeRequest.ExchangeRequest, history: RequestHistory): Promise<RelayEnd | undefined>;
 }
@@ -44,6 +48,8 @@
     readonly sender: Pick<targetSender.TargetSender, "startRelayed">;
     /** VMs that reach targets. */
     listPeers(): readonly routes.Peer[];
+    /** Active VMs, which have open connections to targets. */
+    listActiveVms(): readonly routes.Peer[];
 }
 
 /** Whether the other VM states that the request has not run, which it knows of its own attempts only. */
@@ -58,17 +64,31 @@
  */
 export const createPeerRelay = (options: PeerRelayOptions): PeerRelay => {
     const { scheduler, logger } = options;
+    const avoidedUntilMs = new Map<shared.VmId, number>();
 
-    /** VMs of the same zone first, otherwise at random, so that the requests are spread over them. */
-    const listOfferedPeers = (): readonly routes.Peer[] => {
-        const isNear = (peer: routes.Peer): number => Number(peer.zone === options.zone);
+    const isAvoided = ({ vm }: routes.Peer): boolean => (avoidedUntilMs.get(vm) ?? 0) > scheduler.now();
+
+    const avoid = ({ vm }: routes.Peer): void => {
+        const nowMs = scheduler.now();
+        for (const [other, untilMs] of avoidedUntilMs) {
+            if (untilMs <= nowMs) {
+                avoidedUntilMs.delete(other);
+            }
+        }
+        avoidedUntilMs.set(vm, nowMs + avoidanceMs);
+    };
+
+    /** VMs that take requests first, of these the active ones, of these the near ones; otherwise at random. */
+    const listCandidates = (): readonly routes.Peer[] => {
+        const activeVms = new Set(options.listActiveVms().map(({ vm }) => vm));
+        const computeRank = (peer: routes.Peer): number =>
+            4 * Number(isAvoided(peer)) + 2 * Number(!activeVms.has(peer.vm)) + Number(peer.zone !== options.zone);
         return random
             .shuffle(options.listPeers(), options.random)
-            .sort((left, right) => isNear(right) - isNear(left))
-            .slice(0, maxOfferedPeers);
+            .sort((left, right) => computeRank(left) - computeRank(right));
     };
 
-    /** Sends a request to one VM; undefined if it was not reached. */
+    /** Sends a request to one VM; undefined if it has not taken it. */
     const sendToPeer = async (
         peer: routes.Peer,
         request: exchangeRequest.ExchangeRequest,
@@ -80,6 +100,7 @@
             address: peer.frontAddress,
             request: outgoing,
             maxTargets,
+            takeTimeoutMs,
             getRemainingMs: () => deadlineAtMs - scheduler.now(),
             isIdempotent: routeKind.isIdempotent(route.kind),
         });
@@ -111,14 +132,24 @@
     return {
         run: async (request, history) => {
             const startedAtMs = scheduler.now();
-            for (const peer of listOfferedPeers()) {
+            const offered = new Set<shared.VmId>();
+            while (offered.size < maxOfferedPeers && scheduler.now() < request.deadlineAtMs) {
+                // Other requests may have shown meanwhile which VMs take none.
+                const peer = listCandidates().find(({ vm }) => !offered.has(vm));
+                if (peer === undefined) {
+                    return undefined;
+                }
+                offered.add(peer.vm);
                 const end = await sendToPeer(peer, request, history);
+                if (end === undefined) {
+                    avoid(peer);
+                }
                 logger.info("relay: request passed on", {
                     request: request.outgoing.id,
                     route: request.route.name,
                     service: request.service,
                     vm: peer.vm,
-                    end: end?.kind ?? "unreachable",
+                    end: end?.kind ?? "not taken",
                     status: end?.kind === "relayed" ? end.response.statusCode : undefined,
                     latencyMs: Math.round(scheduler.now() - startedAtMs),
                 });
--- /dev/null
+++ b/src/node/routes/relayedRequests.test.ts
@@ -0,0 +1,106 @@
+import * as net from "node:net";
+import test from "ava";
+import * as ids from "../../common/ids.js";
+import * as random from "../../common/random.js";
+import * as routes from "../../common/routes/Types.js";
+import * as shared from "../../common/Types.js";
+import * as httpServer from "../../testing/http/httpServer.js";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as silentLogger from "../../testing/silentLogger.js";
+import * as systemScheduler from "../systemScheduler.js";
+import * as connectionPool from "./connectionPool.js";
+import * as peerRelay from "./peerRelay.js";
+import * as targetSender from "./targetSender.js";
+
+const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
+const body = Buffer.from("honing job");
+const closers: (() => void)[] = [];
+test.after.always(() => closers.forEach(close => close()));
+
+/** A VM that takes connections and reads nothing, as its process stands still. */
+const startFrozenVm = async (): Promise<{ readonly address: shared.Address; readonly sockets: net.Socket[] }> => {
+    const sockets: net.Socket[] = [];
+    const server = net.createServer({ pauseOnConnect: true }, socket => {
+        socket.on("error", () => undefined);
+        sockets.push(socket);
+    });
+    const address = await httpServer.waitForListening(server, "127.0.0.1:0");
+    closers.push(() => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    return { address, sockets };
+};
+
+const startVm = async (): Promise<{ readonly address: shared.Address; readonly bodies: string[] }> => {
+    const bodies: string[] = [];
+    const server = await httpServer.startHttpServer(async (request, response) => {
+        bodies.push((await httpServer.readBody(request)).toString());
+        response.writeHead(200, { "x-id": String(request.headers["x-id"]), "x-seal": "s", "Content-Length": 4 });
+        response.end("done");
+    });
+    closers.push(() => void server.close());
+    return { address: server.address, bodies };
+};
+
+const createRelay = (peers: readonly routes.Peer[]): peerRelay.PeerRelay => {
+    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
+    closers.push(pool.dispose);
+    return peerRelay.createPeerRelay({
+        scheduler,
+        logger: silentLogger.createSilentLogger(),
+        random: random.createRandom(1),
+        zone: fixture.zone,
+        sender: targetSender.createTargetSender({
+            pool,
+            dialect: fixture.testDialect,
+            scheduler,
+            handleHead: () => undefined,
+        }),
+        listPeers: () => peers,
+        listActiveVms: () => peers,
+    });
+};
+
+const relayJob = (relay: peerRelay.PeerRelay, kind: routes.RouteKind, sentBody: Buffer) =>
+    relay.run(
+        {
+            outgoing: {
+                id: "r1",
+                method: "POST",
+                url: "/jobs/1",
+                headers: ["host", "a", "x-id", "r1"],
+                body: sentBody,
+            },
+            route: fixture.createRoute({ kind }),
+            service: fixture.service,
+            deadlineAtMs: scheduler.now() + 2_000,
+            fingerprint: "f",
+            configurationVersion: 1,
+            signal: new AbortController().signal,
+        },
+        { maxTargets: 1, mayHaveRun: false },
+    );
+
+for (const kind of ["idempotent", "non-idempotent"] as const) {
+    // Guards against requests that wait until their deadline at a VM that is frozen.
+    test(`a request that a frozen VM does not take is passed on to another one (${kind})`, async t => {
+        const frozen = await startFrozenVm();
+        const live = await startVm();
+        const relay = createRelay([
+            fixture.createPeer("frozen", { frontAddress: frozen.address }),
+            fixture.createPeer("live", { frontAddress: live.address, zone: ids.toZoneName("far") }),
+        ]);
+        for (const sentBody of [body, Buffer.alloc(0)]) {
+            const startedAtMs = scheduler.now();
+            t.like(await relayJob(relay, kind, sentBody), { kind: "relayed", response: { statusCode: 200 } });
+            t.true(scheduler.now() - startedAtMs < 1_000);
+        }
+        t.deepEqual(live.bodies, [body.toString(), ""]);
+        t.is(frozen.sockets.length, 1, "the second request is offered to the other VM at once");
+        const received: Buffer[] = [];
+        frozen.sockets[0]?.on("data", (chunk: Buffer) => received.push(chunk)).resume();
+        await httpServer.waitMs(50);
+        t.false(Buffer.concat(received).includes(body), "a frozen VM that continues has no whole request to run");
+    });
+}
--- a/src/node/routes/responseParser.test.ts
+++ b/src/node/routes/responseParser.test.ts
@@ -15,6 +15,7 @@
 const parse = (text: string, sizes: readonly number[]): { readonly responses: readonly Parsed[]; fault?: string } => {
     const responses: Parsed[] = [];
     const parser = responseParser.createResponseParser({
+        handleInterim: () => undefined,
         handleHead: head => void responses.push({ statusCode: head.statusCode, body: "", isWhole: false }),
         handleBody: chunk => {
             const last = responses.at(-1);
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -28,6 +28,8 @@
 }
 
 export interface ResponseHandlers {
+    /** Called with the status of each interim response. */
+    handleInterim(statusCode: number): void;
     /** Called with each final response's head. */
     handleHead(head: ParsedHead): void;
     handleBody(chunk: Buffer): void;
@@ -116,6 +118,7 @@
             if (++interimResponses > maxInterimResponses) {
                 throw new Error("too many interim responses");
             }
+            handlers.handleInterim(statusCode);
             return 0;
         }
         const isEmpty = method === "HEAD" || hasNoBody(statusCode);
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -17,6 +17,7 @@
 const idleTimeoutMarginMs = 1_000;
 /** For targets that do not send their idle timeout. */
 const defaultIdleTimeoutMs = 5_000;
+const continueStatus = 100;
 /** Responses from this status on are failures, which are repeated or replaced and thus never streamed. */
 const firstFailureStatus = 500;
 
@@ -36,8 +37,10 @@
     | { readonly kind: "broken"; readonly reason: string };
 
 export interface ConnectionRequest {
-    /** Serialized head and body. */
+    /** Serialized head and body; without the body if that is held back. */
     readonly bytes: readonly Uint8Array[];
+    /** Body that is sent only when the server asks for it, which the head must tell it to do. */
+    readonly heldBody?: HeldBody;
     /** Id that the response must echo; undefined for probes. */
     readonly id: string | undefined;
     readonly method: string;
@@ -45,6 +48,12 @@
     handleHead?(statusCode: number, head: types.ResponseHead): void;
 }
 
+export interface HeldBody {
+    readonly bytes: readonly Uint8Array[];
+    /** Called when the body is sent. */
+    handleSent(): void;
+}
+
 export interface TargetConnection extends shared.Disposable {
     /** Sends a request; no other request may be in flight. */
     send(request: ConnectionRequest): Promise<SendResult>;
@@ -58,6 +67,7 @@
 interface PendingRequest {
     readonly request: ConnectionRequest;
     readonly resolve: (result: SendResult) => void;
+    isBodySent: boolean;
 }
 
 /** The response that is being received. */
@@ -127,10 +137,11 @@
 
     /** Ends the pending request once its response is complete; the connection is kept only if it is in a known state. */
     const finishRequest = (response: PartialResponse): void => {
+        const isSent = pendingRequest?.isBodySent === true && socket.writableLength === 0;
         pendingRequest = undefined;
         partialResponse = undefined;
         idleTimeoutMs = response.head.idleTimeoutMs ?? idleTimeoutMs;
-        if (!response.parsed.isKeepAlive || hasUnexpectedBytes || socket.writableLength > 0) {
+        if (!response.parsed.isKeepAlive || hasUnexpectedBytes || !isSent) {
             close("not kept open");
         }
     };
@@ -169,6 +180,24 @@
         );
     };
 
+    const write = (chunks: readonly Uint8Array[]): void => {
+        socket.cork();
+        chunks.forEach(bytes => socket.write(bytes));
+        socket.uncork();
+    };
+
+    const handleInterim = (statusCode: number): void => {
+        if (statusCode !== continueStatus || pendingRequest === undefined || pendingRequest.isBodySent) {
+            return;
+        }
+        pendingRequest.isBodySent = true;
+        const { heldBody } = pendingRequest.request;
+        if (heldBody !== undefined) {
+            heldBody.handleSent();
+            write(heldBody.bytes);
+        }
+    };
+
     const handleHead = (parsed: responseParser.ParsedHead): void => {
         if (pendingRequest === undefined) {
             hasUnexpectedBytes = true;
@@ -233,7 +262,12 @@
         streamed.resolveReceived();
     };
 
-    const parser = responseParser.createResponseParser({ handleHead, handleBody, handleEnd: handleEndOfResponse });
+    const parser = responseParser.createResponseParser({
+        handleInterim,
+        handleHead,
+        handleBody,
+        handleEnd: handleEndOfResponse,
+    });
 
     const handleData = (chunk: Buffer): void => {
         lastByteAtMs = clock.now();
@@ -276,13 +310,9 @@
                     resolve({ kind: "broken", reason: "closed" });
                     return;
                 }
-                pendingRequest = { request, resolve };
+                pendingRequest = { request, resolve, isBodySent: request.heldBody === undefined };
                 parser.startRequest(request.method);
-                socket.cork();
-                for (const bytes of request.bytes) {
-                    socket.write(bytes);
-                }
-                socket.uncork();
+                write(request.bytes);
             }),
         isReusable: nowMs =>
             !isClosed &&
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -23,7 +23,7 @@
 
 export type AttemptResult =
     | { readonly kind: "response"; readonly response: targetConnection.TargetResponse }
-    /** Nothing was sent, as no connection could be opened. */
+    /** No connection could be opened, or the other VM has not asked for the body, so that the request cannot have run. */
     | { readonly kind: "unreachable" }
     /** Nothing was sent, as the attempt was aborted before its connection was open. */
     | { readonly kind: "withdrawn" }
@@ -52,6 +52,8 @@
     /** Address for clients of the other VM. */
     readonly address: shared.Address;
     readonly maxTargets: number;
+    /** Time that the other VM has to ask for the body, in milliseconds. */
+    readonly takeTimeoutMs: number;
 }
 
 export interface Probe {
@@ -85,6 +87,12 @@
     return Buffer.from(`${text}\r\n`, "latin1");
 };
 
+type FormattedRequest = Pick<targetConnection.ConnectionRequest, "bytes">;
+
+interface HeldRequest extends FormattedRequest {
+    readonly heldBytes: readonly Uint8Array[];
+}
+
 const hasBody = (method: string, body: Buffer): boolean =>
     body.length > 0 || !/^(GET|HEAD|DELETE|OPTIONS|TRACE)$/.test(method);
 
@@ -112,13 +120,25 @@
     const computeRemainingMs = ({ getRemainingMs }: Pick<AttemptOptions, "getRemainingMs">): number =>
         Math.max(1, Math.floor(getRemainingMs()));
 
-    const formatRequest = (request: OutgoingRequest, formattedHeaders: readonly string[]): Uint8Array[] => {
+    const formatRequest = (request: OutgoingRequest, formattedHeaders: readonly string[]): FormattedRequest => {
         const headers = [...formattedHeaders];
         if (hasBody(request.method, request.body)) {
             headers.push("Content-Length", String(request.body.length));
         }
         const head = formatHead(request.method, request.url, headers);
-        return request.body.length > 0 ? [head, request.body] : [head];
+        return { bytes: request.body.length > 0 ? [head, request.body] : [head] };
+    };
+
+    /** A chunked body has bytes that can be held back even if it is empty: the last chunk. */
+    const formatHeldRequest = (request: OutgoingRequest, formattedHeaders: readonly string[]): HeldRequest => {
+        const { method, url, body } = request;
+        const headers = [...formattedHeaders, "Expect", "100-continue", "Transfer-Encoding", "chunked"];
+        const size = Buffer.from(`${body.length.toString(16)}\r\n`);
+        const end = Buffer.from("0\r\n\r\n");
+        return {
+            bytes: [formatHead(method, url, headers)],
+            heldBytes: body.length > 0 ? [size, body, Buffer.from("\r\n"), end] : [end],
+        };
     };
 
     const sendToTarget = (
@@ -142,11 +162,10 @@
         readonly address: shared.Address;
         readonly request: OutgoingRequest;
         readonly isIdempotent: boolean;
-        formatHeaders(): readonly string[];
         send(
             connection: targetConnection.TargetConnection,
-            request: targetConnection.ConnectionRequest,
-        ): Promise<targetConnection.SendResult>;
+            request: Pick<targetConnection.ConnectionRequest, "id" | "method">,
+        ): Promise<AttemptResult>;
     }): Attempt => {
         const { address } = attempt;
         let connection: targetConnection.TargetConnection | undefined;
@@ -167,8 +186,7 @@
             }
             isSent = true;
             const { id, method } = attempt.request;
-            const bytes = formatRequest(attempt.request, attempt.formatHeaders());
-            const result = await attempt.send(connection, { bytes, id, method });
+            const result = await attempt.send(connection, { id, method });
             const released = connection;
             if (result.kind === "response") {
                 void result.response.received.then(() => pool.release(released));
@@ -198,25 +216,39 @@
         return startRequest({
             ...attempt,
             address: registration.address,
-            formatHeaders: () =>
-                dialect.formatAttemptHeaders(request.headers, {
+            send: (connection, sent) => {
+                const headers = dialect.formatAttemptHeaders(request.headers, {
                     target: registration.id,
                     remainingMs: computeRemainingMs(attempt),
-                }),
-            send: (connection, sent) => sendToTarget(connection, registration, sent),
+                });
+                return sendToTarget(connection, registration, { ...sent, ...formatRequest(request, headers) });
+            },
         });
     };
 
-    const startRelayed = (relayed: RelayOptions): Attempt =>
-        startRequest({
-            ...relayed,
-            formatHeaders: () =>
-                dialect.formatRelayHeaders(relayed.request.headers, {
-                    maxTargets: relayed.maxTargets,
-                    remainingMs: computeRemainingMs(relayed),
-                }),
-            send: (connection, sent) => connection.send(sent),
+    const sendToPeer = async (
+        connection: targetConnection.TargetConnection,
+        relayed: RelayOptions,
+        sent: Pick<targetConnection.ConnectionRequest, "id" | "method">,
+    ): Promise<AttemptResult> => {
+        const headers = dialect.formatRelayHeaders(relayed.request.headers, {
+            maxTargets: relayed.maxTargets,
+            remainingMs: computeRemainingMs(relayed),
         });
+        const { bytes, heldBytes } = formatHeldRequest(relayed.request, headers);
+        let isTaken = false;
+        const timer = scheduler.schedule(relayed.takeTimeoutMs, () => connection.dispose());
+        const handleSent = (): void => {
+            isTaken = true;
+            timer.dispose();
+        };
+        const result = await connection.send({ ...sent, bytes, heldBody: { bytes: heldBytes, handleSent } });
+        timer.dispose();
+        return result.kind === "broken" && !isTaken ? { kind: "unreachable" } : result;
+    };
+
+    const startRelayed = (relayed: RelayOptions): Attempt =>
+        startRequest({ ...relayed, send: (connection, sent) => sendToPeer(connection, relayed, sent) });
 
     const sendProbe = async (probe: Probe): Promise<ProbeResult> => {
         const { registration } = probe;
