Use a VM that has started only once it has reached a target

A VM that started or restarted while it was cut off from all targets counted as reaching them for up to 1.75 s, until its first check, up to a second later, and the sample after it had failed. Clients and VMs that are cut off were directed to it meanwhile. It reports itself as reaching targets only after a response of one now, and checks every 100 ms until then. The new test failed before, as the VM counted as usable from its start.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -191,7 +191,7 @@
     /** CPU cores available to the VM; may be a fraction. */
     readonly cores: number;
     readonly isReady: boolean;
-    /** Whether the VM reaches no target; VMs of earlier versions do not say so. */
+    /** Whether the VM reaches no target, or has not reached one since its start; VMs of earlier versions do not say so. */
     readonly isCutOff?: boolean;
     /** Rate of requests that the VM receives from clients. */
     readonly requestsPerSecond: number;
--- a/src/common/routes/targetReach.test.ts
+++ b/src/common/routes/targetReach.test.ts
@@ -63,6 +63,21 @@
     t.deepEqual(changes, [true]);
 });
 
+// Guards against VMs that start during a partition, and are used until they notice that they reach no target.
+test("a VM that starts is used only once it has reached a target, which it finds out at once", async t => {
+    const { scheduler, reach, unreachable, cut } = createSetup(8);
+    cut();
+    t.false(reach.isConfirmed());
+    await scheduler.advance(200);
+    t.true(reach.isCutOff());
+    unreachable.clear();
+    await scheduler.advance(1_100);
+    t.true(reach.isConfirmed());
+    const other = createSetup(8);
+    await other.scheduler.advance(200);
+    t.true(other.reach.isConfirmed());
+});
+
 test("a VM that reaches some targets is not cut off", async t => {
     const { scheduler, reach, cut } = createSetup(8);
     cut(5);
--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -10,6 +10,8 @@
 import * as types from "./Types.js";
 
 const checkIntervalMs = 1_000;
+/** A VM that has just started is used only once it has reached a target. */
+const startCheckIntervalMs = 100;
 /** A VM that reaches no target checks several of them in this interval. */
 const cutOffCheckIntervalMs = 500;
 const maxCheckedTargets = 6;
@@ -28,6 +30,8 @@
     start(): void;
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
+    /** Whether this VM has reached a target since its start, and has not lost its way to them. */
+    isConfirmed(): boolean;
     /** Records that a target has responded to a request. */
     recordResponse(): void;
     /**
@@ -85,6 +89,7 @@
     let isCutOff = false;
     let goodChecks = 0;
     let respondedAtMs = -Infinity;
+    let hasReachedTarget = false;
     let runningCheck: Promise<boolean> | undefined;
     /** The target that a VM on standby checks, whose connection is kept meanwhile. */
     let keptTarget: shared.TargetId | undefined;
@@ -122,10 +127,16 @@
         }
     };
 
+    const check = async (target: types.Registration, onNewConnection: boolean): Promise<CheckResult> => {
+        const result = await options.check(target, onNewConnection);
+        hasReachedTarget ||= result === "response";
+        return result;
+    };
+
     const runSampleCheck = async (): Promise<boolean> => {
         const sample = pickSample(options.listTargets(), maxCheckedTargets, options.random);
         const startedAtMs = scheduler.now();
-        applyResults(await Promise.all(sample.map(target => options.check(target, true))), startedAtMs);
+        applyResults(await Promise.all(sample.map(target => check(target, true))), startedAtMs);
         return !isCutOff;
     };
 
@@ -149,14 +160,21 @@
         const target = kept ?? pickNearTarget(targets);
         keptTarget = target?.id;
         keptChecks = kept === undefined ? 0 : keptChecks + 1;
-        return target === undefined || (await options.check(target, kept === undefined)) === "response";
+        return target === undefined || (await check(target, kept === undefined)) === "response";
     };
 
     const checkAtInterval = async (): Promise<void> => {
         if (isCutOff || !(await checkNearTarget())) {
             await checkSample();
         }
-        scheduleCheck(isCutOff ? cutOffCheckIntervalMs : checkIntervalMs);
+        scheduleCheck(computeCheckIntervalMs());
+    };
+
+    const computeCheckIntervalMs = (): number => {
+        if (isCutOff) {
+            return cutOffCheckIntervalMs;
+        }
+        return hasReachedTarget ? checkIntervalMs : startCheckIntervalMs;
     };
 
     const scheduleCheck = (delayMs: number): void => {
@@ -178,10 +196,12 @@
     };
 
     return {
-        start: () => scheduleCheck(options.random.nextFloat() * checkIntervalMs),
+        start: () => scheduleCheck(options.random.nextFloat() * startCheckIntervalMs),
         isCutOff: () => isCutOff,
+        isConfirmed: () => hasReachedTarget && !isCutOff,
         recordResponse: () => {
             respondedAtMs = scheduler.now();
+            hasReachedTarget = true;
         },
         confirm,
         confirmNewConnections: async () => !isCutOff && (await checkSample()),
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -49,7 +49,7 @@
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     isReady(): boolean;
-    /** Whether this VM reaches no target. */
+    /** Whether this VM reaches no target, as far as it knows. */
     isCutOff(): boolean;
     computeRequestRate(): number;
     /** Applies reports about targets; returns those that were new. */
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -83,7 +83,7 @@
         scheduler,
         logger,
         isReady,
-        isCutOff: () => reach.isCutOff(),
+        isCutOff: () => !reach.isConfirmed(),
         computeRequestRate: requestRate.compute,
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
