Know the VMs of a lost hub while no other one can serve

Callers of VMs that reach no target got 503 for 1.4 s after the hub had frozen: the list of peers came from the hub alone, so that such a VM knew only itself and those that found the same next hub, which were cut off, too.

The new test failed before: the VM that reaches targets was not known right after the loss.

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -5,6 +5,7 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
+import * as formerPeers from "../../common/routes/formerPeers.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -37,6 +38,8 @@
     isConnected(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
+    /** VMs that hubs which were lost a short time ago were connected to. */
+    listFormerPeers(): readonly routes.Peer[];
     /** Number of VMs that have been reported to this VM and not reported as left since. */
     countCandidates(): number;
     /** Adds a VM that may be a hub. */
@@ -97,6 +100,7 @@
     const { scheduler, logger } = options;
     const retryAtMs = new Map<shared.Address, number>();
     const candidates = new Map<shared.VmId, routes.Peer>();
+    const former = formerPeers.createFormerPeers(scheduler);
     let hub: HubConnection | undefined;
     let isDisposed = false;
     let isSearching = false;
@@ -162,9 +166,16 @@
         for (const vm of heartbeat.left) {
             connection.peers.delete(vm);
             candidates.delete(vm);
+            former.remove(vm);
         }
     };
 
+    /** A hub that has closed the connection or fallen silent is probably gone itself. */
+    const keepFormerPeers = (dropped: HubConnection, reason: LossReason): void => {
+        const mayLive = (peer: routes.Peer): boolean => peer.peerAddress !== dropped.address || reason === "not useful";
+        former.add([...dropped.peers.values()].filter(mayLive));
+    };
+
     /** Sends a hello to a VM and waits for its first heartbeat. */
     const waitForHeartbeat = (socket: net.Socket, address: shared.Address): Promise<HubConnection | undefined> =>
         new Promise(resolve => {
@@ -226,6 +237,7 @@
         if (dropped !== undefined) {
             logger.warn("peer: hub lost", { address: dropped.address, reason });
             setRetryDelay(dropped.address, lossRetryDelaysMs[reason]);
+            keepFormerPeers(dropped, reason);
             dropped.channel.dispose();
             storeFallbackTimer?.dispose();
             storeFallbackTimer = scheduler.schedule(storeFallbackDelayMs, () => {
@@ -305,6 +317,7 @@
         },
         isConnected: () => hub !== undefined,
         listPeers: () => [...(hub?.peers.values() ?? [])],
+        listFormerPeers: former.list,
         countCandidates: () => candidates.size,
         addCandidate: peer => {
             candidates.set(peer.vm, peer);
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -1,3 +1,4 @@
+import * as timers from "node:timers/promises";
 import test from "ava";
 import * as ids from "../../common/ids.js";
 import * as fixture from "../../testing/routes/fixture.js";
@@ -41,6 +42,32 @@
     remaining.forEach(vm => vm.member.dispose());
 });
 
+// Guards against VMs that direct clients only to themselves, although they reach no target, until they know the next hub.
+test("while VMs that reach no target look for the next hub, they know the VMs that reach targets", async t => {
+    const store = createStore();
+    const [first = 0, second = 0, third = 0, fourth = 0] = await acquirePorts(4);
+    const seeds = [first, second, third];
+    const hub = await startVm("hub", { store, port: first, seeds });
+    const next = await startVm("next", { store, port: second, seeds, isCutOff: true });
+    const cutOff = await startVm("cut-off", { store, port: third, seeds, isCutOff: true });
+    const serving = await startVm("serving", { store, port: fourth, seeds });
+    const all = [hub, next, cutOff, serving];
+    t.true(await waitUntil(() => all.every(vm => vm.member.listPeers().length === 4)));
+    hub.member.dispose();
+    const knowsServing = (vm: typeof hub): boolean => vm.member.listPeers().some(peer => peer.vm === serving.vm);
+    // Here the next hub is found within milliseconds.
+    for (const untilMs = Date.now() + 1_000; Date.now() < untilMs;) {
+        await timers.setImmediate();
+        if (!knowsServing(next) || !knowsServing(cutOff)) {
+            t.fail("the VM that reaches targets is not known");
+            break;
+        }
+    }
+    const remaining = all.slice(1);
+    t.true(await waitUntil(() => remaining.every(vm => vm.member.listPeers().length === 3)));
+    remaining.forEach(vm => vm.member.dispose());
+});
+
 test("when only the hub cannot reach the store, the other VMs still receive changes", async t => {
     const { store, vms } = await startVms(3);
     t.true(await waitUntil(() => vms.every(vm => vm.member.listPeers().length === 3 && vm.getVersion() === 1)));
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,6 +1,7 @@
 /**
  * Membership of this VM: registers it, follows a hub or the store, and forwards changes to its followers.
  */
+import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
@@ -29,7 +30,10 @@
     isConnected(): boolean;
     /** Age of this VM's own view of the store; infinite if it does not follow it. */
     computeStoreAgeMs(): number;
-    /** VMs that are alive as far as this VM knows, in the order of peers; always includes this one. */
+    /**
+     * VMs that are alive as far as this VM knows, in the order of peers; always includes this one. After the loss of a hub,
+     * those that it had reported are included while no other one that is known can serve.
+     */
     listPeers(): readonly routes.Peer[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
@@ -110,7 +114,7 @@
                   logger,
                   getOwnPeer,
                   computeOverdueMs,
-                  listKnownPeers: () => listPeers(),
+                  listKnownPeers: () => listConnectedPeers(),
                   isHub: () => !link.isConnected(),
                   handlePeer: peer => {
                       link.addCandidate(peer);
@@ -156,7 +160,7 @@
         handleStoreNeed: needsStore => (needsStore ? ownStoreFollower.start() : ownStoreFollower.stop()),
     });
 
-    const listPeers = (): readonly routes.Peer[] => {
+    const listConnectedPeers = (): readonly routes.Peer[] => {
         if (!link.isConnected()) {
             return hub?.listPeers() ?? [getOwnPeer()];
         }
@@ -164,6 +168,16 @@
         return [...others, getOwnPeer()].sort(peerOrder.comparePeers);
     };
 
+    const listPeers = (): readonly routes.Peer[] => {
+        const connected = listConnectedPeers();
+        if (connected.some(activeVmSelection.canServe)) {
+            return connected;
+        }
+        const vms = new Set(connected.map(({ vm }) => vm));
+        const former = link.listFormerPeers().filter(({ vm }) => !vms.has(vm));
+        return [...connected, ...former].sort(peerOrder.comparePeers);
+    };
+
     const sendPendingReports = (): void => {
         reportTimer = undefined;
         const reports = {
--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -101,6 +101,7 @@
         readonly port: number;
         readonly seeds: readonly number[];
         readonly cores?: number;
+        readonly isCutOff?: boolean;
         /** False for a VM whose start time is now, but which does not listen yet. */
         readonly isStarted?: boolean;
     },
@@ -143,7 +144,7 @@
         scheduler,
         logger: silentLogger.createSilentLogger(),
         isReady: () => true,
-        isCutOff: () => false,
+        isCutOff: () => options.isCutOff ?? false,
         computeRequestRate: () => 0,
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
