--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -31,8 +31,8 @@
      * @returns the new count
      */
     recordCrash(fingerprint: string, target: types.TargetId): number;
-    /** Records that a request with this fingerprint got a response, which resets a count below the limit. */
-    recordResponse(fingerprint: string): void;
+    /** Records that a target has served a request with this fingerprint, which resets a count below the limit. */
+    recordSuccess(fingerprint: string): void;
     /** Merges the count of a peer; the greater count is kept. */
     mergeCount(fingerprint: string, count: number): void;
     /** Whether requests with this fingerprint are refused. */
--- a/src/common/crashes/crashRegistry.ts
+++ b/src/common/crashes/crashRegistry.ts
@@ -84,7 +84,7 @@
             setCount(fingerprint, count + 1);
             return count + 1;
         },
-        recordResponse: fingerprint => {
+        recordSuccess: fingerprint => {
             if (getCount(fingerprint) < limit) {
                 entries.delete(fingerprint);
             }
--- a/src/common/crashes/crashes.test.ts
+++ b/src/common/crashes/crashes.test.ts
@@ -13,19 +13,19 @@
 const second = ids.toTargetId("t2");
 
 // Without this, two equal harmless requests in flight during one crash were blocked on all VMs for ten minutes.
-test("broken connections to a target within a second are one crash; a response resets a count below the limit", t => {
+test("broken connections to a target within a second are one crash; a success resets a count below the limit", t => {
     const setup = createSetup();
     t.is(setup.recordCrash("f", first), 1);
     t.is(setup.recordCrash("f", first), 1);
     setup.time.nowMs = 999;
     t.is(setup.recordCrash("f", first), 1);
-    setup.recordResponse("f");
+    setup.recordSuccess("f");
     t.true(setup.isEmpty());
     setup.time.nowMs = 2_000;
     setup.recordCrash("f", first);
     setup.time.nowMs = 3_000;
     t.is(setup.recordCrash("f", first), 2, "a second crash of the same target");
-    setup.recordResponse("f");
+    setup.recordSuccess("f");
     t.true(setup.isBlocked("f"), "a blocked request stays blocked until its entry expires");
 });
 
--- a/src/node/entry/callPath.ts
+++ b/src/node/entry/callPath.ts
@@ -84,7 +84,7 @@
             isBlocked: options.crashes.isBlocked,
             recordCrash: (fingerprint, target) =>
                 options.publishCrash(fingerprint, options.crashes.recordCrash(fingerprint, target)),
-            recordResponse: options.crashes.recordResponse,
+            recordSuccess: options.crashes.recordSuccess,
         },
         traces,
         isFresh: options.isFresh,
--- a/src/node/front/Types.ts
+++ b/src/node/front/Types.ts
@@ -81,15 +81,15 @@
     isBlocked(fingerprint: string): boolean;
     /** Resolves when the crash has been reported to the peers, or after a short timeout. */
     recordCrash(fingerprint: string, target: types.TargetId): Promise<void>;
-    /** A request with this fingerprint got a response, so it did not cause an earlier broken connection. */
-    recordResponse(fingerprint: string): void;
+    /** A target has served a request with this fingerprint, so it did not cause an earlier broken connection. */
+    recordSuccess(fingerprint: string): void;
 }
 
 /** Dependencies of the target and peer forwarders. */
 export interface ForwarderOptions {
     readonly scheduler: types.Scheduler;
     readonly logger: types.Logger;
-    readonly sender: forward.Sender;
+    readonly sender: Pick<forward.Sender, "send">;
     readonly crashes: CrashCounts;
     readonly traces: TraceStore;
     /** Whether the configuration was confirmed recently enough; checked when the first byte is written. */
--- a/src/node/front/callRunner.test.ts
+++ b/src/node/front/callRunner.test.ts
@@ -30,7 +30,7 @@
             isEmpty: () => true,
             isBlocked: () => false,
             recordCrash: () => Promise.resolve(),
-            recordResponse: () => undefined,
+            recordSuccess: () => undefined,
         },
         traces: { record: () => undefined, find: () => undefined },
         computeFingerprint: () => "",
--- a/src/node/front/targetForwarder.ts
+++ b/src/node/front/targetForwarder.ts
@@ -151,8 +151,9 @@
         );
         grant.release({ kind: "answered", latencyMs, report });
         options.recordLatency(call.head.service, latencyMs);
-        if (!options.crashes.isEmpty()) {
-            options.crashes.recordResponse(options.computeFingerprint(call));
+        const isSuccess = head.status < 400 && relayed.end.kind === "complete";
+        if (isSuccess && !options.crashes.isEmpty()) {
+            options.crashes.recordSuccess(options.computeFingerprint(call));
         }
         traces.record(call.head.id, `${grant.target.id} responded with ${head.status}, body ${relayed.end.kind}`);
         const keptResponse = relayed.end.kind === "complete" ? relayed.kept : { ...relayed.kept, body: undefined };
