Look beyond the active VMs only if none of them takes a request

Each request that was passed on sorted all VMs; at hundreds of VMs that is work for every request of a VM that is cut off.

--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -110,7 +110,7 @@
         zone: settings.zone,
         sender,
         listPeers: listUsablePeers,
-        listActiveVms: options.listActiveVms,
+        listActiveVms: () => options.listActiveVms().filter(isUsable),
     });
     return { reach, relay, onDidLoseTargets: lostTargetsEmitter.event, hasEnded };
 };
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import * as ids from "../../common/ids.js";
 import * as random from "../../common/random.js";
 import * as routes from "../../common/routes/Types.js";
 import * as fixture from "../../testing/routes/fixture.js";
@@ -21,6 +22,7 @@
     peers: readonly routes.Peer[],
     steps: readonly (targetSender.AttemptResult | undefined)[],
     mayHaveRun = false,
+    activeVms = peers,
 ) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const offered: string[] = [];
@@ -48,7 +50,7 @@
             },
         },
         listPeers: () => peers,
-        listActiveVms: () => peers,
+        listActiveVms: () => activeVms,
     });
     let end: peerRelay.RelayEnd | undefined | "pending" = "pending";
     void relay
@@ -88,6 +90,12 @@
     t.deepEqual(broken.getEnd(), { kind: "failed", reason: "ECONNRESET", statusCode: 502 });
 });
 
+test("active VMs are tried first, also far ones, then those on standby", async t => {
+    const standby = fixture.createPeer("standby", { frontAddress: ids.toAddress("127.0.0.1:9") });
+    const { offered } = await run([standby, far], [unreachable, { kind: "response", response }], false, [far]);
+    t.deepEqual(offered, [far.frontAddress, standby.frontAddress]);
+});
+
 test("a request that no VM takes has not run", async t => {
     t.is((await run([], [])).getEnd(), undefined);
     t.is((await run([far, near], [unreachable, unreachable])).getEnd(), undefined);
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -46,9 +46,9 @@
     readonly random: shared.Random;
     readonly zone: shared.ZoneName;
     readonly sender: Pick<targetSender.TargetSender, "startRelayed">;
-    /** VMs that reach targets. */
+    /** All VMs that reach targets. */
     listPeers(): readonly routes.Peer[];
-    /** Active VMs, which have open connections to targets. */
+    /** The active ones of them, which have open connections to targets. */
     listActiveVms(): readonly routes.Peer[];
 }
 
@@ -78,14 +78,16 @@
         avoidedUntilMs.set(vm, nowMs + avoidanceMs);
     };
 
-    /** VMs that take requests first, of these the active ones, of these the near ones; otherwise at random. */
-    const listCandidates = (): readonly routes.Peer[] => {
-        const activeVms = new Set(options.listActiveVms().map(({ vm }) => vm));
+    /** Picks a VM that takes requests, an active one if there is one, and a near one of these; otherwise at random. */
+    const pickPeer = (offered: ReadonlySet<shared.VmId>): routes.Peer | undefined => {
+        const isLeft = ({ vm }: routes.Peer): boolean => !offered.has(vm);
+        const activeVms = options.listActiveVms().filter(peer => isLeft(peer) && !isAvoided(peer));
+        const candidates = activeVms.length > 0 ? activeVms : options.listPeers().filter(isLeft);
         const computeRank = (peer: routes.Peer): number =>
-            4 * Number(isAvoided(peer)) + 2 * Number(!activeVms.has(peer.vm)) + Number(peer.zone !== options.zone);
+            2 * Number(isAvoided(peer)) + Number(peer.zone !== options.zone);
         return random
-            .shuffle(options.listPeers(), options.random)
-            .sort((left, right) => computeRank(left) - computeRank(right));
+            .shuffle(candidates, options.random)
+            .sort((left, right) => computeRank(left) - computeRank(right))[0];
     };
 
     /** Sends a request to one VM; undefined if it has not taken it. */
@@ -135,7 +137,7 @@
             const offered = new Set<shared.VmId>();
             while (offered.size < maxOfferedPeers && scheduler.now() < request.deadlineAtMs) {
                 // Other requests may have shown meanwhile which VMs take none.
-                const peer = listCandidates().find(({ vm }) => !offered.has(vm));
+                const peer = pickPeer(offered);
                 if (peer === undefined) {
                     return undefined;
                 }
