--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -36,6 +36,8 @@
     | { readonly kind: "leave"; readonly target: number }
     /** A request that crashes each target that runs it comes again and again, at all VMs in turn. */
     | { readonly kind: "crashing-request"; readonly mode: CrashMode; readonly gapMs: number; readonly forMs: number }
+    /** The same harmless request comes again and again, at all VMs in turn, so that equal ones are in flight together. */
+    | { readonly kind: "repeated-request"; readonly gapMs: number; readonly forMs: number }
     /** Another writer leaves entries in all tables that cannot be used. */
     | { readonly kind: "odd-entries" }
     /** Switches the moving routes to the other service. */
