--- a/src/node/routes/connectivity.test.ts
+++ b/src/node/routes/connectivity.test.ts
@@ -30,6 +30,7 @@
         set,
         limits: fixture.createTargetLimits(scheduler),
         services: new Map(),
+        metrics: { recordRelay: () => undefined },
         sender: {
             startRelayed: () => {
                 throw new Error("nothing is passed on");
--- a/src/node/routes/connectivity.ts
+++ b/src/node/routes/connectivity.ts
@@ -10,6 +10,7 @@
 import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as metrics from "./metrics.js";
 import * as peerRelay from "./peerRelay.js";
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
@@ -39,6 +40,7 @@
     readonly set: targetSet.TargetSet;
     readonly limits: targetLimits.TargetLimits;
     readonly services: ReadonlyMap<shared.ServiceName, routes.RoutedService>;
+    readonly metrics: Pick<metrics.RouteMetrics, "recordRelay">;
     readonly sender: Pick<targetSender.TargetSender, "sendProbe" | "startRelayed">;
     /** Seed of the random numbers. */
     readonly seed: number;
@@ -108,6 +110,7 @@
         logger,
         random: source,
         zone: settings.zone,
+        metrics: options.metrics,
         sender,
         listPeers: listUsablePeers,
         listActiveVms: () => options.listActiveVms().filter(isUsable),
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -42,6 +42,7 @@
     routeMetrics.recordHedge();
     routeMetrics.recordProbe(false);
     routeMetrics.recordCrash("unconfirmed");
+    routeMetrics.recordRelay("not taken");
     const text = await routeMetrics.format();
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.1",end="served"\} 0/);
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.15",end="served"\} 1/);
@@ -50,6 +51,7 @@
     t.regex(text, /tarragonpath_hedges_total 1/);
     t.regex(text, /tarragonpath_probes_total\{answered="false"\} 1/);
     t.regex(text, /tarragonpath_crashes_total\{end="unconfirmed"\} 1/);
+    t.regex(text, /tarragonpath_relays_total\{end="not taken"\} 1/);
     t.regex(text, /tarragonpath_blocked_requests 2/);
     t.regex(text, /tarragonpath_configuration_version 12/);
     t.regex(text, /tarragonpath_store_age_seconds \+Inf/);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -15,6 +15,9 @@
 /** Whether a target that was lost under a request has ended; without a way to the targets this cannot be confirmed. */
 export type CrashEnd = "counted" | "alive" | "unconfirmed";
 
+/** What became of a request that was passed on to another VM; "not taken" if it has not run there. */
+export type RelayOutcome = "relayed" | "failed" | "abandoned" | "not taken";
+
 /** Values that are read on each scrape. */
 export interface MetricSources {
     /** Version of the current configuration; undefined before the first. */
@@ -47,6 +50,7 @@
     recordLimited(): void;
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
+    recordRelay(outcome: RelayOutcome): void;
     /** Counts a target that has ended under a request, or seems to have. */
     recordCrash(end: CrashEnd): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
@@ -144,6 +148,12 @@
         labelNames: ["answered"],
         registers,
     });
+    const relays = new promClient.Counter({
+        name: `${namePrefix}relays_total`,
+        help: "Requests that were passed on to another VM, by what became of them there.",
+        labelNames: ["end"],
+        registers,
+    });
     const unknownValues = new promClient.Counter({
         name: `${namePrefix}unknown_values_total`,
         help: "Values in applied configurations that this version does not know, by field.",
@@ -197,6 +207,7 @@
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
+        recordRelay: outcome => relays.inc({ end: outcome }),
         recordCrash: end => crashes.inc({ end }),
         recordLimited: () => limitedAttempts.inc(),
         recordStreamedBody: end => {
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -5,6 +5,7 @@
 import * as fixture from "../../testing/routes/fixture.js";
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as metrics from "./metrics.js";
 import * as peerRelay from "./peerRelay.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
@@ -26,12 +27,14 @@
 ) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const offered: string[] = [];
+    const outcomes: metrics.RelayOutcome[] = [];
     const remainingSteps = [...steps];
     const relay = peerRelay.createPeerRelay({
         scheduler,
         logger: silentLogger.createSilentLogger(),
         random: random.createRandom(3),
         zone: fixture.zone,
+        metrics: { recordRelay: outcome => void outcomes.push(outcome) },
         sender: {
             startRelayed: ({ address }) => {
                 offered.push(address);
@@ -68,7 +71,7 @@
         )
         .then(relayEnd => (end = relayEnd));
     await scheduler.advance(0);
-    return { scheduler, offered, getEnd: () => end };
+    return { scheduler, offered, outcomes, getEnd: () => end };
 };
 
 const near = fixture.createPeer("near");
@@ -85,6 +88,7 @@
     const second = await run([far, near], [unreachable, { kind: "response", response }]);
     t.deepEqual(second.offered, [near.frontAddress, far.frontAddress]);
     t.deepEqual(second.getEnd(), { kind: "relayed", response });
+    t.deepEqual(second.outcomes, ["not taken", "relayed"]);
     const broken = await run([far, near], [{ kind: "broken", reason: "ECONNRESET" }]);
     t.deepEqual(broken.offered, [near.frontAddress]);
     t.deepEqual(broken.getEnd(), { kind: "failed", reason: "ECONNRESET", statusCode: 502 });
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -8,6 +8,7 @@
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeRequest from "./exchangeRequest.js";
+import * as metrics from "./metrics.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
@@ -45,6 +46,7 @@
     readonly logger: shared.Logger;
     readonly random: shared.Random;
     readonly zone: shared.ZoneName;
+    readonly metrics: Pick<metrics.RouteMetrics, "recordRelay">;
     readonly sender: Pick<targetSender.TargetSender, "startRelayed">;
     /** All VMs that reach targets. */
     listPeers(): readonly routes.Peer[];
@@ -146,12 +148,14 @@
                 if (end === undefined) {
                     avoid(peer);
                 }
+                const outcome = end?.kind ?? "not taken";
+                options.metrics.recordRelay(outcome);
                 logger.info("relay: request passed on", {
                     request: request.outgoing.id,
                     route: request.route.name,
                     service: request.service,
                     vm: peer.vm,
-                    end: end?.kind ?? "not taken",
+                    end: outcome,
                     status: end?.kind === "relayed" ? end.response.statusCode : undefined,
                     latencyMs: Math.round(scheduler.now() - startedAtMs),
                 });
--- a/src/node/routes/relayedRequests.test.ts
+++ b/src/node/routes/relayedRequests.test.ts
@@ -51,6 +51,7 @@
         logger: silentLogger.createSilentLogger(),
         random: random.createRandom(1),
         zone: fixture.zone,
+        metrics: { recordRelay: () => undefined },
         sender: targetSender.createTargetSender({
             pool,
             dialect: fixture.testDialect,
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -165,6 +165,7 @@
         set,
         limits,
         services,
+        metrics: { recordRelay: outcome => routeMetrics.recordRelay(outcome) },
         sender,
         seed: crypto.randomInt(2 ** 31),
         isActive: role.isActive,
