--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -23,7 +23,7 @@
 /** Statuses of a VM's own responses that promise that the request has not run. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** The response of another VM; undefined if the request was sent to none. */
+/** How a request has ended at another VM that has taken it. */
 export type RelayEnd =
     | { readonly kind: "relayed"; readonly response: targetConnection.TargetResponse }
     | Extract<exchangeRequest.FinalResponse, { kind: "failed" | "abandoned" }>;
