--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -188,10 +188,12 @@
                 `send ${request.id} ${request.method} ${request.path} to ${connection.address}${wasKept ? " (kept)" : ""}`,
             );
             const sentTo = connection.address;
+            const sentAtMs = performance.now();
             const end = await sendRequest(connection, { ...request, host });
             const status = end.kind === "answer" ? ` ${end.status}${end.isComplete ? "" : " incomplete"}` : "";
             record.add(`end ${request.id} ${end.kind}${status}`);
-            options.handleEnd({ request, end, wasKept, address: sentTo, atMs: performance.now() });
+            const atMs = performance.now();
+            options.handleEnd({ request, end, wasKept, address: sentTo, atMs, tookMs: atMs - sentAtMs });
         }
         connection?.socket.destroy();
     };
--- a/review/lib/daemons.mjs
+++ b/review/lib/daemons.mjs
@@ -71,12 +71,14 @@
  * Starts daemons. One that ends by itself is started again after a short delay, as on the platform.
  *
  * @param options.count - number of VMs, in three zones
+ * @param options.store - address of the store, or one for each VM
  */
 export const startDaemons = async ({ count, store, record }) => {
     const [program, ...args] = readCommand();
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
     const ports = await findPorts(count * portsPerDaemon);
     const vms = Array.from({ length: count }, (_, index) => ({
+        index,
         name: `edge-${index + 1}`,
         zone: `bc-south-${"abc"[index % 3]}`,
         ports: ports.slice(index * portsPerDaemon, (index + 1) * portsPerDaemon),
@@ -92,7 +94,7 @@
 
     const start = vm => {
         const settingsPath = path.join(folder, `${vm.name}.conf`);
-        fs.writeFileSync(settingsPath, formatSettings(vm, seeds, store));
+        fs.writeFileSync(settingsPath, formatSettings(vm, seeds, typeof store === "string" ? store : store[vm.index]));
         const child = childProcess.spawn(program, args, {
             cwd: repository,
             env: { PATH: process.env.PATH, HOME: process.env.HOME, TARRAGONPATH_CONFIG: settingsPath },
--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -10,6 +10,7 @@
 export const startTarget = async options => {
     const { id, service, zone, store, record, slots = 4, workMs = 90 } = options;
     const runs = new Map();
+    const arrivals = [];
     let running = 0;
     let waiting = 0;
 
@@ -60,6 +61,7 @@
         }
         running++;
         runs.set(requestId, (runs.get(requestId) ?? 0) + 1);
+        arrivals.push({ requestId, atMs: performance.now() });
         record.add(`run ${requestId} at ${id} (${service}) ${request.method} ${request.url}`);
         await sleep(workMs * (0.7 + 0.6 * Math.random()));
         running--;
@@ -97,6 +99,8 @@
         address,
         /** Runs by request id. */
         runs,
+        /** Times at which requests began to run. */
+        arrivals,
         close: () => {
             server.close();
             server.closeAllConnections();
