--- a/review/lib/daemons.mjs
+++ b/review/lib/daemons.mjs
@@ -116,6 +116,7 @@
         });
     };
     vms.forEach(start);
+    process.once("exit", () => vms.forEach(vm => vm.child.kill("SIGKILL")));
 
     return {
         vms,
--- a/review/lib/tools.mjs
+++ b/review/lib/tools.mjs
@@ -4,6 +4,16 @@
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
+/** An error of the script itself must not look like a broken rule. */
+const failToRun = error => {
+    process.stderr.write(`${error?.stack ?? error}\n`);
+    process.exit(2);
+};
+process.once("uncaughtException", failToRun);
+process.once("unhandledRejection", failToRun);
+process.once("SIGTERM", () => process.exit(2));
+process.once("SIGINT", () => process.exit(2));
+
 export const isTroubled = process.env.TROUBLE !== "0";
 
 /** Finds free ports on loopback. */
