Reject heads of targets that cannot be passed on

Cause: the parser library accepts any byte in names and values, and status codes from 000. The head was then handed to `ServerResponse.writeHead`, which throws on such a head, and the rejection had no handler.

Change: names must be tokens, values must not contain control characters other than tabs, and a status must be at least 100 and not 101, as no request asks for another protocol. Such a head ends like any other bytes that are no response: the attempt may have run, and the connection is closed.

Measured: the three tests in hostileResponses.test.ts and the property in responseParser.test.ts failed before (ERR_INVALID_CHAR in the latter) and pass now.

--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -93,6 +93,34 @@
     });
 }
 
+const controlBytes = [...Array(0x20).keys(), 0x7f].filter(byte => !"\t\r\n".includes(String.fromCharCode(byte)));
+
+// Guards against a head that cannot be written to the client and ends the process, with all requests in flight.
+test("a response with a control character in a header value does not count as whole", async t => {
+    for (const byte of controlBytes) {
+        const value = `text/pl${String.fromCharCode(byte)}in`;
+        const { result } = await sendTo(`${head}content-type: ${value}\r\ncontent-length: 4\r\n\r\nbody`);
+        t.is(result.kind, "broken", `byte ${byte}`);
+    }
+});
+
+// Guards against a name that cannot be written to the client, as above.
+test("a response with a header name that is no token does not count as whole", async t => {
+    for (const name of ["x(y", "x\u0001y", "x\u0080y", "x/y", 'x"', "{x}"]) {
+        const { result } = await sendTo(`${head}${name}: 1\r\ncontent-length: 4\r\n\r\nbody`);
+        t.is(result.kind, "broken", JSON.stringify(name));
+    }
+});
+
+// Guards against a status that cannot be written to the client, or after which the connection speaks another protocol.
+test("a response with a status that no request can have does not count as whole", async t => {
+    for (const status of ["000", "001", "099", "101"]) {
+        const text = `HTTP/1.1 ${status} X\r\nx-id: 1\r\nx-seal: s\r\ncontent-length: 4\r\n\r\nbody`;
+        const { result } = await sendTo(`${text}${head}content-length: 0\r\n\r\n`);
+        t.is(result.kind, "broken", status);
+    }
+});
+
 const cutHeads: readonly string[] = [
     "HTTP/1.1 200 OK",
     "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s",
--- a/src/node/routes/responseParser.test.ts
+++ b/src/node/routes/responseParser.test.ts
@@ -1,3 +1,5 @@
+import * as http from "node:http";
+import * as net from "node:net";
 import test from "ava";
 import * as fc from "fast-check";
 import * as responseParser from "./responseParser.js";
@@ -101,6 +103,34 @@
     );
 });
 
+// Guards against a head that is accepted from a target and cannot be written to the client.
+test("each head that is accepted can be written to a client", t => {
+    const bytes = fc.uint8Array({ maxLength: 2 }).map(values => Buffer.from(values).toString("latin1"));
+    const status = fc.integer({ min: 0, max: 999 }).map(code => String(code).padStart(3, "0"));
+    let accepted = 0;
+    const handleHead = ({ statusCode, headers }: responseParser.ParsedHead): void => {
+        accepted++;
+        t.notThrows(() => {
+            const response = new http.ServerResponse(new http.IncomingMessage(new net.Socket()));
+            response.writeHead(statusCode, headers);
+        });
+    };
+    fc.assert(
+        fc.property(status, bytes, bytes, (code, name, value) => {
+            const parser = responseParser.createResponseParser({
+                handleInterim: () => undefined,
+                handleHead,
+                handleBody: () => undefined,
+                handleEnd: () => undefined,
+            });
+            parser.startRequest("GET");
+            parser.parse(Buffer.from(`HTTP/1.1 ${code} A\r\nx${name}: ${value}\r\nx: ${value}\r\n\r\n`, "latin1"));
+        }),
+        { seed, numRuns: 20 * runs },
+    );
+    t.true(accepted > runs);
+});
+
 test("responses without a body end with their head", t => {
     const { responses } = parse("HTTP/1.1 304 Not Modified\r\ncontent-length: 10\r\n\r\n", []);
     t.deepEqual(responses, [{ statusCode: 304, body: "", isWhole: true }]);
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -13,6 +13,12 @@
 
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
+const headerNamePattern = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/;
+/** Control characters other than tabs would end the client's header, or cannot be written to it. */
+const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
+const minStatusCode = 100;
+/** The target would change the protocol, which no request asks for. */
+const switchingProtocolsStatus = 101;
 
 /** Head of a final response. */
 export interface ParsedHead {
@@ -66,6 +72,19 @@
 const listValues = (headers: readonly string[], name: string): string[] =>
     headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name);
 
+/** Checks a head for what cannot be passed on; throws if it is malformed. */
+const checkHead = (statusCode: number, headers: readonly string[]): void => {
+    if (statusCode < minStatusCode || statusCode === switchingProtocolsStatus) {
+        throw new Error("unknown status code");
+    }
+    headers.forEach((text, index) => {
+        const pattern = index % 2 === 0 ? headerNamePattern : headerValuePattern;
+        if (!pattern.test(text)) {
+            throw new Error(index % 2 === 0 ? "malformed header name" : "malformed header value");
+        }
+    });
+};
+
 /** How the headers delimit the body. */
 type Framing =
     | { readonly kind: "length"; readonly bytes: number }
@@ -112,6 +131,7 @@
 
     const handleHead = (info: httpParser.HeaderInfo): number => {
         const { statusCode, headers } = info;
+        checkHead(statusCode, headers);
         const framing = readFraming(headers);
         isInterim = statusCode < 200;
         if (isInterim) {
