Pass on bytes above 0x7f in response headers unchanged

Cause: the parser library decodes heads as `ascii`, for which Node.js clears the highest bit of each byte.

Change: heads are decoded as `latin1`, in which they are also written. The same holds for responses of peers, which use the same parser. Requests of clients were passed on unchanged before, which two tests now guard.

--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -53,6 +53,20 @@
 
 const formatRequest = (path: string, more = ""): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n${more}\r\n`;
 
+// Guards against header values that change between client and target.
+test("bytes above 0x7f in header values are read from and sent to clients unchanged", async t => {
+    const value = Buffer.from(Array.from({ length: 0x80 }, (_, index) => 0x80 + index)).toString("latin1");
+    const { server, connect } = await startServer(({ headers }) =>
+        Promise.resolve({ ...createResponse(""), headers: ["x-own", headers[headers.indexOf("x-text") + 1] ?? ""] }),
+    );
+    const client = connect();
+    client.socket.setEncoding("latin1");
+    client.socket.write(Buffer.from(formatRequest("/", `x-text: ${value}\r\nconnection: close\r\n`), "latin1"));
+    await client.ended;
+    t.true(client.read().includes(`x-own: ${value}\r\n`));
+    server.dispose();
+});
+
 test("pipelined responses are sent in the order of the requests, whichever is ready first", async t => {
     const { server, connect } = await startServer(async request => {
         await wait(request.url === "/slow" ? 100 : 1);
--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -121,6 +121,14 @@
     }
 });
 
+// Guards against the library's default encoding, which clears the highest bit of each byte.
+test("bytes above 0x7f in a header value are passed on unchanged", async t => {
+    const value = String.fromCharCode(...Array.from({ length: 0x80 }, (_, index) => 0x80 + index));
+    const seal = `\u00e2\u0080\u0099 ${value}`;
+    const { result } = await sendTo(`HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: ${seal}\r\ncontent-length: 0\r\n\r\n`);
+    t.deepEqual(result.kind === "response" ? result.response.head.forwardedHeaders : result, ["x-seal", seal]);
+});
+
 const cutHeads: readonly string[] = [
     "HTTP/1.1 200 OK",
     "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s",
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -11,6 +11,9 @@
 const maxOverheadPerBodyByte = 8;
 const maxInterimResponses = 16;
 
+/** The default clears the highest bit of each byte, which HTTP allows in header values. */
+httpParser.HTTPParser.encoding = "latin1";
+
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
 const headerNamePattern = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/;
--- a/src/node/routes/targetSender.test.ts
+++ b/src/node/routes/targetSender.test.ts
@@ -5,14 +5,17 @@
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
+/** All bytes that header values may have beyond ASCII. */
+const obsText = Buffer.from(Array.from({ length: 0x80 }, (_, index) => 0x80 + index)).toString("latin1");
+
 /** Creates an attempt whose connection is opened by the test. */
 const createSetup = () => {
-    let sent = 0;
+    const sent: targetConnection.ConnectionRequest[] = [];
     let released = 0;
     let open: ((connection: targetConnection.TargetConnection | undefined) => void) | undefined;
     const connection: Partial<targetConnection.TargetConnection> = {
-        send: () => {
-            sent++;
+        send: request => {
+            sent.push(request);
             return new Promise(() => undefined);
         },
         dispose: () => undefined,
@@ -29,7 +32,7 @@
     });
     const attempt = sender.start({
         registration: fixture.createRegistration("a"),
-        request: { id: "r1", method: "POST", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
+        request: { id: "r1", method: "POST", url: "/jobs/1", headers: ["x-text", obsText], body: Buffer.alloc(0) },
         getRemainingMs: () => 1_000,
         isIdempotent: false,
     });
@@ -37,7 +40,13 @@
         open?.(connection as targetConnection.TargetConnection);
         await new Promise(resolve => setImmediate(resolve));
     };
-    return { attempt, openConnection, countSent: () => sent, countReleased: () => released };
+    return {
+        attempt,
+        openConnection,
+        countSent: () => sent.length,
+        getSent: () => sent[0],
+        countReleased: () => released,
+    };
 };
 
 test("an attempt that is aborted while its connection opens sends nothing", async t => {
@@ -56,3 +65,11 @@
     t.is(setup.countSent(), 1);
     t.is(setup.countReleased(), 0);
 });
+
+// Guards against header values that change between client and target.
+test("bytes above 0x7f in header values are sent to targets unchanged", async t => {
+    const setup = createSetup();
+    await setup.openConnection();
+    const bytes = Buffer.concat(setup.getSent()?.bytes ?? []);
+    t.true(bytes.includes(Buffer.from(`x-text: ${obsText}\r\n`, "latin1")));
+});
