End only the request in which an unexpected error occurs

Cause: `void handleRequest(...)`, `void sendNext(...)`, the results of attempts, and the timers and events of an exchange had no handler for errors that nobody expects.

Change: the HTTP server for clients and the exchange catch what their callbacks throw, log and count it (`tarragonpath_unexpected_errors_total`), and end that request with 500, which unlike 503 does not promise that it has not run. If its head was already sent, the connection is reset. Slots are released (a reservation can be finished more than once), the connection to the target closes, and timers end. An error of a request that waits in the queue no longer reaches the request whose slot it was offered.

--- a/src/common/routes/admissionQueue.ts
+++ b/src/common/routes/admissionQueue.ts
@@ -15,7 +15,7 @@
      * may be free.
      *
      * @param entry - the request's priority and limits
-     * @returns the result of `take`, or undefined if the wait timed out or the signal was aborted
+     * @returns the result of `take`, or undefined if the wait timed out or the signal was aborted; rejects if `take` throws
      */
     wait(entry: QueueEntry<T>): Promise<T | undefined>;
     /** Offers the free slots of a service to the waiting requests. */
@@ -39,7 +39,8 @@
 
 interface QueuedRequest<T> {
     readonly entry: QueueEntry<T>;
-    finish(value: T | undefined): void;
+    /** Takes a slot and ends the wait, or ends it without one if this was the last try. */
+    offer(isLast: boolean): boolean;
 }
 
 /**
@@ -71,19 +72,36 @@
             if (taken !== undefined || !mayWait) {
                 return Promise.resolve(taken);
             }
-            return new Promise(resolve => {
-                const finish = (value: T | undefined): void => {
+            return new Promise((resolve, reject) => {
+                const leave = (): void => {
                     timer.dispose();
                     entry.signal.removeEventListener("abort", handleAbort);
                     const index = queue.indexOf(queued);
                     if (index >= 0) {
                         queue.splice(index, 1);
                     }
+                };
+                const finish = (value: T | undefined): void => {
+                    leave();
                     resolve(value);
                 };
+                const offer = (isLast: boolean): boolean => {
+                    try {
+                        const taken = entry.take(isLast);
+                        if (taken !== undefined || isLast) {
+                            finish(taken);
+                        }
+                        return taken !== undefined;
+                    } catch (error) {
+                        // The error belongs to this request, not to the one whose slot was offered.
+                        leave();
+                        reject(error instanceof Error ? error : new Error(String(error)));
+                        return false;
+                    }
+                };
                 const handleAbort = (): void => finish(undefined);
-                const queued: QueuedRequest<T> = { entry, finish };
-                const handleTimeout = (): void => finish(entry.take(true));
+                const queued: QueuedRequest<T> = { entry, offer };
+                const handleTimeout = (): void => void offer(true);
                 const timer = scheduler.schedule(entry.maxWaitMs, handleTimeout);
                 entry.signal.addEventListener("abort", handleAbort, { once: true });
                 insert(queue, queued);
@@ -92,10 +110,7 @@
         dispatch: service => {
             let failedOffers = 0;
             for (const queued of [...(queues.get(service) ?? [])]) {
-                const taken = queued.entry.take(false);
-                if (taken !== undefined) {
-                    queued.finish(taken);
-                } else if (++failedOffers >= maxFailedOffers) {
+                if (!queued.offer(false) && ++failedOffers >= maxFailedOffers) {
                     return;
                 }
             }
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -50,7 +50,7 @@
 export interface Reservation {
     readonly registration: types.Registration;
     readonly inputs: PickInputs;
-    /** Releases the slot; must be called exactly once, when the attempt has ended. */
+    /** Releases the slot; must be called when the attempt has ended. Only the first call has an effect. */
     finish(outcome: types.AttemptOutcome, report: types.LoadReport | undefined): void;
 }
 
@@ -211,7 +211,11 @@
         return {
             registration: entry.registration,
             inputs,
-            finish: (outcome, report) => finishAttempt(entry, attempt, route, outcome, report),
+            finish: (outcome, report) => {
+                if (entry.inFlightAttempts.has(attempt)) {
+                    finishAttempt(entry, attempt, route, outcome, report);
+                }
+            },
         };
     };
 
--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -79,6 +79,7 @@
         clock: scheduler,
         getLimits: () => fixture.createConfiguration(1).limits,
         handle,
+        recordError: () => undefined,
         formatRefusal: () => {
             throw new Error("no request of this test is refused");
         },
--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -204,3 +204,28 @@
     await served.advance(2_000);
     t.is(served.countCrashes(), 0);
 });
+
+/** A response whose handling throws before the slot is released. */
+const unreadable: exchangeFixture.Step = {
+    afterMs: 5,
+    result: { kind: "response" } as exchangeFixture.Step["result"],
+};
+const rejected: exchangeFixture.Step = { afterMs: 5, result: new Error("unexpected") };
+
+// Guards against an error that nobody expects and that ends the process, or leaves a request without an end or a slot taken.
+for (const [name, steps, options] of [
+    ["whose response cannot be handled", [unreadable], {}],
+    ["whose attempt rejects", [rejected], {}],
+    ["whose loss cannot be recorded", [broken], { hasFaultyLossHandler: true }],
+] as const) {
+    test(`a request ${name} ends as one that may have run, and its slot is released`, async t => {
+        for (const kind of ["idempotent", "non-idempotent"] as const) {
+            const exchangeRun = run(steps, { ...options, route: { kind } });
+            await exchangeRun.advance(50);
+            const response = exchangeRun.getResponse();
+            t.deepEqual(response?.kind === "failed" ? response.statusCode : response?.kind, 500);
+            t.is(exchangeRun.countErrors(), 1);
+            t.is(exchangeRun.countInFlight(), 0);
+        }
+    });
+}
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -4,13 +4,14 @@
  */
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as targetPool from "../../common/routes/targetPool.js";
-import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as exchangeOptions from "./exchangeOptions.js";
 import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeTiming from "./exchangeTiming.js";
+import * as guards from "./guard.js";
+import * as responseBody from "./responseBody.js";
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
@@ -86,6 +87,7 @@
             return;
         }
         isDone = true;
+        resolve(response);
         timers.forEach(timer => timer.dispose());
         request.signal.removeEventListener("abort", handleClientAbort);
         queueAbort.abort();
@@ -95,9 +97,16 @@
         } else {
             running.stopAll(runningAttempts.toStopReason(response));
         }
-        resolve(response);
     };
 
+    /** Ends the request after an unexpected error. The status does not promise that it has not run. */
+    const fail = (error: unknown): void => {
+        options.recordError(error);
+        finish({ kind: "failed", reason: "internal error", statusCode: 500 });
+    };
+
+    const guard = guards.createGuard(fail);
+
     const refuse = (reason: string, afterMs = retryAfterMs): void =>
         finish({ kind: "refused", reason, retryAfterMs: Math.max(retryAfterMs, Math.round(afterMs)) });
 
@@ -115,33 +124,33 @@
         }
     };
 
-    const handleDeadline = (): void => {
+    const handleDeadline = guard(() => {
         running.stopAll("deadline");
         if (runs > 0) {
             finish({ kind: "failed", reason: "deadline", statusCode: 504 });
         } else {
             refuse("no slot before the deadline");
         }
-    };
+    });
 
-    const handleClientAbort = (): void => finish({ kind: "abandoned" });
+    const handleClientAbort = guard(() => finish({ kind: "abandoned" }));
 
     const mayRepeat = (): boolean =>
         !isDone && !isBlocked() && runs < route.maxTargets && timing.hasTimeForAttempt() && budget.takeRetry(service);
 
     /** A request that has run, or may have, goes on at another VM only as a retry. */
-    const handleLostTargets = (): void => {
+    const handleLostTargets = guard(() => {
         if (runs === 0 || (isIdempotent && mayRepeat())) {
             finish({ kind: "unreached", maxTargets: route.maxTargets - runs, mayHaveRun: runs > 0 });
         }
-    };
+    });
 
     const repeat = (reason: string): void => {
         if (isDone || running.count() > 0) {
             return;
         }
         if (mayRepeat()) {
-            void sendNext(reason);
+            sendNext(reason);
         } else {
             giveUp(reason);
         }
@@ -178,7 +187,7 @@
         });
         const mayTryNext = !isDone && running.count() === 0 && timing.hasTimeForAttempt();
         if (mayTryNext && unreachableTargets < maxUnreachableTargets) {
-            void sendNext("target not reached");
+            sendNext("target not reached");
         } else {
             giveUp("targets not reached");
         }
@@ -221,29 +230,8 @@
             bytes: responseBytes,
         });
         finish(final);
-        bodyForwarding.watchBody({
-            scheduler,
-            body: response.body,
-            limits: request,
-            handleEnd: end => {
-                log.logBody(attempt.reservation, end);
-                handleBodyEnd(attempt.reservation.registration, end, isSuccess);
-            },
-        });
-    };
-
-    /** A target may also end in the middle of a response. */
-    const handleBodyEnd = (
-        registration: routes.Registration,
-        end: bodyForwarding.BodyEnd,
-        isSuccess: boolean,
-    ): void => {
-        if (end.kind === "broken") {
-            targets.recordBrokenBody(registration.id);
-            options.recordLoss(request.fingerprint, registration);
-        } else if (end.kind === "whole" && isSuccess) {
-            options.crashes.recordSuccess(request.fingerprint, registration.service);
-        }
+        const { reservation } = attempt;
+        responseBody.watchResponseBody({ options, request, reservation, body: response.body, isSuccess, log, guard });
     };
 
     const handleResult = (attempt: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
@@ -270,6 +258,7 @@
         clock: scheduler,
         log,
         handleResult,
+        handleError: fail,
         handleNoResponse: ({ reservation }) => options.recordLoss(request.fingerprint, reservation.registration),
         send: reservation =>
             options.sender.start({
@@ -286,7 +275,7 @@
         running.start(reservation);
     };
 
-    const sendNext = async (reason: string): Promise<void> => {
+    const pickAndSend = async (reason: string): Promise<void> => {
         const queuedAtMs = scheduler.now();
         const pick = await targetWait.waitForTarget({
             queue: options.queue,
@@ -313,7 +302,9 @@
         }
     };
 
-    const hedge = (): void => {
+    const sendNext = (reason: string): void => void pickAndSend(reason).catch(fail);
+
+    const hedge = guard(() => {
         // A slot that is free now belongs to the requests that wait for their first attempt.
         const isSaturated = options.queue.count(service) > 0;
         if (isDone || isBlocked() || running.count() !== 1 || runs >= route.maxTargets || isSaturated) {
@@ -329,10 +320,10 @@
         }
         log.logHedge(pick.reservation, scheduler.now() - startedAtMs);
         startAttempt(pick.reservation);
-    };
+    });
 
     return {
-        start: () => {
+        start: guard(() => {
             budget.recordCall(service);
             if (request.signal.aborted) {
                 finish({ kind: "abandoned" });
@@ -344,7 +335,7 @@
             if (isIdempotent && route.maxTargets > 1) {
                 timers.push(scheduler.schedule(timing.hedgeDelayMs, hedge));
             }
-            void sendNext("first attempt");
-        },
+            sendNext("first attempt");
+        }),
     };
 };
--- a/src/node/routes/exchangeOptions.ts
+++ b/src/node/routes/exchangeOptions.ts
@@ -21,6 +21,8 @@
     readonly metrics: exchangeLog.ExchangeMetrics;
     /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
     readonly onDidLoseTargets: shared.Event<void>;
+    /** Called with an error that no other handler expects; it ends the request. */
+    recordError(error: unknown): void;
     /** Called when a target that was running the request has broken the connection, or has not responded in time. */
     recordLoss(fingerprint: string, registration: routes.Registration): void;
 }
--- a/src/node/routes/exchangeRequest.ts
+++ b/src/node/routes/exchangeRequest.ts
@@ -24,7 +24,7 @@
     /** The request did not run and will not. */
     | { readonly kind: "refused"; readonly reason: string; readonly retryAfterMs: number }
     /** The request may have run. */
-    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 502 | 504 }
+    | { readonly kind: "failed"; readonly reason: string; readonly statusCode: 500 | 502 | 504 }
     | { readonly kind: "abandoned" };
 
 /** No target is reached any more; another VM may run the request at up to `maxTargets` further targets. */
--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -1,4 +1,5 @@
 import * as net from "node:net";
+import * as stream from "node:stream";
 import test from "ava";
 import * as ids from "../../common/ids.js";
 import * as fixture from "../../testing/routes/fixture.js";
@@ -20,12 +21,14 @@
     limits: Partial<ReturnType<typeof fixture.createConfiguration>["limits"]> = {},
 ) => {
     const address = ids.toAddress(await ports.acquireAddress());
+    const errors: unknown[] = [];
     const server = frontendServer.createFrontendServer({
         address,
         clock: scheduler,
         getLimits: () => ({ ...fixture.createConfiguration(1).limits, ...limits }),
         handle,
         formatRefusal: (_headers, statusCode, reason) => ({ ...createResponse(reason), statusCode }),
+        recordError: error => void errors.push(error),
     });
     await server.listen();
     const connect = (): {
@@ -40,7 +43,7 @@
         socket.on("error", () => undefined);
         return { socket, read: () => text, ended: new Promise(resolve => socket.once("close", resolve)) };
     };
-    return { server, connect };
+    return { server, connect, errors };
 };
 
 const wait = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
@@ -233,3 +236,43 @@
     t.regex(client.read(), /\/early.*503/s);
     server.dispose();
 });
+
+// Guards against an error of one request that ends the process, and with it the requests of all other clients.
+test("a request whose handling fails ends with 500, which promises nothing, and others go on", async t => {
+    const { server, connect, errors } = await startServer(async request => {
+        await wait(request.url === "/slow" ? 100 : 1);
+        if (request.url === "/faulty") {
+            throw new Error("unexpected");
+        }
+        return createResponse(request.url);
+    });
+    const other = connect();
+    other.socket.write(formatRequest("/slow", "connection: close\r\n"));
+    const client = connect();
+    client.socket.write(formatRequest("/faulty"));
+    await Promise.all([client.ended, other.ended]);
+    t.regex(client.read(), /^HTTP\/1\.1 500 /);
+    t.true(other.read().endsWith("/slow"));
+    t.is(errors.length, 1);
+    server.dispose();
+});
+
+// Guards against a head that cannot be written: the process ended, and the target's connection stayed open.
+test("a response whose head cannot be written ends with 500, and its body is destroyed", async t => {
+    const body = new stream.Readable({ read: () => undefined });
+    const { server, connect, errors } = await startServer(() =>
+        Promise.resolve({
+            statusCode: 200,
+            headers: ["x-own", "\u0001"],
+            body: { kind: "stream", stream: body, bodyBytes: 4, isReceived: () => false },
+            isDelimited: true,
+        }),
+    );
+    const client = connect();
+    client.socket.write(formatRequest("/"));
+    await client.ended;
+    t.regex(client.read(), /^HTTP\/1\.1 500 /);
+    t.true(body.destroyed);
+    t.is(errors.length, 1);
+    server.dispose();
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -52,8 +52,10 @@
     readonly clock: shared.Clock;
     getLimits(): routes.RequestLimits | undefined;
     handle(request: ClientRequest): Promise<ClientResponse | undefined>;
-    /** Formats the response to a request that exceeds a limit. */
+    /** Formats the response to a request that is not handled, or whose handling has failed. */
     formatRefusal(headers: types.RawHeaders, statusCode: number, reason: string): ClientResponse;
+    /** Called with an error that no other handler expects; it ends the request. */
+    recordError(error: unknown): void;
 }
 
 /** A connection of a client, on which several requests may be in progress (pipelining). */
@@ -149,7 +151,14 @@
             }
             return;
         }
-        writeHead(serverResponse, response, mustClose);
+        try {
+            writeHead(serverResponse, response, mustClose);
+        } catch (error) {
+            if (body.kind === "stream") {
+                body.stream.destroy();
+            }
+            throw error;
+        }
         switch (body.kind) {
             case "whole":
                 await responseBodies.sendBytes(serverResponse, body.bytes);
@@ -159,6 +168,25 @@
         }
     };
 
+    /** Ends a request after an unexpected error. The status does not promise that it has not run. */
+    const failRequest = async (
+        request: http.IncomingMessage,
+        serverResponse: http.ServerResponse,
+        error: unknown,
+    ): Promise<void> => {
+        options.recordError(error);
+        if (serverResponse.headersSent) {
+            request.socket.resetAndDestroy();
+            return;
+        }
+        try {
+            const response = options.formatRefusal(request.rawHeaders, 500, "internal error");
+            await sendResponse(serverResponse, response, true);
+        } catch {
+            request.socket.resetAndDestroy();
+        }
+    };
+
     const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
         const receivedAtMs = clock.now();
         const clientAbort = new AbortController();
@@ -198,6 +226,8 @@
             if (response !== undefined) {
                 await sendResponse(serverResponse, response, false);
             }
+        } catch (error) {
+            await failRequest(request, serverResponse, error);
         } finally {
             connection.activeRequests.delete(clientAbort);
         }
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -43,6 +43,7 @@
     routeMetrics.recordProbe(false);
     routeMetrics.recordCrash("unconfirmed");
     routeMetrics.recordRelay("not taken");
+    routeMetrics.recordError("exchange");
     const text = await routeMetrics.format();
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.1",end="served"\} 0/);
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.15",end="served"\} 1/);
@@ -51,6 +52,7 @@
     t.regex(text, /tarragonpath_hedges_total 1/);
     t.regex(text, /tarragonpath_probes_total\{answered="false"\} 1/);
     t.regex(text, /tarragonpath_crashes_total\{end="unconfirmed"\} 1/);
+    t.regex(text, /tarragonpath_unexpected_errors_total\{source="exchange"\} 1/);
     t.regex(text, /tarragonpath_relays_total\{end="not taken"\} 1/);
     t.regex(text, /tarragonpath_blocked_requests 2/);
     t.regex(text, /tarragonpath_configuration_version 12/);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -4,6 +4,7 @@
 import * as promClient from "prom-client";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
+import * as unexpectedErrors from "./unexpectedErrors.js";
 
 /** Cover the latency objectives, 100 ms to 1 s; the last buckets are for the longest deadlines. */
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
@@ -55,6 +56,8 @@
     recordCrash(end: CrashEnd): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
     recordUnknownValue(field: string): void;
+    /** Counts an error that no other handler expects. */
+    recordError(source: unexpectedErrors.ErrorSource): void;
     /** Counts a header of a target whose value is malformed. */
     recordMalformedHeader(header: string): void;
     format(): Promise<string>;
@@ -177,6 +180,12 @@
         labelNames: ["header"],
         registers,
     });
+    const errors = new promClient.Counter({
+        name: `${namePrefix}unexpected_errors_total`,
+        help: "Errors that no other handler expects, by where they were caught.",
+        labelNames: ["source"],
+        registers,
+    });
     addGauges(registry, sources);
     addCounter(
         registry,
@@ -216,6 +225,7 @@
         },
         recordProbe: hasResponse => probes.inc({ answered: String(hasResponse) }),
         recordUnknownValue: field => unknownValues.inc({ field }),
+        recordError: source => errors.inc({ source }),
         recordMalformedHeader: header => malformedHeaders.inc({ header }),
         format: () => registry.metrics(),
     };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -29,6 +29,7 @@
 import * as targetProber from "./targetProber.js";
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
+import * as unexpectedErrors from "./unexpectedErrors.js";
 
 /** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
 const retryBoundShare = 0.7;
@@ -188,6 +189,7 @@
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
     });
+    const recordError = unexpectedErrors.createErrorRecorder({ logger, countError: routeMetrics.recordError });
     const crashes = crashMonitor.createCrashMonitor({
         clock: scheduler,
         logger,
@@ -215,6 +217,7 @@
             logger,
             metrics: routeMetrics,
             onDidLoseTargets,
+            recordError: error => recordError("exchange", error),
             recordLoss: (fingerprint, registration) => void crashes.recordLoss(fingerprint, registration),
         },
         relay,
@@ -238,6 +241,7 @@
                   getLimits: () => state.getConfiguration()?.limits,
                   handle: handler.handle,
                   formatRefusal: handler.formatRefusal,
+                  recordError: error => recordError("frontend", error),
               });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -61,6 +61,8 @@
     handleResult(attempt: RunningAttempt, result: targetSender.AttemptResult): void;
     /** Called for each attempt that was sent and had no response when it was stopped, although one was needed. */
     handleNoResponse(attempt: RunningAttempt): void;
+    /** Called with an error of the attempt or of its handler, after its slot was released. */
+    handleError(error: unknown): void;
 }): RunningAttempts => {
     const { clock, log } = options;
     const entries = new Set<Entry>();
@@ -73,6 +75,14 @@
         }
     };
 
+    const handleError = (entry: Entry, error: unknown): void => {
+        entry.hasEnded = true;
+        entries.delete(entry);
+        entry.attempt.abort();
+        entry.reservation.finish({ kind: "cancelled" }, undefined);
+        options.handleError(error);
+    };
+
     const stop = (entry: Entry, reason: StopReason): void => {
         entry.hasEnded = true;
         entries.delete(entry);
@@ -95,7 +105,9 @@
                 hasEnded: false,
             };
             entries.add(entry);
-            void entry.attempt.result.then(result => handleResult(entry, result));
+            entry.attempt.result
+                .then(result => handleResult(entry, result))
+                .catch((error: unknown) => handleError(entry, error));
         },
         stopAll: reason => [...entries].forEach(entry => stop(entry, reason)),
         abortUnsent: () => entries.forEach(entry => entry.attempt.abortIfUnsent()),
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -186,8 +186,11 @@
             }
             isSent = true;
             const { id, method } = attempt.request;
-            const result = await attempt.send(connection, { id, method });
             const released = connection;
+            const result = await attempt.send(released, { id, method }).catch((error: unknown) => {
+                released.dispose();
+                throw error;
+            });
             if (result.kind === "response") {
                 void result.response.received.then(() => pool.release(released));
             } else {
@@ -216,7 +219,7 @@
         return startRequest({
             ...attempt,
             address: registration.address,
-            send: (connection, sent) => {
+            send: async (connection, sent) => {
                 const headers = dialect.formatAttemptHeaders(request.headers, {
                     target: registration.id,
                     remainingMs: computeRemainingMs(attempt),
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -16,7 +16,8 @@
 import * as exchangeLog from "../../node/routes/exchangeLog.js";
 import * as targetSender from "../../node/routes/targetSender.js";
 
-export type Step = { readonly afterMs: number; readonly result: targetSender.AttemptResult };
+/** An attempt rejects if its result is an error. */
+export type Step = { readonly afterMs: number; readonly result: targetSender.AttemptResult | Error };
 
 export const createResponse = (fields: {
     readonly status?: number;
@@ -60,6 +61,8 @@
         readonly isClientDisconnected?: boolean;
         /** Targets that take no requests. */
         readonly limitedTargets?: readonly string[];
+        /** Whether the handler of lost requests throws. */
+        readonly hasFaultyLossHandler?: boolean;
     } = {},
 ) => {
     const scheduler = virtualScheduler.createVirtualScheduler(1_000);
@@ -69,12 +72,13 @@
     let abortedUnsent = 0;
     let budget = options.budget ?? 10;
     const limits = fixture.createTargetLimits(scheduler);
+    const set = targetSet.createTargetSet(scheduler);
     const targets = targetPool.createTargetPool({
         scheduler,
         random: random.createRandom(3),
         logger: silentLogger.createSilentLogger(),
         zone: fixture.zone,
-        set: targetSet.createTargetSet(scheduler),
+        set,
         limits,
         isZoneOut: () => false,
         getService: () => undefined,
@@ -102,6 +106,7 @@
     let response: exchangeRequest.ExchangeEnd | undefined;
     let respondedAtMs = 0;
     const crashed: string[] = [];
+    const errors: unknown[] = [];
     const ends: exchangeLog.AttemptEnd[] = [];
     let hedges = 0;
     const sender: Pick<targetSender.TargetSender, "start"> = {
@@ -109,7 +114,10 @@
             sent.push(registration.id);
             const step = remainingSteps.shift() ?? noResponse;
             const result = new Promise<targetSender.AttemptResult>(
-                resolve => void scheduler.schedule(step.afterMs, () => resolve(step.result)),
+                (resolve, reject) =>
+                    void scheduler.schedule(step.afterMs, () =>
+                        step.result instanceof Error ? reject(step.result) : resolve(step.result),
+                    ),
             );
             return {
                 result,
@@ -136,7 +144,13 @@
                     recordStreamedBody: () => undefined,
                 },
                 onDidLoseTargets: lostTargetsEmitter.event,
-                recordLoss: (_, { id }) => crashed.push(id),
+                recordLoss: (_, { id }) => {
+                    if (options.hasFaultyLossHandler === true) {
+                        throw new Error("faulty handler");
+                    }
+                    crashed.push(id);
+                },
+                recordError: error => void errors.push(error),
             },
             {
                 outgoing: { id: "r1", method: "GET", url: "/jobs/1", headers: [], body: Buffer.alloc(0) },
@@ -174,6 +188,8 @@
         sent,
         crashed,
         ends,
+        countErrors: () => errors.length,
+        countInFlight: () => set.listKnown().reduce((sum, entry) => sum + entry.inFlightAttempts.size, 0),
         countHedges: () => hedges,
         countAborted: () => aborted,
         countAbortedUnsent: () => abortedUnsent,
