Answer lookups whose URL cannot be parsed

Callers saw: `GET //` at the address for lookups ended the process, and with it all requests in flight there. Any caller can send it.

Cause: `new URL` throws on such paths, within a request listener that has no handler for errors.

--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -17,6 +17,8 @@
     getLifetimeMs(): number;
     isReady(): boolean;
     pickActiveAddresses(lookup: types.LookupRequest): readonly shared.Address[];
+    /** Called with an error that no other handler expects; it ends the request. */
+    recordError(error: unknown): void;
 }
 
 /**
@@ -39,8 +41,7 @@
         response.end(body);
     };
 
-    const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
-        request.resume();
+    const respond = (request: http.IncomingMessage, response: http.ServerResponse): void => {
         const url = request.url ?? "/";
         const lookup = dialect.parseLookup(url);
         if (lookup !== undefined) {
@@ -50,6 +51,19 @@
         } else {
             response.writeHead(404).end();
         }
+    };
+
+    const server = http.createServer({ keepAliveTimeout: 30_000 }, (request, response) => {
+        request.resume();
+        try {
+            respond(request, response);
+        } catch (error) {
+            options.recordError(error);
+            if (!response.headersSent) {
+                response.writeHead(500);
+            }
+            response.end();
+        }
     });
     const { host, port } = ids.splitAddress(options.address);
     return new Promise((resolve, reject) => {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -283,6 +283,7 @@
                     getLifetimeMs: getLookupLifetimeMs,
                     isReady,
                     pickActiveAddresses,
+                    recordError: error => recordError("lookup", error),
                 });
             }
         }
