Keep the process and its timers running after an unexpected error

Cause: `platform/main.ts` had no handler for such errors. Catching them is not enough: heartbeats, checks of the hub, probes and the expiry of connections scheduled their next run at the end of the current one, so that an error in one run would have ended them for good in a process that otherwise goes on.

Change: once started, the daemon logs and counts such an error and goes on. Repeated actions schedule the next run first.

--- a/src/common/routes/targetReach.ts
+++ b/src/common/routes/targetReach.ts
@@ -164,10 +164,13 @@
     };
 
     const checkAtInterval = async (): Promise<void> => {
-        if (isCutOff || !(await checkNearTarget())) {
-            await checkSample();
+        try {
+            if (isCutOff || !(await checkNearTarget())) {
+                await checkSample();
+            }
+        } finally {
+            scheduleCheck(computeCheckIntervalMs());
         }
-        scheduleCheck(computeCheckIntervalMs());
     };
 
     const computeCheckIntervalMs = (): number => {
--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -3,6 +3,7 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
+import * as repeat from "../../common/repeat.js";
 import * as shared from "../../common/Types.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
@@ -91,9 +92,8 @@
                 idle.delete(address);
             }
         }
-        expiryTimer = scheduler.schedule(expiryCheckIntervalMs, closeExpired);
     };
-    let expiryTimer = scheduler.schedule(expiryCheckIntervalMs, closeExpired);
+    const expiryChecks = repeat.repeatAction(scheduler, expiryCheckIntervalMs, closeExpired);
 
     return {
         acquire: async ({ address, maxIdleMs }) => {
@@ -122,7 +122,7 @@
         closeIdle,
         countOpened: () => opened,
         dispose: () => {
-            expiryTimer.dispose();
+            expiryChecks.dispose();
             for (const address of [...idle.keys()]) {
                 closeIdle(address);
             }
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -5,6 +5,7 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
+import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
@@ -297,23 +298,15 @@
         }
     };
 
-    const repeat = (intervalMs: number, action: () => void): shared.Disposable => {
-        let timer: shared.Disposable;
-        const runAgain = (): void => {
-            action();
-            timer = scheduler.schedule(intervalMs, runAgain);
-        };
-        runAgain();
-        return { dispose: () => timer.dispose() };
-    };
-
     return {
         start: () => {
+            const search = (): void => void findHub();
             timers = [
-                repeat(peerHub.heartbeatIntervalMs, announceOwnPeer),
-                repeat(checkIntervalMs, checkHub),
-                repeat(searchIntervalMs, () => void findHub()),
+                repeat.repeatAction(scheduler, peerHub.heartbeatIntervalMs, announceOwnPeer),
+                repeat.repeatAction(scheduler, checkIntervalMs, checkHub),
+                repeat.repeatAction(scheduler, searchIntervalMs, search),
             ];
+            search();
         },
         isConnected: () => hub !== undefined,
         listPeers: () => [...(hub?.peers.values() ?? [])],
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -4,6 +4,7 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
+import * as repeat from "../../common/repeat.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -163,9 +164,8 @@
                 sendHeartbeat(follower, changes);
             }
         }
-        timer = scheduler.schedule(heartbeatIntervalMs, sendHeartbeats);
     };
-    let timer = scheduler.schedule(heartbeatIntervalMs, sendHeartbeats);
+    const heartbeats = repeat.repeatAction(scheduler, heartbeatIntervalMs, sendHeartbeats);
 
     const server = net.createServer(handleConnection);
 
@@ -187,7 +187,7 @@
         pushUpdate: update => push("state.update", update),
         pushTargetReports: reports => push("target.reports", reports),
         dispose: () => {
-            timer.dispose();
+            heartbeats.dispose();
             server.close();
             followers.forEach(follower => follower.channel.dispose());
         },
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -45,6 +45,8 @@
     reload(changed: types.RouteSettings): void;
     /** Drains client connections without aborting requests; resolves when the process may exit. */
     stop(): Promise<void>;
+    /** Records an error that no other handler expects, so that the process goes on. */
+    recordError(error: unknown): void;
 }
 
 export interface RouteDaemonOptions {
@@ -314,6 +316,7 @@
             bounds = changed.bounds;
             logger.info("life: settings reloaded", { ...bounds });
         },
+        recordError: error => recordError("process", error),
         stop: async () => {
             isLeaving = true;
             const endsAtMs = scheduler.now() + bounds.graceMs - graceMarginMs;
--- a/src/node/routes/targetProber.ts
+++ b/src/node/routes/targetProber.ts
@@ -1,6 +1,7 @@
 /**
  * Probes targets whose load has not been reported recently.
  */
+import * as repeat from "../../common/repeat.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -67,8 +68,13 @@
         for (const registration of targets.listStale(probeAfterMs, options.mayProbe)) {
             void sendProbe(registration);
         }
-        timer = scheduler.schedule(probeIntervalMs, sendProbes);
     };
 
-    return { start: sendProbes, dispose: () => timer?.dispose() };
+    return {
+        start: () => {
+            timer = repeat.repeatAction(scheduler, probeIntervalMs, sendProbes);
+            sendProbes();
+        },
+        dispose: () => timer?.dispose(),
+    };
 };
