Refuse requests whose head targets may read in another way

Callers could send a blank in a header's name (`Expect : 100-continue`) or a tab or form feed in the URL. Both were passed on to targets as they were, in requests that are no HTTP, so that a target may end the URL or the name at another place.

Cause: the parser of Node.js 20 accepts both, and the head is written to targets without a further check.

Change: such a request ends with 400 and is not handled. Heads of requests and responses are checked by one module.

Measured: "a request whose head cannot be passed on is refused and not handled" failed before (handled with 200).

--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -70,6 +70,28 @@
     server.dispose();
 });
 
+// Guards against heads that Node.js accepts, and that a target may read in another way, such as another method or header.
+test("a request whose head cannot be passed on is refused and not handled", async t => {
+    const handled: string[] = [];
+    const { server, connect } = await startServer(request => {
+        handled.push(request.url);
+        return Promise.resolve(createResponse(""));
+    });
+    for (const text of [
+        formatRequest("/a\tb"),
+        formatRequest("/a\fb"),
+        formatRequest("/", "x text: 1\r\n"),
+        formatRequest("/", "expect : 100-continue\r\n"),
+    ]) {
+        const client = connect();
+        client.socket.write(text);
+        await client.ended;
+        t.regex(client.read(), /^HTTP\/1\.1 400 /, JSON.stringify(text));
+    }
+    t.deepEqual(handled, []);
+    server.dispose();
+});
+
 test("pipelined responses are sent in the order of the requests, whichever is ready first", async t => {
     const { server, connect } = await startServer(async request => {
         await wait(request.url === "/slow" ? 100 : 1);
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -8,6 +8,7 @@
 import * as ids from "../../common/ids.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as headSyntax from "./headSyntax.js";
 import * as responseBodies from "./responseBodies.js";
 import * as types from "./Types.js";
 
@@ -204,6 +205,13 @@
                 await fail(431, "header too large");
                 return;
             }
+            if (
+                !headSyntax.isRequestUrl(request.url ?? "") ||
+                headSyntax.checkHeaders(request.rawHeaders) !== undefined
+            ) {
+                await fail(400, "malformed request head");
+                return;
+            }
             if (!isAccepting) {
                 // The rest of the grace period belongs to the requests that began before.
                 await fail(503, "shutting down");
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -4,6 +4,7 @@
  */
 import * as httpParser from "http-parser-js";
 import * as errorText from "../../common/errors/errorText.js";
+import * as headSyntax from "./headSyntax.js";
 
 /** Status line, headers, chunk sizes and trailers of all responses to one request, interim responses included. */
 const maxOverheadBytes = 64 * 1024;
@@ -16,9 +17,6 @@
 
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
-const headerNamePattern = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+$/;
-/** Control characters other than tabs would end the client's header, or cannot be written to it. */
-const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
 const minStatusCode = 100;
 /** The target would change the protocol, which no request asks for. */
 const switchingProtocolsStatus = 101;
@@ -80,12 +78,10 @@
     if (statusCode < minStatusCode || statusCode === switchingProtocolsStatus) {
         throw new Error("unknown status code");
     }
-    headers.forEach((text, index) => {
-        const pattern = index % 2 === 0 ? headerNamePattern : headerValuePattern;
-        if (!pattern.test(text)) {
-            throw new Error(index % 2 === 0 ? "malformed header name" : "malformed header value");
-        }
-    });
+    const fault = headSyntax.checkHeaders(headers);
+    if (fault !== undefined) {
+        throw new Error(fault);
+    }
 };
 
 /** How the headers delimit the body. */
