Count removals as expiries only after an outage of the store

Cause: each failed call made all removals of the next 3 s count as rows that had expired while the store was unavailable, and the targets of such rows stay in use for 2.5 s from when a VM hears of them. An entry expires after three heartbeats of silence, so that one failed call proves nothing; and a VM that was cut off and reads late was in touch again before its 2.5 s were over.

Change: an outage is a series of calls for targets that fail, at least one retry included, for a heartbeat or longer. What disappears counts as expired until 2.5 s after the first call that succeeds, and at most until 0.1 s before `Contact` after the last call that failed, from which on a VM that was alone without the store is in touch. Forms of messages: VMs of earlier versions ignore the new field and keep 2.5 s; a change without it still means 2.5 s.

The test "a removal soon after a failed call counts as an expired row" demanded the fault: it failed one call of one table. Its place is taken by an outage of 4 s with the same checks, beside tests that one call, or calls before a stop, prove nothing.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -99,6 +99,8 @@
           readonly registration: Registration | undefined;
           /** The row expired while the store was failing: the target may still be running and register again. */
           readonly isLapse?: boolean;
+          /** How long the target of an expired row stays in use; VMs of earlier versions send none. */
+          readonly lapseMs?: number;
       };
 
 /** Tables of the store that the entry VMs follow. */
--- a/src/common/routes/restoredState.test.ts
+++ b/src/common/routes/restoredState.test.ts
@@ -5,6 +5,7 @@
 import * as fixture from "../../testing/routes/fixture.js";
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
+import * as storeOutage from "./storeOutage.js";
 import * as sharedState from "./sharedState.js";
 import * as types from "./Types.js";
 
@@ -42,11 +43,11 @@
     const { state, getNumber } = createSetup();
     state.applySnapshot(
         { table: "operators", version: toVersion(1, 31), changes: [createConfiguration(toVersion(1, 31), 10)] },
-        false,
+        0,
     );
     state.applySnapshot(
         { table: "operators", version: toVersion(2, 30), changes: [createConfiguration(toVersion(2, 30), 10)] },
-        false,
+        0,
     );
     state.applyUpdate({
         table: "operators",
@@ -66,14 +67,14 @@
     };
     state.applySnapshot(
         { table: "operators", version: toVersion(1, 31), changes: [createConfiguration(toVersion(1, 31), 10)] },
-        false,
+        0,
     );
-    state.applySnapshot(copy, false);
+    state.applySnapshot(copy, 0);
     t.is(getNumber(), 10);
     const started = createSetup();
-    started.state.applySnapshot(copy, false);
+    started.state.applySnapshot(copy, 0);
     t.is(started.getNumber(), 7);
-    state.listSnapshots().forEach(snapshot => started.state.applySnapshot(snapshot, false));
+    state.listSnapshots().forEach(snapshot => started.state.applySnapshot(snapshot, 0));
     t.is(started.getNumber(), 10);
 });
 
@@ -82,7 +83,7 @@
     const { scheduler, state, settled, listIds } = createSetup();
     state.applySnapshot(
         { table: "operators", version: toVersion(1, 40), changes: [createZoneChange(toVersion(1, 39), true)] },
-        false,
+        0,
     );
     const known = [ready("stays"), ready("left"), ready("leaves"), ready("drains")];
     state.applySnapshot(
@@ -91,7 +92,7 @@
             version: toVersion(1, 20),
             changes: known.map(target => fixture.createTargetChange(toVersion(1, 5), target)),
         },
-        false,
+        0,
     );
     const drained = fixture.createTargetChange(toVersion(1, 42), ready("drains", { state: "draining" }));
     const removals = ["left", "leaves"].map(id =>
@@ -99,8 +100,8 @@
     );
     state.applyUpdate({ table: "targets", version: toVersion(1, 42), changes: [...removals, drained] });
     const rows = known.map(target => fixture.createTargetChange(toVersion(2, 5), target));
-    state.applySnapshot({ table: "operators", version: toVersion(2, 30), changes: [] }, false);
-    state.applySnapshot({ table: "targets", version: toVersion(2, 30), changes: rows }, false);
+    state.applySnapshot({ table: "operators", version: toVersion(2, 30), changes: [] }, 0);
+    state.applySnapshot({ table: "targets", version: toVersion(2, 30), changes: rows }, 0);
     t.true(state.isZoneOut(fixture.zone));
     t.deepEqual(listIds(), ["drains", "stays"]);
     t.is([...state.listTargets()].find(({ id }) => id === "drains")?.state, "draining");
@@ -121,8 +122,8 @@
 test("a target that a copy does not have yet stays in use until it should have registered again", async t => {
     const { scheduler, state, listIds } = createSetup();
     const rows = ["a", "b"].map(id => fixture.createTargetChange(toVersion(1, 9), ready(id)));
-    state.applySnapshot({ table: "targets", version: toVersion(1, 20), changes: rows }, false);
-    state.applySnapshot({ table: "targets", version: toVersion(2, 5), changes: [] }, false);
+    state.applySnapshot({ table: "targets", version: toVersion(1, 20), changes: rows }, 0);
+    state.applySnapshot({ table: "targets", version: toVersion(2, 5), changes: [] }, 0);
     t.deepEqual(listIds(), ["a", "b"]);
     state.applyUpdate({
         table: "targets",
@@ -141,7 +142,7 @@
             version: toVersion(1, 50),
             changes: [fixture.createTargetChange(toVersion(1, 9), ready("a"))],
         },
-        false,
+        0,
     );
     state.applyUpdate({
         table: "targets",
@@ -154,7 +155,7 @@
             version: toVersion(2, 20),
             changes: [fixture.createTargetChange(toVersion(2, 9), ready("a"))],
         },
-        false,
+        0,
     );
     state.applyChanges([fixture.createTargetChange(toVersion(1, 60), ready("late"))]);
     await scheduler.advance(settleMs - 1_000);
@@ -164,7 +165,7 @@
             version: toVersion(3, 20),
             changes: [fixture.createTargetChange(toVersion(3, 9), ready("a"))],
         },
-        false,
+        0,
     );
     await scheduler.advance(1_000);
     t.deepEqual(listIds(), [], "what was held in the second era is obsolete");
@@ -223,12 +224,12 @@
                     sent.push(store.restore());
                     break;
                 case 2:
-                    vm?.state.applySnapshot(store.createSnapshot(), source.nextInt(2) === 0);
+                    vm?.state.applySnapshot(store.createSnapshot(), source.nextInt(2) * storeOutage.expiryGraceMs);
                     break;
                 case 3:
                     vms[source.nextInt(vms.length)]?.state
                         .listSnapshots()
-                        .forEach(snapshot => vm?.state.applySnapshot(snapshot, false));
+                        .forEach(snapshot => vm?.state.applySnapshot(snapshot, 0));
                     break;
                 case 4:
                     vms[index] = createSetup();
@@ -242,7 +243,7 @@
                 highest[at] = getNumber() ?? 0;
             });
         }
-        vms.forEach(({ state }) => state.applySnapshot(store.createSnapshot(), false));
+        vms.forEach(({ state }) => state.applySnapshot(store.createSnapshot(), 0));
         t.deepEqual(
             vms.map(({ getNumber }) => getNumber()),
             vms.map(() => store.getNumber()),
--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -36,10 +36,10 @@
         fixture.createTargetChange(9, fixture.createRegistration("new")),
         { kind: "zone", version: fixture.createVersion(2), zone: fixture.zone, isOut: true },
     ]);
-    state.applySnapshot({ table: "targets", version: fixture.createVersion(7), changes: [] }, false);
+    state.applySnapshot({ table: "targets", version: fixture.createVersion(7), changes: [] }, 0);
     t.deepEqual(listTargetIds(state), ["new"]);
     t.true(state.isZoneOut(fixture.zone));
-    state.applySnapshot({ table: "operators", version: fixture.createVersion(10), changes: [] }, false);
+    state.applySnapshot({ table: "operators", version: fixture.createVersion(10), changes: [] }, 0);
     t.false(state.isZoneOut(fixture.zone));
 });
 
@@ -72,6 +72,58 @@
     t.deepEqual(listTargetIds(state), ["back"]);
 });
 
+const createLapse = (version: number, id: string, lapseMs: number) =>
+    ({
+        kind: "target",
+        version: fixture.createVersion(version),
+        id: ids.toTargetId(id),
+        registration: undefined,
+        isLapse: true,
+        lapseMs,
+    }) as const;
+
+// Guards against followers that count the time from when they hear of an expired row, and use its target for too long.
+test("a target whose row expired stays in use for as long as the change says", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const state = createState(scheduler);
+    state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
+    state.applyChanges([createLapse(2, "a", 700)]);
+    await scheduler.advance(600);
+    t.deepEqual(listTargetIds(state), ["a"]);
+    await scheduler.advance(200);
+    t.deepEqual(listTargetIds(state), []);
+});
+
+// Guards against a VM that loses its hub after an outage, and with it all targets whose rows have expired.
+test("a VM that knows a target keeps it if it joins a hub at which the target's row has expired", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const [hub, joined] = [createState(scheduler), createState(scheduler)];
+    const registered = fixture.createTargetChange(1, fixture.createRegistration("a"));
+    for (const state of [hub, joined]) {
+        state.applyUpdate({ table: "targets", version: fixture.createVersion(1), changes: [registered] });
+    }
+    hub.applyUpdate({ table: "targets", version: fixture.createVersion(2), changes: [createLapse(2, "a", 1_000)] });
+    await scheduler.advance(400);
+    hub.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot));
+    await scheduler.advance(500);
+    t.deepEqual(listTargetIds(joined), ["a"]);
+    await scheduler.advance(200);
+    t.deepEqual(listTargetIds(joined), []);
+    t.deepEqual(hub.listSnapshots().find(({ table }) => table === "targets")?.changes, []);
+});
+
+// Guards against a target that starts again under its id, and is taken out of use when the expiry of its old row is due.
+test("a target that registers again after its row expired is not taken out of use", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const state = createState(scheduler);
+    state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
+    state.applyChanges([createLapse(2, "a", 1_000)]);
+    await scheduler.advance(500);
+    state.applyChanges([fixture.createTargetChange(3, fixture.createRegistration("a", { startedAtMs: 2 }))]);
+    await scheduler.advance(5_000);
+    t.deepEqual(listTargetIds(state), ["a"]);
+});
+
 test("a row that is removed, not expired, takes its target out of use at once", t => {
     const state = createState();
     state.applyChanges([fixture.createTargetChange(1, fixture.createRegistration("a"))]);
@@ -88,7 +140,7 @@
         fixture.createTargetChange(4, undefined, ids.toTargetId("b")),
     ]);
     const joined = createState();
-    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
+    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, 0));
     t.deepEqual(listTargetIds(joined), ["a"]);
     t.is(joined.getConfiguration()?.version, 3);
     t.true(joined.isZoneOut(fixture.zone));
@@ -113,9 +165,9 @@
     // A VM that has just started knows nothing of the removals at versions 6 and 7.
     const restarted = createState();
     const kept = fixture.createTargetChange(5, fixture.createRegistration("kept"));
-    restarted.applySnapshot({ table: "targets", version: fixture.createVersion(8), changes: [kept] }, false);
-    restarted.applySnapshot({ table: "operators", version: fixture.createVersion(8), changes: [] }, false);
-    outdated.listSnapshots().forEach(snapshot => restarted.applySnapshot(snapshot, false));
+    restarted.applySnapshot({ table: "targets", version: fixture.createVersion(8), changes: [kept] }, 0);
+    restarted.applySnapshot({ table: "operators", version: fixture.createVersion(8), changes: [] }, 0);
+    outdated.listSnapshots().forEach(snapshot => restarted.applySnapshot(snapshot, 0));
     t.deepEqual(listTargetIds(restarted), ["kept"]);
     t.false(restarted.isZoneOut(fixture.zone));
     restarted.applyChanges([fixture.createTargetChange(9, fixture.createRegistration("left"))]);
@@ -124,10 +176,10 @@
 
 test("a snapshot of a source whose last changes came without a version up to which they are complete loses no row", t => {
     const source = createState();
-    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, false);
+    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, 0);
     source.applyChanges([fixture.createTargetChange(9, fixture.createRegistration("late"))]);
     const joined = createState();
-    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, false));
+    source.listSnapshots().forEach(snapshot => joined.applySnapshot(snapshot, 0));
     // Written between the two versions, and not known to the source yet.
     joined.applyChanges([fixture.createTargetChange(7, fixture.createRegistration("between"))]);
     t.deepEqual(listTargetIds(joined).sort(), ["between", "late"]);
@@ -135,7 +187,7 @@
 
 test("an update moves the version up to which a table is complete", t => {
     const source = createState();
-    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, false);
+    source.applySnapshot({ table: "targets", version: fixture.createVersion(5), changes: [] }, 0);
     const added = fixture.createTargetChange(7, fixture.createRegistration("a"));
     source.applyUpdate({ table: "targets", version: fixture.createVersion(9), changes: [added] });
     t.deepEqual(
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -6,14 +6,10 @@
 import * as events from "../events.js";
 import * as shared from "../Types.js";
 import * as rowVersion from "./rowVersion.js";
+import * as storeOutage from "./storeOutage.js";
 import * as stateChanges from "./stateChanges.js";
 import * as types from "./Types.js";
 
-/**
- * How long a target stays in use after its row expired. The platform guarantees that a running target registers again
- * within 2 s after the store recovers; the rest is the time until the row is read.
- */
-const expiryGraceMs = 2_500;
 /**
  * How long a row of a copy that takes back a confirmed removal or evacuation is ignored, unless it is written again. Rows of
  * targets that have left expire in this time, after three heartbeats of 1.5 s.
@@ -46,10 +42,10 @@
      * Applies a whole table and removes the rows that it does not contain.
      *
      * @param snapshot - the table
-     * @param isStoreUnstable - whether missing target rows may merely have expired while the store was failing
+     * @param lapseMs - how long targets whose rows are missing stay in use, as these may merely have expired; 0 if not
      * @returns the changes that had an effect
      */
-    applySnapshot(snapshot: types.StateSnapshot, isStoreUnstable: boolean): readonly types.StateChange[];
+    applySnapshot(snapshot: types.StateSnapshot, lapseMs?: number): readonly types.StateChange[];
     /** The store's era by which a table is known; 0 before the first. */
     getEra(table: types.StateTable): number;
     /** Fires when rows of a copy that were ignored at first have come into force. */
@@ -59,6 +55,12 @@
     readonly onDidChangeTargets: shared.Event<void>;
 }
 
+/** The end of the use of a target whose row has expired. */
+interface PendingExpiry {
+    readonly timer: shared.Disposable;
+    readonly endsAtMs: number;
+}
+
 /**
  * Creates an empty state.
  *
@@ -82,25 +84,28 @@
     const heldChanges: Record<types.StateTable, readonly types.StateChange[]> = { operators: [], targets: [] };
     const settleTimers = new Map<types.StateTable, shared.Disposable>();
     const settleEmitter = events.createEmitter<types.StateUpdate>();
-    const expiryTimers = new Map<shared.TargetId, shared.Disposable>();
+    const pendingExpiries = new Map<shared.TargetId, PendingExpiry>();
     const configurationEmitter = events.createEmitter<types.RouteConfiguration>();
     const targetsEmitter = events.createEmitter<void>();
     let configuration: types.RouteConfiguration | undefined;
     let ignoredChanges = 0;
 
     const setTarget = (change: types.StateChange & { kind: "target" }): void => {
-        expiryTimers.get(change.id)?.dispose();
-        expiryTimers.delete(change.id);
+        pendingExpiries.get(change.id)?.timer.dispose();
+        pendingExpiries.delete(change.id);
         if (change.registration !== undefined) {
             targets.set(change.id, change.registration);
         } else if (change.isLapse === true && targets.has(change.id)) {
             const expire = (): void => {
                 logger.info("state: target removed, its expired row was not renewed", { target: change.id });
-                expiryTimers.delete(change.id);
+                pendingExpiries.delete(change.id);
                 targets.delete(change.id);
                 targetsEmitter.fire();
             };
-            expiryTimers.set(change.id, scheduler.schedule(expiryGraceMs, expire));
+            // A peer's clock is not compared, and no message may keep a target in use for longer.
+            const lapseMs = Math.min(change.lapseMs ?? storeOutage.expiryGraceMs, storeOutage.expiryGraceMs);
+            const timer = scheduler.schedule(lapseMs, expire);
+            pendingExpiries.set(change.id, { timer, endsAtMs: scheduler.now() + lapseMs });
         } else {
             targets.delete(change.id);
         }
@@ -215,13 +220,13 @@
         return applied;
     };
 
-    const listRemovals = (snapshot: types.StateSnapshot, areExpired: boolean): types.StateChange[] => {
+    const listRemovals = (snapshot: types.StateSnapshot, lapseMs: number): types.StateChange[] => {
         const present = new Set(snapshot.changes.map(stateChanges.toRowKey));
         const removals: types.StateChange[] = [];
         for (const [key, row] of rows) {
             const isUnaffected =
                 present.has(key) || stateChanges.isRemoval(row) || stateChanges.getTable(row) !== snapshot.table;
-            const removal = isUnaffected ? undefined : stateChanges.toRemoval(row, snapshot.version, areExpired);
+            const removal = isUnaffected ? undefined : stateChanges.toRemoval(row, snapshot.version, lapseMs);
             if (removal !== undefined) {
                 removals.push(removal);
             }
@@ -268,11 +273,14 @@
         return changes.filter(change => !held.includes(change));
     };
 
-    const applySnapshot = (snapshot: types.StateSnapshot, isStoreUnstable: boolean): readonly types.StateChange[] => {
+    const applySnapshot = (snapshot: types.StateSnapshot, lapseMs = 0): readonly types.StateChange[] => {
         const { table, version } = snapshot;
         const known = completeVersions[table];
         const isRestored = rowVersion.isNewer(known, rowVersion.noVersion) && version.era > known.era;
-        const changes = [...snapshot.changes, ...listRemovals(snapshot, isStoreUnstable || isRestored)];
+        const changes = [
+            ...snapshot.changes,
+            ...listRemovals(snapshot, isRestored ? storeOutage.expiryGraceMs : lapseMs),
+        ];
         return applyUpdate({ ...snapshot, changes: isRestored ? holdChanges(table, changes) : changes });
     };
 
@@ -280,11 +288,20 @@
     const toSnapshot = (table: types.StateTable): types.StateSnapshot => ({
         table,
         version: completeVersions[table],
-        changes: [...rows.values()].filter(
-            change => stateChanges.getTable(change) === table && !stateChanges.isRemoval(change),
+        changes: [...rows.values()].flatMap(change =>
+            stateChanges.getTable(change) === table ? toSnapshotChange(change) : [],
         ),
     });
 
+    /** Removed rows are left out, except those whose targets are still in use: the receiver may know these targets. */
+    const toSnapshotChange = (change: types.StateChange): types.StateChange | [] => {
+        const expiry = change.kind === "target" ? pendingExpiries.get(change.id) : undefined;
+        if (expiry !== undefined) {
+            return stateChanges.toLapse(change, expiry.endsAtMs - scheduler.now());
+        }
+        return stateChanges.isRemoval(change) ? [] : change;
+    };
+
     const applyUpdate = ({ table, version, changes }: types.StateUpdate): readonly types.StateChange[] => {
         const applied = applyChanges(changes);
         completeVersions[table] = rowVersion.pickNewer(completeVersions[table], version);
--- a/src/common/routes/stateChanges.ts
+++ b/src/common/routes/stateChanges.ts
@@ -72,18 +72,30 @@
     change.registration.startedAtMs === other.registration.startedAtMs &&
     change.version.era !== other.version.era;
 
+/**
+ * Marks the removal of a target as that of a row that may merely have expired.
+ *
+ * @param change - a change
+ * @param lapseMs - how long the target stays in use; 0 if its row has not expired
+ * @returns the change, which is the same unless it removes a target
+ */
+export const toLapse = (change: types.StateChange, lapseMs: number): types.StateChange =>
+    change.kind === "target" && change.registration === undefined && lapseMs > 0
+        ? { ...change, isLapse: true, lapseMs }
+        : change;
+
 /**
  * Creates the removal of a row.
  *
  * @param change - the row's last change
  * @param version - the version of the removal
- * @param isExpired - whether the row may merely have expired
+ * @param lapseMs - how long the target stays in use if the row may merely have expired; 0 if it has not
  * @returns the removal; undefined for a configuration, which is only ever replaced
  */
 export const toRemoval = (
     change: types.StateChange,
     version: types.RowVersion,
-    isExpired: boolean,
+    lapseMs: number,
 ): types.StateChange | undefined => {
     switch (change.kind) {
         case "configuration":
@@ -91,6 +103,6 @@
         case "zone":
             return { kind: "zone", version, zone: change.zone, isOut: false };
         case "target":
-            return { kind: "target", version, id: change.id, registration: undefined, isLapse: isExpired };
+            return toLapse({ kind: "target", version, id: change.id, registration: undefined }, lapseMs);
     }
 };
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -131,6 +131,10 @@
 export interface RouteBounds {
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: number;
+    /** Interval at which targets renew their rows in the store. */
+    readonly heartbeatMs: number;
+    /** Time after the end of a disruption from which a VM must act on what the store has confirmed. */
+    readonly contactMs: number;
     /** Longest lifetime of a lookup response. */
     readonly longestLookupMs: number;
     /** Retries as a share of the requests of a service. */
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -52,6 +52,7 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    getBounds(): types.RouteBounds;
     isReady(): boolean;
     /** Whether this VM reaches no target, as far as it knows. */
     isCutOff(): boolean;
@@ -97,6 +98,7 @@
         state,
         scheduler,
         logger,
+        getBounds: options.getBounds,
         handleUpdate: update => hub?.pushUpdate(update),
     });
 
@@ -142,7 +144,7 @@
             let hasSnapshots = false;
             channel.on("state.snapshots", ({ snapshots }) => {
                 hasSnapshots = true;
-                snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot), false));
+                snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot), 0));
             });
             // Without the snapshots before them, changes do not make a table complete.
             channel.on("state.update", update =>
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -85,6 +85,7 @@
         state,
         scheduler,
         logger,
+        getBounds: () => bounds,
         isReady,
         isCutOff: () => !reach.isConfirmed(),
         computeRequestRate: requestRate.compute,
--- a/src/node/routes/storeFollower.test.ts
+++ b/src/node/routes/storeFollower.test.ts
@@ -9,6 +9,8 @@
 import * as storeFollower from "./storeFollower.js";
 import * as types from "./Types.js";
 
+const bounds = { heartbeatMs: 1_500, contactMs: 3_000 };
+
 /** Creates a follower of a store whose changes of targets are scripted; an error in the script fails the call. */
 const createTestFollower = (
     script: (types.TableChanges | Error)[],
@@ -17,13 +19,15 @@
     const scheduler = virtualScheduler.createVirtualScheduler();
     const state = sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
     let snapshots = 0;
+    let snapshotTargets = initialTargets;
     let isSilent = false;
     const store: types.StateStore = {
         fetchSnapshot: table => {
             snapshots++;
+            const version = snapshots > 2 ? 4 : 1;
             const changes =
-                table === "targets" ? initialTargets.map(entry => fixture.createTargetChange(1, entry)) : [];
-            return Promise.resolve({ table, version: fixture.createVersion(1), changes });
+                table === "targets" ? snapshotTargets.map(entry => fixture.createTargetChange(1, entry)) : [];
+            return Promise.resolve({ table, version: fixture.createVersion(version), changes });
         },
         fetchChanges: (table, after) => {
             if (isSilent) {
@@ -54,11 +58,13 @@
         state,
         scheduler,
         logger: silentLogger.createSilentLogger(),
+        getBounds: () => bounds,
         handleUpdate: update => published.push(...update.changes),
     });
     const listIds = (): string[] => [...state.listTargets()].map(target => target.id);
+    const setSnapshot = (targets: readonly routes.Registration[]): void => void (snapshotTargets = targets);
     const setSilent = (): void => void (isSilent = true);
-    return { scheduler, follower, script, listIds, published, setSilent, countSnapshots: () => snapshots };
+    return { scheduler, follower, script, listIds, published, setSilent, setSnapshot, countSnapshots: () => snapshots };
 };
 
 test("a store that stops responding is detected within 1.3 s, and a store without changes is not overdue", async t => {
@@ -95,10 +101,73 @@
     t.true(setup.follower.computeAgeMs() < 1_000);
 });
 
-test("a removal soon after a failed call counts as an expired row, so the target stays in use for a while", async t => {
-    const setup = createTestFollower([new Error("down"), removeTarget(5, "a")], [fixture.createRegistration("a")]);
+/** Calls that fail while the store is unavailable for about 4 s, in which rows expire. */
+const createOutage = (): Error[] => Array.from({ length: 6 }, () => new Error("down"));
+
+test("a removal after an outage of the store counts as an expired row, so the target stays in use for a while", async t => {
+    const setup = createTestFollower([...createOutage(), removeTarget(5, "a")], [fixture.createRegistration("a")]);
+    setup.follower.start();
+    await setup.scheduler.advance(6_000);
+    t.is(setup.script.length, 0);
+    t.deepEqual(setup.listIds(), ["a"]);
+    await setup.scheduler.advance(4_000);
+    t.deepEqual(setup.listIds(), []);
+});
+
+// Guards against removals that count as expiries after one failed call, so that all VMs use targets that have left.
+test("a removal soon after a call whose connection was reset takes the target out of use at once", async t => {
+    const setup = createTestFollower([new Error("reset"), removeTarget(5, "a")], [fixture.createRegistration("a")]);
+    setup.follower.start();
+    await setup.scheduler.advance(1_500);
+    t.is(setup.script.length, 0);
+    t.deepEqual(setup.listIds(), []);
+    t.deepEqual(
+        setup.published.filter(change => change.kind === "target" && change.isLapse === true),
+        [],
+    );
+});
+
+test("a call that failed before a follower was stopped says nothing about the store when it starts again", async t => {
+    const setup = createTestFollower([new Error("reset")], [fixture.createRegistration("a")]);
+    setup.follower.start();
+    await setup.scheduler.advance(510);
+    setup.follower.stop();
+    t.is(setup.script.length, 0);
+    await setup.scheduler.advance(10_000);
+    setup.script.push(new Error("reset"), removeTarget(5, "a"));
     setup.follower.start();
     await setup.scheduler.advance(1_500);
+    t.is(setup.script.length, 0);
+    t.deepEqual(setup.listIds(), []);
+});
+
+// Guards against an outage that excuses each removal of the seconds after it, also of targets that leave later.
+test("a target that leaves some seconds after an outage is taken out of use at once", async t => {
+    const nothing = (version: number): types.TableChanges => ({
+        kind: "changes",
+        version: fixture.createVersion(version),
+        changes: [],
+    });
+    const quiet = Array.from({ length: 6 }, (_, index) => nothing(index + 2));
+    const setup = createTestFollower(
+        [...createOutage(), ...quiet, removeTarget(9, "a")],
+        [fixture.createRegistration("a")],
+    );
+    setup.follower.start();
+    while (setup.script.length > 0) {
+        await setup.scheduler.advance(100);
+    }
+    await setup.scheduler.advance(200);
+    t.deepEqual(setup.listIds(), []);
+});
+
+test("rows that a snapshot lacks after an outage and lost history count as expired", async t => {
+    const setup = createTestFollower([...createOutage(), { kind: "history-lost" }], [fixture.createRegistration("a")]);
+    setup.follower.start();
+    await setup.scheduler.advance(100);
+    setup.setSnapshot([]);
+    await setup.scheduler.advance(5_900);
+    t.is(setup.script.length, 0);
     t.deepEqual(setup.listIds(), ["a"]);
     await setup.scheduler.advance(4_000);
     t.deepEqual(setup.listIds(), []);
@@ -144,6 +213,7 @@
         state,
         scheduler,
         logger: silentLogger.createSilentLogger(),
+        getBounds: () => bounds,
         handleUpdate: () => undefined,
     });
     follower.start();
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -3,6 +3,8 @@
  */
 import * as errorText from "../../common/errors/errorText.js";
 import * as rowVersion from "../../common/routes/rowVersion.js";
+import * as stateChanges from "../../common/routes/stateChanges.js";
+import * as storeOutage from "../../common/routes/storeOutage.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -17,8 +19,6 @@
 const targetsWaitMs = 250;
 const initialBackoffMs = 250;
 const maxBackoffMs = 1_000;
-/** Rows that disappear within this time after a failed call may only have expired. */
-const possibleExpiryMs = 3_000;
 
 export interface StoreFollower extends shared.Disposable {
     /** Starts following the store; no effect if already running. */
@@ -36,6 +36,7 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    getBounds(): storeOutage.OutageBounds;
     /** Called with the changes that had an effect, also with those that arrive after a stop. */
     handleUpdate(update: routes.StateUpdate): void;
 }
@@ -46,6 +47,8 @@
     readonly intervalMs: number;
     cursor: routes.RowVersion | undefined;
     calledAtMs: number;
+    /** Latest time of the response to the last call from an available store. */
+    dueAtMs: number;
     succeededAtMs: number;
     failedAtMs: number;
     backoffMs: number;
@@ -59,6 +62,7 @@
     intervalMs,
     cursor: undefined,
     calledAtMs: -Infinity,
+    dueAtMs: -Infinity,
     succeededAtMs: -Infinity,
     failedAtMs: -Infinity,
     backoffMs: initialBackoffMs,
@@ -81,22 +85,23 @@
     let isRunning = false;
     const timers = new Map<TableState, shared.Disposable>();
 
-    /** Removals of targets during or soon after a failure of the store may be expired rows. */
-    const markExpiredRows = (
-        table: TableState,
-        changes: readonly routes.StateChange[],
-    ): readonly routes.StateChange[] =>
-        hasRecentFailure(table)
-            ? changes.map(change =>
-                  change.kind === "target" && change.registration === undefined ? { ...change, isLapse: true } : change,
-              )
-            : changes;
+    /** Of the table of targets, as the store may be unavailable in part. */
+    const outage = storeOutage.createStoreOutage({ clock: scheduler, getBounds: options.getBounds });
+
+    /** Records that the store has responded; must precede the handling of the response, which may lack expired rows. */
+    const recordResponse = ({ table }: TableState): void => {
+        const ended = table === "targets" ? outage.recordSuccess() : undefined;
+        if (ended !== undefined) {
+            logger.info("state: outage of the store ended", {
+                durationMs: Math.round(ended.durationMs),
+                lapseMs: Math.round(ended.lapseMs),
+            });
+        }
+    };
 
     /** Whether the last call failed. */
     const hasFailed = (table: TableState): boolean => table.failedAtMs > table.succeededAtMs;
 
-    const hasRecentFailure = (table: TableState): boolean => scheduler.now() - table.failedAtMs < possibleExpiryMs;
-
     /**
      * Reports changes as soon as they have been applied: followers would never get them otherwise, as the snapshot after a
      * restart does not find them new.
@@ -109,20 +114,23 @@
 
     const fetchTableSnapshot = async (table: TableState): Promise<void> => {
         const snapshot = await store.fetchSnapshot(table.table, callTimeoutMs);
+        recordResponse(table);
         table.cursor = snapshot.version;
-        reportUpdate({ ...snapshot, changes: state.applySnapshot(snapshot, hasRecentFailure(table)) });
+        reportUpdate({ ...snapshot, changes: state.applySnapshot(snapshot, outage.computeLapseMs()) });
     };
 
     const fetchTableChanges = async (table: TableState, after: routes.RowVersion): Promise<void> => {
         // A call that is lost at the end of an outage must time out soon, so that the changes are not missed for longer.
         const waitMs = hasFailed(table) ? 0 : table.waitMs;
+        table.dueAtMs += waitMs;
         const result = await store.fetchChanges(table.table, after, waitMs, waitMs + callTimeoutMs);
+        recordResponse(table);
         switch (result.kind) {
             case "changes": {
                 const update = {
                     table: table.table,
                     version: result.version,
-                    changes: markExpiredRows(table, result.changes),
+                    changes: result.changes.map(change => stateChanges.toLapse(change, outage.computeLapseMs())),
                 };
                 table.cursor = result.version;
                 reportUpdate({ ...update, changes: state.applyUpdate(update) });
@@ -150,7 +158,11 @@
             const reason = errorText.toErrorText(error);
             logger.warn("state: store unreachable", { table: table.table, reason });
         }
-        table.failedAtMs = scheduler.now();
+        const nowMs = scheduler.now();
+        if (table.table === "targets") {
+            outage.recordFailure(Math.min(nowMs, table.dueAtMs));
+        }
+        table.failedAtMs = nowMs;
         const delayMs = table.backoffMs;
         table.backoffMs = Math.min(maxBackoffMs, delayMs * 2);
         return delayMs;
@@ -158,6 +170,7 @@
 
     const poll = async (table: TableState, ownRun: number): Promise<void> => {
         table.calledAtMs = scheduler.now();
+        table.dueAtMs = table.calledAtMs;
         let delayMs: number;
         try {
             const { cursor } = table;
@@ -199,6 +212,7 @@
             }
             isRunning = true;
             run++;
+            outage.reset();
             logger.info("state: started following the store");
             for (const table of tables) {
                 // Changes may have been missed while another VM followed the store.
--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -14,6 +14,16 @@
 import * as membership from "../../node/routes/membership.js";
 import * as types from "../../node/routes/Types.js";
 
+const bounds: types.RouteBounds = {
+    graceMs: 1_000,
+    heartbeatMs: 1_500,
+    contactMs: 3_000,
+    longestLookupMs: 1_000,
+    retryShare: 0,
+    retryWindowMs: 1_000,
+    retryExtra: 0,
+};
+
 export const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
 
 /** Creates an in-memory store that can be made unreachable for some VMs. */
@@ -130,14 +140,9 @@
             peerAddress: toAddress(options.port),
             seeds: options.seeds.map(toAddress),
             store: toAddress(1),
-            bounds: {
-                graceMs: 1_000,
-                longestLookupMs: 1_000,
-                retryShare: 0,
-                retryWindowMs: 1_000,
-                retryExtra: 0,
-            },
+            bounds,
         },
+        getBounds: () => bounds,
         incarnation: ids.toIncarnationId(name),
         store: options.store.connect(vm),
         state,
