Bound the work for each line of a response

Cause: two patterns of the parser library take a time that grows with the square of a line's blanks. Lines were bounded only after it had parsed them, together with the rest of a chunk, and lines among the trailers only by a share of the body.

Change: the wrapper reads and splits all lines itself, in one pass each, and counts their bytes before they are decoded; a line has 64 KB at most. Lines that continue a header, which HTTP no longer allows in responses, and lines that are no header, which the library ignored, are errors. Trailers are checked like headers and not held.

--- a/src/node/routes/responseParser.test.ts
+++ b/src/node/routes/responseParser.test.ts
@@ -2,6 +2,7 @@
 import * as net from "node:net";
 import test from "ava";
 import * as fc from "fast-check";
+import * as workGrowth from "../../testing/workGrowth.js";
 import * as responseParser from "./responseParser.js";
 
 const seed = 1803;
@@ -135,3 +136,69 @@
     const { responses } = parse("HTTP/1.1 304 Not Modified\r\ncontent-length: 10\r\n\r\n", []);
     t.deepEqual(responses, [{ statusCode: 304, body: "", isWhole: true }]);
 });
+
+const okHead = "HTTP/1.1 200 OK\r\n";
+const chunkedHead = `${okHead}transfer-encoding: chunked\r\n\r\n`;
+
+/** Repeats a text up to a number of bytes. */
+const fill = (text: string, bytes: number): string => text.repeat(Math.ceil(bytes / text.length)).slice(0, bytes);
+
+/** Responses of about the given number of bytes, whose lines the parser has to read in full. */
+const longResponses: Readonly<Record<string, (bytes: number) => string>> = {
+    "a line of blanks": bytes => `${okHead}a: 1\r\n${fill(" ", bytes)}\r\n\r\n`,
+    "a line of tabs": bytes => `${okHead}a: 1\r\n${fill("\t", bytes)}\r\n\r\n`,
+    "a line of blanks before any header": bytes => `${okHead}${fill(" ", bytes)}\r\n\r\n`,
+    "a line of blanks that ends in a control character": bytes => `${okHead}a: ${fill(" ", bytes)}\u0001\r\n\r\n`,
+    "blanks around a value": bytes => `${okHead}a:${fill(" ", bytes / 2)}b${fill(" ", bytes / 2)}\r\n\r\n`,
+    "blanks within a value": bytes => `${okHead}a: b${fill(" ", bytes)}c\r\n\r\n`,
+    "a long value": bytes => `${okHead}a: ${fill("b", bytes)}\r\n\r\n`,
+    "a long name": bytes => `${okHead}${fill("a", bytes)}: b\r\n\r\n`,
+    "a name without a colon": bytes => `${okHead}${fill("a", bytes)}\r\n\r\n`,
+    "a line of colons": bytes => `${okHead}${fill(":", bytes)}\r\n\r\n`,
+    "lines that continue a header": bytes => `${okHead}a: 1\r\n${fill(" b\r\n", bytes)}\r\n\r\n`,
+    "many headers": bytes => `${okHead}${fill("a: b\r\n", bytes)}\r\n\r\n`,
+    "many empty headers": bytes => `${okHead}${fill("a:\n", bytes)}\r\n\r\n`,
+    "a Connection list": bytes => `${okHead}connection: ${fill("a, ", bytes)}\r\n\r\n`,
+    "a reason phrase": bytes => `HTTP/1.1 200 ${fill("a ", bytes)}\r\n\r\n`,
+    "blanks in the status line": bytes => `HTTP/1.1 200${fill(" ", bytes)}\r\n\r\n`,
+    "a status line that is none": bytes => `HTTP/1.1${fill(" ", bytes)}\r\n\r\n`,
+    "empty lines before the status line": bytes => `${fill("\r\n", bytes)}${okHead}\r\n`,
+    "interim responses": bytes => fill(`HTTP/1.1 100 A\r\na: ${fill("b", bytes / 12)}\r\n\r\n`, bytes),
+    "a chunk extension": bytes => `${chunkedHead}1;${fill("a=b;", bytes)}\r\na\r\n0\r\n\r\n`,
+    "blanks after a chunk size": bytes => `${chunkedHead}1${fill(" ", bytes)}x\r\na\r\n0\r\n\r\n`,
+    "zeros of a chunk size": bytes => `${chunkedHead}${fill("0", bytes)}1\r\na\r\n0\r\n\r\n`,
+    "many chunks": bytes => `${chunkedHead}${"1\r\na\r\n".repeat(bytes / 6)}0\r\n\r\n`,
+    "a line of blanks among the trailers": bytes => `${chunkedHead}0\r\na: 1\r\n${fill(" ", bytes)}\r\n\r\n`,
+    "a line of tabs among the trailers": bytes => `${chunkedHead}0\r\n${fill("\t", bytes)}\r\n\r\n`,
+    "many trailers": bytes => `${chunkedHead}0\r\n${fill("a: b\r\n", bytes)}\r\n\r\n`,
+};
+
+const smallBytes = 12 * 1024;
+// Guards against lines of a target that keep the only thread busy for seconds, so that no request is answered meanwhile.
+for (const [name, create] of Object.entries(longResponses)) {
+    test.serial(`the work for ${name} grows no faster than its bytes`, t => {
+        const largeBytes = workGrowth.growth * smallBytes;
+        const texts = new Map([smallBytes, largeBytes].map(bytes => [bytes, create(bytes)]));
+        const singleBytes = Array.from({ length: 2 * largeBytes }, () => 1);
+        for (const [way, sizes] of Object.entries({ "in one piece": [], "byte by byte": singleBytes })) {
+            const growth = workGrowth.measureWorkGrowth(smallBytes, bytes => void parse(texts.get(bytes) ?? "", sizes));
+            t.true(growth < workGrowth.maxWorkGrowth, `${way}: ${growth.toFixed(1)} times the work`);
+        }
+    });
+}
+
+// Guards against a line that is held without bound, as the allowance grows with the body.
+test("a line among the trailers of a large body is bounded, and trailers are not held", t => {
+    const body = "a".repeat(1024 * 1024);
+    const start = `${chunkedHead}${body.length.toString(16)}\r\n${body}\r\n0\r\n`;
+    t.is(parse(`${start}a: ${"b".repeat(80 * 1024)}`, []).fault, "line too long");
+    t.true(parse(`${start}${"a: b\r\n".repeat(10_000)}\r\n`, []).responses[0]?.isWhole);
+});
+
+// Guards against lines that the library ignores, although other recipients read them as headers.
+test("a line that is no header is an error", t => {
+    for (const line of ["a", ": b", "content-length : 4", " content-length: 4", "a b: c"]) {
+        t.not(parse(`${okHead}a: b\r\n${line}\r\ncontent-length: 0\r\n\r\n`, []).fault, undefined, line);
+        t.not(parse(`${chunkedHead}0\r\n${line}\r\n\r\n`, []).fault, undefined, line);
+    }
+});
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -1,6 +1,7 @@
 /**
  * Parses responses of targets. The library accepts malformed lengths and chunk sizes, some of which make a truncated body
- * look whole, and holds chunk sizes and trailers of any length; here these are errors.
+ * look whole, and holds lines and trailers of any length; here these are errors. All lines are read here: the library's
+ * patterns for headers take a time that grows with the square of a line's blanks.
  */
 import * as httpParser from "http-parser-js";
 import * as errorText from "../../common/errors/errorText.js";
@@ -10,10 +11,9 @@
 const maxOverheadBytes = 64 * 1024;
 /** Additional overhead per byte of the body; a chunk of one byte has an overhead of 5 bytes. */
 const maxOverheadPerBodyByte = 8;
+const maxLineBytes = 64 * 1024;
 const maxInterimResponses = 16;
-
-/** The default clears the highest bit of each byte, which HTTP allows in header values. */
-httpParser.HTTPParser.encoding = "latin1";
+const lineFeed = 0x0a;
 
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
@@ -62,28 +62,52 @@
 
 /** Members of the parser that its type does not declare; the version of the library is pinned for them. */
 interface ParserInternals {
-    readonly offset: number;
+    readonly chunk: Buffer;
+    offset: number;
     readonly end: number;
     state: string;
     body_bytes: number | null;
+    /** The part of the current line that earlier chunks contained. */
+    line: string;
+    readonly trailers: readonly string[];
+    /** Reads a line; undefined if its end has not arrived yet. */
     consumeLine(): string | undefined;
+    parseHeader(line: string, headers: string[]): void;
     BODY_CHUNKHEAD(): void;
 }
 
-const listValues = (headers: readonly string[], name: string): string[] =>
-    headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name);
+const isBlank = (text: string, index: number): boolean => text[index] === " " || text[index] === "\t";
+
+/** Removes blanks at both ends. `String.prototype.trim` also removes other characters, such as the byte 0xa0. */
+const trimBlanks = (text: string): string => {
+    let start = 0;
+    let end = text.length;
+    while (start < end && isBlank(text, start)) {
+        start++;
+    }
+    while (end > start && isBlank(text, end - 1)) {
+        end--;
+    }
+    return text.slice(start, end);
+};
 
-/** Checks a head for what cannot be passed on; throws if it is malformed. */
-const checkHead = (statusCode: number, headers: readonly string[]): void => {
-    if (statusCode < minStatusCode || statusCode === switchingProtocolsStatus) {
-        throw new Error("unknown status code");
+/** Parses a header; throws if the line is none. Lines that continue a header are obsolete, and are none either. */
+const parseHeaderLine = (line: string): readonly [name: string, value: string] => {
+    const colonAt = line.indexOf(":");
+    const name = line.slice(0, Math.max(0, colonAt));
+    if (!headSyntax.isHeaderName(name)) {
+        throw new Error("malformed header name");
     }
-    const fault = headSyntax.checkHeaders(headers);
-    if (fault !== undefined) {
-        throw new Error(fault);
+    const value = trimBlanks(line.slice(colonAt + 1));
+    if (!headSyntax.isHeaderValue(value)) {
+        throw new Error("malformed header value");
     }
+    return [name, value];
 };
 
+const listValues = (headers: readonly string[], name: string): string[] =>
+    headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name);
+
 /** How the headers delimit the body. */
 type Framing =
     | { readonly kind: "length"; readonly bytes: number }
@@ -124,13 +148,15 @@
     const internals = parser as unknown as ParserInternals;
     let isInterim = false;
     let method = "GET";
-    let receivedBytes = 0;
+    let overheadBytes = 0;
     let bodyBytes = 0;
     let interimResponses = 0;
 
     const handleHead = (info: httpParser.HeaderInfo): number => {
         const { statusCode, headers } = info;
-        checkHead(statusCode, headers);
+        if (statusCode < minStatusCode || statusCode === switchingProtocolsStatus) {
+            throw new Error("unknown status code");
+        }
         const framing = readFraming(headers);
         isInterim = statusCode < 200;
         if (isInterim) {
@@ -163,6 +189,35 @@
             handlers.handleEnd(internals.offset < internals.end);
         }
     };
+    /** Checks the bytes of a line before they are decoded. */
+    const recordLineBytes = (bytes: number): void => {
+        overheadBytes += bytes;
+        if (overheadBytes > maxOverheadBytes + maxOverheadPerBodyByte * bodyBytes) {
+            throw new Error("too many bytes that are no body");
+        }
+        if (internals.line.length + bytes > maxLineBytes) {
+            throw new Error("line too long");
+        }
+    };
+
+    internals.consumeLine = () => {
+        const { chunk, offset } = internals;
+        const lineEnd = chunk.indexOf(lineFeed, offset);
+        const end = lineEnd < 0 ? internals.end : lineEnd + 1;
+        recordLineBytes(end - offset);
+        // In this encoding each character is a byte, also those above 0x7f, which HTTP allows in values.
+        const text = internals.line + chunk.toString("latin1", offset, end);
+        internals.offset = end;
+        internals.line = lineEnd < 0 ? text : "";
+        return lineEnd < 0 ? undefined : text.slice(0, text.endsWith("\r\n") ? -2 : -1);
+    };
+    internals.parseHeader = (line, headers) => {
+        const header = parseHeaderLine(line);
+        // Trailers are not passed on.
+        if (headers !== internals.trailers) {
+            headers.push(...header);
+        }
+    };
     // The library takes a chunk size that is no number for the last chunk, so that a truncated body would look whole.
     internals.BODY_CHUNKHEAD = () => {
         const line = internals.consumeLine();
@@ -176,28 +231,21 @@
         internals.state = internals.body_bytes === 0 ? "BODY_CHUNKTRAILERS" : "BODY_CHUNK";
     };
 
-    const hasTooMuchOverhead = (): boolean =>
-        receivedBytes - bodyBytes > maxOverheadBytes + maxOverheadPerBodyByte * bodyBytes;
-
     return {
         startRequest: requestMethod => {
             method = requestMethod;
-            receivedBytes = 0;
+            overheadBytes = 0;
             bodyBytes = 0;
             interimResponses = 0;
         },
         parse: chunk => {
-            receivedBytes += chunk.length;
             try {
                 const result = parser.execute(chunk);
-                if (result instanceof Error) {
-                    return result.message;
-                }
+                return result instanceof Error ? result.message : undefined;
             } catch (error) {
                 // Errors of the handlers above leave the library as exceptions.
                 return errorText.toErrorText(error);
             }
-            return hasTooMuchOverhead() ? "too many bytes that are no body" : undefined;
         },
     };
 };
