Join the segments of a long message between VMs once

Cause: the part of a line that had arrived was copied and searched again for each further segment, so that the work for a message grew with the square of its bytes.

Change: the parts are kept apart and joined when the line ends.

Effects on callers were not seen.

--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -78,7 +78,9 @@
         errorListener: message => logger.warn("peer: failed to handle a message", { message }),
     });
     let lastSeenAtMs = clock.now();
-    let incompleteLine = "";
+    /** Parts of a line whose end has not arrived yet; joined once, as a snapshot arrives in many. */
+    let incompleteLine: string[] = [];
+    let incompleteBytes = 0;
     let isClosed = false;
 
     const close = (): void => {
@@ -98,16 +100,20 @@
     socket.setEncoding("utf8");
     socket.setNoDelay(true);
     socket.on("data", chunk => {
-        const lines = (incompleteLine + String(chunk)).split("\n");
-        incompleteLine = lines.pop() ?? "";
-        if (incompleteLine.length > maxLineBytes) {
-            logger.warn("peer: message exceeds the size limit, closing the connection", {
-                bytes: incompleteLine.length,
-            });
+        const [first = "", ...others] = String(chunk).split("\n");
+        incompleteLine.push(first);
+        incompleteBytes += first.length;
+        const rest = others.pop();
+        if (rest !== undefined) {
+            const lines = [incompleteLine.join(""), ...others];
+            incompleteLine = [rest];
+            incompleteBytes = rest.length;
+            lines.forEach(receiveLine);
+        }
+        if (incompleteBytes > maxLineBytes) {
+            logger.warn("peer: message exceeds the size limit, closing the connection", { bytes: incompleteBytes });
             close();
-            return;
         }
-        lines.forEach(receiveLine);
     });
     socket.on("error", error => logger.debug("peer: connection failed", { reason: error.message }));
     socket.on("end", close);
