Cut long texts in log lines

Cause: log lines contain texts of callers and targets in full, such as a request id or URL of up to 128 KB, in up to three warnings for each refused request. A caller could take up the log's bandwidth and the processor time to write it.

Change: texts in the fields of a line are cut to 1,000 characters.

--- a/src/node/logging/logSink.test.ts
+++ b/src/node/logging/logSink.test.ts
@@ -60,3 +60,15 @@
     t.true(failed >= 5 && failed <= 10);
     t.is(sink.countDroppedLines(), 100 - failed - picked);
 });
+
+// Guards against a caller whose long request id or URL is written in full with each line about its request.
+test("long texts are cut in lines of both formats", t => {
+    for (const format of ["text", "json"] as const) {
+        let written = "";
+        const sink = logSink.createLogSink({ level: "info", format, write: text => (written += text) });
+        sink.logger.info("exchange: x", { request: "r".repeat(60_000), status: 200 });
+        sink.dispose();
+        t.true(written.length < 1_200, `${format}: ${written.length}`);
+        t.regex(written, /status"?[=:]200/);
+    }
+});
--- a/src/node/logging/logSink.ts
+++ b/src/node/logging/logSink.ts
@@ -9,6 +9,22 @@
 const flushIntervalMs = 100;
 const flushBytes = 64 * 1024;
 
+/** Length to which texts are cut, as some are copied from requests and responses. */
+const maxTextLength = 1_000;
+
+const cutText = (value: shared.LogFields[string]): shared.LogFields[string] =>
+    typeof value === "string" && value.length > maxTextLength ? `${value.slice(0, maxTextLength)}...` : value;
+
+/** Cuts long texts; returns the same fields if there are none. */
+const cutTexts = (fields: shared.LogFields): shared.LogFields => {
+    for (const name in fields) {
+        if (cutText(fields[name]) !== fields[name]) {
+            return Object.fromEntries(Object.entries(fields).map(([key, value]) => [key, cutText(value)]));
+        }
+    }
+    return fields;
+};
+
 const formatFields = (fields: shared.LogFields): string =>
     Object.entries(fields)
         .filter(([, value]) => value !== undefined)
@@ -98,7 +114,7 @@
         level =>
         (message: string, fields?: shared.LogFields): void => {
             if (admitLine(level)) {
-                append(formatLine(level, message, fields));
+                append(formatLine(level, message, fields === undefined ? undefined : cutTexts(fields)));
             }
         };
     // loglevel stores the level in the browser's storage unless the second argument is false.
