--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -16,6 +16,7 @@
         countLimitedTargets: () => 0,
         countLeavingTargets: () => 0,
         isCutOff: () => false,
+        takeMaxLoopDelayMs: () => 1_500,
         countPeers: () => 3,
         countActiveVms: () => 1,
         countClientConnections: () => 4,
@@ -55,6 +56,7 @@
     t.regex(text, /tarragonpath_unexpected_errors_total\{source="exchange"\} 1/);
     t.regex(text, /tarragonpath_relays_total\{end="not taken"\} 1/);
     t.regex(text, /tarragonpath_blocked_requests 2/);
+    t.regex(text, /tarragonpath_event_loop_delay_seconds 1.5/);
     t.regex(text, /tarragonpath_configuration_version 12/);
     t.regex(text, /tarragonpath_store_age_seconds \+Inf/);
 });
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -34,6 +34,8 @@
     countLeavingTargets(): number;
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
+    /** Returns the longest delay of the event loop since the last call. */
+    takeMaxLoopDelayMs(): number;
     countPeers(): number;
     countActiveVms(): number;
     countClientConnections(): number;
@@ -89,6 +91,11 @@
     add("limited_targets", "Targets that have named a limit on their requests.", sources.countLimitedTargets);
     add("leaving_targets", "Registered targets that have said that they are leaving.", sources.countLeavingTargets);
     add("cut_off", "Whether this VM reaches no target.", () => Number(sources.isCutOff()));
+    add(
+        "event_loop_delay_seconds",
+        "Longest time by which a timer ran late since the last scrape.",
+        () => sources.takeMaxLoopDelayMs() / 1_000,
+    );
     add("peers", "Entry VMs that live, this one included.", sources.countPeers);
     add("fronts", "Entry VMs that clients are sent to.", sources.countActiveVms);
     add("client_connections", "Open connections of clients.", sources.countClientConnections);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -57,6 +57,8 @@
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     countDroppedLogLines(): number;
+    /** Returns the longest delay of the event loop since the last call. */
+    takeMaxLoopDelayMs(): number;
 }
 
 /**
@@ -189,6 +191,7 @@
         countLeavingTargets: notices.countLeaving,
         isCutOff: reach.isCutOff,
         countDroppedLogLines: options.countDroppedLogLines,
+        takeMaxLoopDelayMs: options.takeMaxLoopDelayMs,
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
     });
--- a/src/node/systemScheduler.ts
+++ b/src/node/systemScheduler.ts
@@ -9,12 +9,22 @@
  *
  * @param options - behaviour of its timers
  * @param options.keepAlive - whether a pending timer keeps the process from ending
+ * @param options.handleRun - called before each action with the time by which it runs late, in milliseconds
  * @returns the scheduler
  */
-export const createSystemScheduler = (options: { readonly keepAlive: boolean }): types.Scheduler => ({
+export const createSystemScheduler = (options: {
+    readonly keepAlive: boolean;
+    handleRun?(latenessMs: number): void;
+}): types.Scheduler => ({
     now: () => performance.now(),
     schedule: (delayMs, action) => {
-        const timer = setTimeout(action, Math.max(0, delayMs));
+        const { handleRun } = options;
+        const dueAtMs = performance.now() + Math.max(0, delayMs);
+        const run = (): void => {
+            handleRun?.(performance.now() - dueAtMs);
+            action();
+        };
+        const timer = setTimeout(handleRun === undefined ? action : run, Math.max(0, delayMs));
         if (!options.keepAlive) {
             timer.unref();
         }
