--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -5,7 +5,19 @@
 import * as relay from "../system/relay.js";
 
 /** Fault mode of a target, which affects some of its requests. */
-export type TargetMode = "slow" | "failing" | "reset" | "truncated" | "extra-answer" | "full" | "limited" | "pausing";
+export type TargetMode =
+    | "slow"
+    | "failing"
+    | "reset"
+    | "truncated"
+    | "extra-answer"
+    /** Sends a head with a control character in a header value. */
+    | "spoilt-head"
+    /** Sends a head with a long line of blanks. */
+    | "long-line"
+    | "full"
+    | "limited"
+    | "pausing";
 
 /** Fault mode of the store, which affects all VMs. */
 export type StoreMode = "busy" | "silent" | "slow" | "lost-answers" | "no-history";
@@ -34,6 +46,8 @@
     | { readonly kind: "drain"; readonly target: number }
     /** The same, but the target says so in its responses only. */
     | { readonly kind: "leave"; readonly target: number }
+    /** The same, but the target reports nothing: its row is removed. */
+    | { readonly kind: "remove"; readonly target: number }
     /** A request that crashes each target that runs it comes again and again, at all VMs in turn. */
     | { readonly kind: "crashing-request"; readonly mode: CrashMode; readonly gapMs: number; readonly forMs: number }
     /** The same harmless request comes again and again, at all VMs in turn, so that equal ones are in flight together. */
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -63,6 +63,8 @@
     "reset",
     "truncated",
     "extra-answer",
+    "spoilt-head",
+    "long-line",
     "full",
     "limited",
     "pausing",
@@ -126,6 +128,7 @@
     (source, size) => ({ kind: "crash", target: source.nextInt(size.targets), forMs: pickDurationMs(source) }),
     (source, size) => ({ kind: "drain", target: source.nextInt(size.targets) }),
     (source, size) => ({ kind: "leave", target: source.nextInt(size.targets) }),
+    (source, size) => ({ kind: "remove", target: source.nextInt(size.targets) }),
     source => ({
         kind: "crashing-request",
         mode: pickOne(source, ["reset", "silent", "mid-response"] as const),
