--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -297,7 +297,7 @@
     const toSnapshotChange = (change: types.StateChange): types.StateChange | [] => {
         const expiry = change.kind === "target" ? pendingExpiries.get(change.id) : undefined;
         if (expiry !== undefined) {
-            return stateChanges.toLapse(change, expiry.endsAtMs - scheduler.now());
+            return stateChanges.toLapse(change, Math.max(1, expiry.endsAtMs - scheduler.now()));
         }
         return stateChanges.isRemoval(change) ? [] : change;
     };
--- a/src/node/routes/responseBody.ts
+++ b/src/node/routes/bodyOutcome.ts
@@ -1,5 +1,5 @@
 /**
- * The body of a target's response after its head was accepted.
+ * What the end of a response's body says about the target and the request.
  */
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as bodyForwarding from "./bodyForwarding.js";
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -11,7 +11,7 @@
 import * as exchangeRequest from "./exchangeRequest.js";
 import * as exchangeTiming from "./exchangeTiming.js";
 import * as guards from "./guard.js";
-import * as responseBody from "./responseBody.js";
+import * as bodyOutcome from "./bodyOutcome.js";
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
@@ -231,7 +231,7 @@
         });
         finish(final);
         const { reservation } = attempt;
-        responseBody.watchResponseBody({ options, request, reservation, body: response.body, isSuccess, log, guard });
+        bodyOutcome.watchResponseBody({ options, request, reservation, body: response.body, isSuccess, log, guard });
     };
 
     const handleResult = (attempt: runningAttempts.RunningAttempt, result: targetSender.AttemptResult): void => {
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -186,15 +186,15 @@
             }
             isSent = true;
             const { id, method } = attempt.request;
-            const released = connection;
-            const result = await attempt.send(released, { id, method }).catch((error: unknown) => {
-                released.dispose();
+            const opened = connection;
+            const result = await attempt.send(opened, { id, method }).catch((error: unknown) => {
+                opened.dispose();
                 throw error;
             });
             if (result.kind === "response") {
-                void result.response.received.then(() => pool.release(released));
+                void result.response.received.then(() => pool.release(opened));
             } else {
-                pool.release(released);
+                pool.release(opened);
             }
             return result;
         };
