Check a header in one place

The parser of responses repeated the two checks and messages of `headSyntax.checkHeaders`. Both call `checkHeader` now. Behaviour is the same; the tests of both parsers pass.

--- a/src/node/routes/headSyntax.ts
+++ b/src/node/routes/headSyntax.ts
@@ -8,20 +8,18 @@
 const urlPattern = /^[\x21-\x7e\x80-\xff]+$/;
 
 /**
- * Checks a header's name.
+ * Checks a header.
  *
- * @param text - the name
- * @returns whether it is a token
- */
-export const isHeaderName = (text: string): boolean => namePattern.test(text);
-
-/**
- * Checks a header's value.
- *
- * @param text - the value, one character per byte
- * @returns whether it contains no control characters other than tabs
+ * @param name - the name
+ * @param value - the value, one character per byte
+ * @returns the fault; undefined if there is none
  */
-export const isHeaderValue = (text: string): boolean => valuePattern.test(text);
+export const checkHeader = (name: string, value: string): string | undefined => {
+    if (!namePattern.test(name)) {
+        return "malformed header name";
+    }
+    return valuePattern.test(value) ? undefined : "malformed header value";
+};
 
 /**
  * Checks the URL of a request line.
@@ -32,18 +30,16 @@
 export const isRequestUrl = (text: string): boolean => urlPattern.test(text);
 
 /**
- * Checks names and values.
+ * Checks headers.
  *
  * @param headers - names and values alternating
- * @returns the fault; undefined if there is none
+ * @returns the first fault; undefined if there is none
  */
 export const checkHeaders = (headers: readonly string[]): string | undefined => {
     for (let index = 0; index < headers.length; index += 2) {
-        if (!isHeaderName(headers[index] ?? "")) {
-            return "malformed header name";
-        }
-        if (!isHeaderValue(headers[index + 1] ?? "")) {
-            return "malformed header value";
+        const fault = checkHeader(headers[index] ?? "", headers[index + 1] ?? "");
+        if (fault !== undefined) {
+            return fault;
         }
     }
     return undefined;
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -95,12 +95,10 @@
 const parseHeaderLine = (line: string): readonly [name: string, value: string] => {
     const colonAt = line.indexOf(":");
     const name = line.slice(0, Math.max(0, colonAt));
-    if (!headSyntax.isHeaderName(name)) {
-        throw new Error("malformed header name");
-    }
     const value = trimBlanks(line.slice(colonAt + 1));
-    if (!headSyntax.isHeaderValue(value)) {
-        throw new Error("malformed header value");
+    const fault = headSyntax.checkHeader(name, value);
+    if (fault !== undefined) {
+        throw new Error(fault);
     }
     return [name, value];
 };
