Read the clock only where a timer's delay is measured

Each timer of a scheduler read the clock, also without a handler for delays, and the record of delays read it again for each run that was on time. Behaviour is the same.

--- a/src/node/routes/loopDelay.ts
+++ b/src/node/routes/loopDelay.ts
@@ -27,9 +27,8 @@
     return {
         recordRun: latenessMs => {
             maxMs = Math.max(maxMs, latenessMs);
-            const nowMs = performance.now();
-            if (latenessMs >= loggedDelayMs && nowMs - loggedAtMs >= logIntervalMs) {
-                loggedAtMs = nowMs;
+            if (latenessMs >= loggedDelayMs && performance.now() - loggedAtMs >= logIntervalMs) {
+                loggedAtMs = performance.now();
                 logger.warn("life: event loop was delayed", { delayMs: Math.round(latenessMs) });
             }
         },
--- a/src/node/systemScheduler.ts
+++ b/src/node/systemScheduler.ts
@@ -4,6 +4,15 @@
 import * as events from "../common/events.js";
 import * as types from "../common/Types.js";
 
+/** Wraps an action so that the time by which it runs late is reported before it runs. */
+const measureRun = (action: () => void, waitMs: number, handleRun: (latenessMs: number) => void): (() => void) => {
+    const dueAtMs = performance.now() + waitMs;
+    return () => {
+        handleRun(performance.now() - dueAtMs);
+        action();
+    };
+};
+
 /**
  * Creates a scheduler on the monotonic clock of the process.
  *
@@ -19,12 +28,8 @@
     now: () => performance.now(),
     schedule: (delayMs, action) => {
         const { handleRun } = options;
-        const dueAtMs = performance.now() + Math.max(0, delayMs);
-        const run = (): void => {
-            handleRun?.(performance.now() - dueAtMs);
-            action();
-        };
-        const timer = setTimeout(handleRun === undefined ? action : run, Math.max(0, delayMs));
+        const waitMs = Math.max(0, delayMs);
+        const timer = setTimeout(handleRun === undefined ? action : measureRun(action, waitMs, handleRun), waitMs);
         if (!options.keepAlive) {
             timer.unref();
         }
