--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -147,17 +147,13 @@
     ): Promise<void> => {
         const { body } = response;
         if (serverResponse.destroyed || serverResponse.headersSent) {
-            if (body.kind === "stream") {
-                body.stream.destroy();
-            }
+            responseBodies.destroyBody(body);
             return;
         }
         try {
             writeHead(serverResponse, response, mustClose);
         } catch (error) {
-            if (body.kind === "stream") {
-                body.stream.destroy();
-            }
+            responseBodies.destroyBody(body);
             throw error;
         }
         switch (body.kind) {
--- a/src/node/routes/responseBodies.ts
+++ b/src/node/routes/responseBodies.ts
@@ -3,6 +3,7 @@
  */
 import type * as http from "node:http";
 import type * as stream from "node:stream";
+import type * as types from "./Types.js";
 
 /**
  * Cuts off a response in a way that the client cannot take for its end. A body without a length ends with an ordinary
@@ -16,6 +17,17 @@
     }
 };
 
+/**
+ * Destroys a body that is not sent, so that the connection to its target does not wait for a reader.
+ *
+ * @param body - the body
+ */
+export const destroyBody = (body: types.ResponseBody): void => {
+    if (body.kind === "stream") {
+        body.stream.destroy();
+    }
+};
+
 /**
  * Sends a body that is held whole.
  *
