Compute the time of expired rows once

The record of outages computed it in two places, and the follower again for each change of a response. Behaviour is the same.

--- a/src/common/routes/storeOutage.ts
+++ b/src/common/routes/storeOutage.ts
@@ -67,6 +67,8 @@
     let failedCalls: FailedCalls | undefined;
     let lapsesUntilMs = -Infinity;
 
+    const computeLapseMs = (): number => Math.max(0, lapsesUntilMs - clock.now());
+
     return {
         recordFailure: failedAtMs => {
             failedCalls = {
@@ -86,11 +88,11 @@
             }
             // The outage may have been that of this VM alone, and may have ended soon after the last call that failed.
             lapsesUntilMs = Math.min(nowMs + expiryGraceMs, calls.lastAtMs + contactMs - contactMarginMs);
-            return { durationMs: nowMs - calls.firstAtMs, lapseMs: Math.max(0, lapsesUntilMs - nowMs) };
+            return { durationMs: nowMs - calls.firstAtMs, lapseMs: computeLapseMs() };
         },
         reset: () => {
             failedCalls = undefined;
         },
-        computeLapseMs: () => Math.max(0, lapsesUntilMs - clock.now()),
+        computeLapseMs,
     };
 };
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -144,7 +144,7 @@
             let hasSnapshots = false;
             channel.on("state.snapshots", ({ snapshots }) => {
                 hasSnapshots = true;
-                snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot), 0));
+                snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot)));
             });
             // Without the snapshots before them, changes do not make a table complete.
             channel.on("state.update", update =>
--- a/src/node/routes/storeFollower.ts
+++ b/src/node/routes/storeFollower.ts
@@ -127,10 +127,11 @@
         recordResponse(table);
         switch (result.kind) {
             case "changes": {
+                const lapseMs = outage.computeLapseMs();
                 const update = {
                     table: table.table,
                     version: result.version,
-                    changes: result.changes.map(change => stateChanges.toLapse(change, outage.computeLapseMs())),
+                    changes: result.changes.map(change => stateChanges.toLapse(change, lapseMs)),
                 };
                 table.cursor = result.version;
                 reportUpdate({ ...update, changes: state.applyUpdate(update) });
