--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -3,6 +3,7 @@
 import * as silentLogger from "../../testing/silentLogger.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as ids from "../ids.js";
+import * as routes from "./Types.js";
 import * as sharedState from "./sharedState.js";
 
 const listTargetIds = (state: sharedState.SharedState): string[] => [...state.listTargets()].map(target => target.id);
@@ -10,6 +11,16 @@
 const createState = (scheduler = virtualScheduler.createVirtualScheduler()): sharedState.SharedState =>
     sharedState.createSharedState({ scheduler, logger: silentLogger.createSilentLogger() });
 
+/** Creates the removal of a row that has expired; VMs of earlier versions send no time. */
+const createLapse = (version: number, id: string, lapseMs?: number): routes.StateChange => ({
+    kind: "target",
+    version: fixture.createVersion(version),
+    id: ids.toTargetId(id),
+    registration: undefined,
+    isLapse: true,
+    ...(lapseMs === undefined ? {} : { lapseMs }),
+});
+
 test("an older row never replaces a newer one, regardless of the order of arrival", t => {
     const state = createState();
     const draining = fixture.createRegistration("a", { state: "draining" });
@@ -52,19 +63,11 @@
 test("a target whose row expired stays in use for a grace period, and longer if it registers again", async t => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const state = createState(scheduler);
-    const createExpiry = (version: number, id: string) =>
-        ({
-            kind: "target",
-            version: fixture.createVersion(version),
-            id: ids.toTargetId(id),
-            registration: undefined,
-            isLapse: true,
-        }) as const;
     state.applyChanges([
         fixture.createTargetChange(1, fixture.createRegistration("back")),
         fixture.createTargetChange(1, fixture.createRegistration("gone")),
     ]);
-    state.applyChanges([createExpiry(2, "back"), createExpiry(2, "gone")]);
+    state.applyChanges([createLapse(2, "back"), createLapse(2, "gone")]);
     await scheduler.advance(1_000);
     t.deepEqual(listTargetIds(state), ["back", "gone"]);
     state.applyChanges([fixture.createTargetChange(3, fixture.createRegistration("back"))]);
@@ -72,16 +75,6 @@
     t.deepEqual(listTargetIds(state), ["back"]);
 });
 
-const createLapse = (version: number, id: string, lapseMs: number) =>
-    ({
-        kind: "target",
-        version: fixture.createVersion(version),
-        id: ids.toTargetId(id),
-        registration: undefined,
-        isLapse: true,
-        lapseMs,
-    }) as const;
-
 // Guards against followers that count the time from when they hear of an expired row, and use its target for too long.
 test("a target whose row expired stays in use for as long as the change says", async t => {
     const scheduler = virtualScheduler.createVirtualScheduler();
