--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -3,11 +3,11 @@
  * the connection is closed.
  */
 import * as net from "node:net";
-import * as stream from "node:stream";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
+import * as streamedBody from "./streamedBody.js";
 import * as types from "./Types.js";
 
 /**
@@ -81,13 +81,7 @@
     /** Bytes of the body that were received and not passed on yet. */
     readonly held: joinedBytes.JoinedBytes;
     /** Set once the body is passed on while it is received. */
-    streamed: StreamedBody | undefined;
-}
-
-interface StreamedBody {
-    readonly stream: stream.Readable;
-    isReceived: boolean;
-    resolveReceived(): void;
+    streamed: streamedBody.StreamedBody | undefined;
 }
 
 export interface ConnectionOptions {
@@ -138,7 +132,7 @@
         partialResponse = undefined;
         options.onClose();
         abortedRequest?.resolve({ kind: "broken", reason });
-        streamed?.stream.destroy(new Error(reason));
+        streamed?.fail(reason);
         streamed?.resolveReceived();
     };
 
@@ -163,27 +157,13 @@
 
     /** Starts to pass on the body while it is received; the consumer's pace is the target's from here on. */
     const startStream = (response: PartialResponse): void => {
-        const readable = new stream.Readable({
-            read: () => reading.setConsumerBusy(false),
-            destroy: (error, done) => {
-                if (!streamed.isReceived) {
-                    close("response no longer needed");
-                }
-                done(error);
-            },
+        const streamed = streamedBody.createStreamedBody({
+            bodyBytes: response.parsed.bodyBytes,
+            handleRead: () => reading.setConsumerBusy(false),
+            handleAbandoned: () => close("response no longer needed"),
         });
-        // The consumer listens later; without a listener an early error would end the process.
-        readable.on("error", () => undefined);
-        let resolveReceived = (): void => undefined;
-        const received = new Promise<void>(resolve => (resolveReceived = resolve));
-        const streamed: StreamedBody = { stream: readable, isReceived: false, resolveReceived };
         response.streamed = streamed;
-        const { bodyBytes } = response.parsed;
-        resolveRequest(
-            response,
-            { kind: "stream", stream: readable, bodyBytes, isReceived: () => streamed.isReceived },
-            received,
-        );
+        resolveRequest(response, streamed.body, streamed.received);
     };
 
     const write = (chunks: readonly Uint8Array[]): void => {
@@ -227,7 +207,7 @@
     /** Passes on what is held; called once for all pieces that arrive together. */
     const flushStream = (): void => {
         const { held, streamed } = partialResponse ?? {};
-        if (held !== undefined && streamed !== undefined && held.count() > 0 && !streamed.stream.push(held.take())) {
+        if (held !== undefined && streamed !== undefined && held.count() > 0 && !streamed.push(held.take())) {
             reading.setConsumerBusy(true);
         }
     };
@@ -267,8 +247,7 @@
             return;
         }
         flushStream();
-        streamed.isReceived = true;
-        streamed.stream.push(null);
+        streamed.end();
         reading.setConsumerBusy(false);
         finishRequest(response);
         streamed.resolveReceived();
