Do not count a 421 as a refusal by a full target

A 421 tells that another target lives at the address. It counted as one of the two refusals that end a request, so that callers got 503 beside free targets after two addresses had changed hands, or after one and a full target. It now has a bound of its own (4 for each request). Each further attempt still draws on the retry budget, since arrivals that get 421 count there, and needs time before the deadline. The counting moves into a file of its own.

Both new tests failed before ("refused" instead of "target"; 2 attempts instead of 4).

--- a/src/node/routes/exchange.test.ts
+++ b/src/node/routes/exchange.test.ts
@@ -2,7 +2,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as exchangeFixture from "../../testing/routes/exchangeFixture.js";
 
-const { broken, createResponse, noResponse, ok, refusal, run, unreachable } = exchangeFixture;
+const { broken, createResponse, misdirected, noResponse, ok, refusal, run, unreachable } = exchangeFixture;
 const nonIdempotent: Partial<routes.Route> = { kind: "non-idempotent" };
 
 test("a non-idempotent request is not sent again after its connection broke", async t => {
@@ -28,6 +28,31 @@
     t.true(exchangeRun.getRespondedAtMs() < 100);
 });
 
+// Guards against 503 beside a free target: the 421 of an address that has changed hands counted as a refusal by a full target.
+test("a request whose target's address has changed hands is sent on, also after a refusal", async t => {
+    for (const steps of [
+        [misdirected, misdirected, ok(10)],
+        [misdirected, refusal, ok(10)],
+        [refusal, misdirected, ok(10)],
+    ]) {
+        const exchangeRun = run(steps, { route: nonIdempotent });
+        await exchangeRun.advance(2_000);
+        t.is(exchangeRun.getResponse()?.kind, "target");
+        t.is(new Set(exchangeRun.sent).size, 3);
+    }
+});
+
+test("a request is sent on after each 421 only within the retry budget, and a few times at most", async t => {
+    const spent = run([misdirected, misdirected, ok(10)], { route: nonIdempotent, budget: 1 });
+    await spent.advance(2_000);
+    t.is(spent.getResponse()?.kind, "refused");
+    t.is(spent.sent.length, 2);
+    const bounded = run(Array(6).fill(misdirected), { route: nonIdempotent, targets: 6 });
+    await bounded.advance(2_000);
+    t.is(bounded.getResponse()?.kind, "refused");
+    t.is(bounded.sent.length, 4);
+});
+
 test("trying another target after an unreachable one uses no retry budget, as nothing was sent", async t => {
     const exchangeRun = run([unreachable, unreachable, ok(10)], {
         route: { ...nonIdempotent, maxTargets: 1 },
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -13,6 +13,7 @@
 import * as exchangeTiming from "./exchangeTiming.js";
 import * as guards from "./guard.js";
 import * as notRun from "./notRun.js";
+import * as refusalCount from "./refusalCount.js";
 import * as responseBodies from "./responseBodies.js";
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
@@ -21,8 +22,6 @@
 
 /** Retry-After of refusals; a slot becomes free about that often. */
 const retryAfterMs = 100;
-/** A request is refused after this many targets have refused it. */
-const maxRefusals = 2;
 /** Unreachable targets after which a request is given up; several at once are usually cut off by the same partition. */
 const maxUnreachableTargets = 3;
 
@@ -63,7 +62,7 @@
     const queueAbort = new AbortController();
     /** Number of attempts that ran or may have run. */
     let runs = 0;
-    let refusals = 0;
+    const refusals = refusalCount.createRefusalCount();
     let unreachableTargets = 0;
     let isDone = false;
     let failure: exchangeRequest.FinalResponse | undefined;
@@ -75,7 +74,7 @@
             bodyBytes: outgoing.body.length,
             exclude: triedTargets,
             acceptableLatencyMs,
-            isRepeat: runs > 0 || refusals > 0,
+            isRepeat: runs > 0 || refusals.count() > 0,
         });
 
     /** Other requests may have crashed targets since this one arrived. */
@@ -168,11 +167,14 @@
         }
     };
 
-    const handleRefusal = (attempt: runningAttempts.RunningAttempt): void => {
+    const handleRefusal = (attempt: runningAttempts.RunningAttempt, isMisdirected: boolean): void => {
         runs--;
-        refusals++;
-        log.logAttempt(attempt.reservation, "refused", { refusals, latencyMs: computeAgeMs(attempt) });
-        if (refusals < maxRefusals) {
+        refusals.record(isMisdirected);
+        log.logAttempt(attempt.reservation, "refused", {
+            refusals: refusals.count(),
+            latencyMs: computeAgeMs(attempt),
+        });
+        if (refusals.mayGoOn()) {
             repeat("refused by targets");
         } else {
             giveUp("refused by targets");
@@ -203,7 +205,7 @@
         if (head.isRefusal) {
             const isMisdirected = statusCode === targetSender.misdirectedStatus;
             attempt.reservation.finish({ kind: isMisdirected ? "misdirected" : "refused" }, head.load);
-            handleRefusal(attempt);
+            handleRefusal(attempt, isMisdirected);
             return;
         }
         const isWhole = head.isSigned && !head.isEncoded;
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -47,6 +47,11 @@
 
 export const ok = (afterMs: number): Step => ({ afterMs, result: createResponse({}) });
 export const refusal: Step = { afterMs: 5, result: createResponse({ status: 503, isSigned: false, isRefusal: true }) };
+/** The response of another target at the address. */
+export const misdirected: Step = {
+    afterMs: 5,
+    result: createResponse({ status: 421, isSigned: false, isRefusal: true }),
+};
 export const broken: Step = { afterMs: 5, result: { kind: "broken", reason: "ECONNRESET" } };
 export const unreachable: Step = { afterMs: 5, result: { kind: "unreachable" } };
 export const noResponse: Step = { afterMs: 1_000_000, result: { kind: "broken", reason: "never" } };
@@ -85,7 +90,7 @@
         vm: fixture.vm,
         getRateView: fixture.createLoneRateView,
     });
-    const ids = ["a", "b", "c"].slice(0, options.targets ?? 3);
+    const ids = ["a", "b", "c", "d", "e", "f"].slice(0, options.targets ?? 3);
     targets.setTargets(ids.map(id => fixture.createRegistration(id)));
     (options.limitedTargets ?? []).forEach(id =>
         limits.recordResponse(fixture.createRegistration(id), { kind: "limited", perSecond: 0 }, scheduler.now()),
