Skip the copy of a probe's response while a request is under way

Responses to probes have no id. A late copy of one counted as a malformed response to the next request on the connection: a request that may run only once got 502 although its target ran it, others were sent again, and the target counted as failed. Once a connection has carried a probe, an unsigned response without an id is skipped like one with another id, and the connection is closed after the request's own response. A signed one still breaks its request at once.

The two tests for a response and a refusal failed before ("broken" instead of 200).

--- /dev/null
+++ b/src/node/routes/probeCopies.test.ts
@@ -0,0 +1,78 @@
+import * as net from "node:net";
+import test from "ava";
+import * as shared from "../../common/Types.js";
+import * as fixture from "../../testing/routes/fixture.js";
+import * as httpServer from "../../testing/http/httpServer.js";
+import * as systemScheduler from "../systemScheduler.js";
+import * as connectionPool from "./connectionPool.js";
+import * as targetSender from "./targetSender.js";
+
+const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
+const closers: (() => void)[] = [];
+test.after.always(() => closers.forEach(close => close()));
+
+const formatResponse = (statusLine: string, ...headers: readonly string[]): string =>
+    `${[`HTTP/1.1 ${statusLine}`, ...headers, "content-length: 4"].join("\r\n")}\r\n\r\nbody`;
+
+const own = formatResponse("200 OK", "x-id: r1", "x-seal: s");
+
+/** Starts a target that responds to each request on a connection with the next text, and a sender to it. */
+const startTarget = async (responses: readonly string[]) => {
+    const heads: string[] = [];
+    const sockets: net.Socket[] = [];
+    const server = net.createServer(socket => {
+        let count = 0;
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", () => socket.write(responses[count++] ?? ""));
+    });
+    const address: shared.Address = await httpServer.waitForListening(server, "127.0.0.1:0");
+    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
+    closers.push(() => {
+        pool.dispose();
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    const sender = targetSender.createTargetSender({
+        pool,
+        dialect: fixture.testDialect,
+        scheduler,
+        handleHead: ({ id }, { notice }) => heads.push(notice.isLeaving ? `${id} leaves` : id),
+    });
+    const registration = fixture.createRegistration("a", { address });
+    return {
+        probe: () => sender.sendProbe({ registration, path: "/health", timeoutMs: 500, onNewConnection: false }),
+        send: async (): Promise<string> => {
+            const { result } = sender.start({
+                registration,
+                request: { id: "r1", method: "POST", url: "/jobs/1", headers: ["x-id", "r1"], body: Buffer.alloc(0) },
+                getRemainingMs: () => 1_000,
+                isIdempotent: false,
+            });
+            const end = await result;
+            return end.kind === "response" ? String(end.response.statusCode) : end.kind;
+        },
+        heads,
+        countOpened: pool.countOpened,
+    };
+};
+
+for (const [name, response] of [
+    ["a response", formatResponse("200 OK", "x-instance: a")],
+    ["a refusal", formatResponse("503 Full", "x-refused: 1")],
+] as const) {
+    // Guards against the copy of a probe's response, which has no id, that breaks the request on the connection.
+    test(`the copy of ${name} to a probe does not end the request that is sent next`, async t => {
+        const target = await startTarget([response, response + own]);
+        t.is((await target.probe()).kind, "response");
+        t.is(await target.send(), "200");
+        t.is(target.countOpened(), 1);
+        t.deepEqual(target.heads, ["a", "a"]);
+    });
+}
+
+test("without a probe before it, a response without an id breaks its request at once", async t => {
+    const target = await startTarget([formatResponse("200 OK", "x-instance: a")]);
+    t.is(await target.send(), "broken");
+    t.deepEqual(target.heads, []);
+});
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -112,6 +112,7 @@
     let hasUnexpectedBytes = false;
     let isClosed = false;
     let skippedBytes = 0;
+    let hasCarriedProbe = false;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
@@ -191,8 +192,9 @@
         }
         const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         const expectedId = pendingRequest.request.id;
-        if (head.id !== expectedId && head.id !== undefined) {
-            // A late response to an earlier request; the expected one follows it.
+        const isLateProbeResponse = head.id === undefined && hasCarriedProbe && !head.isSigned;
+        if (head.id !== expectedId && (head.id !== undefined || isLateProbeResponse)) {
+            // A late response to an earlier request or probe; the expected one follows it.
             hasUnexpectedBytes = true;
             return;
         }
@@ -305,6 +307,7 @@
                 }
                 pendingRequest = { request, resolve, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
+                hasCarriedProbe ||= request.id === undefined;
                 parser.startRequest(request.method);
                 write(request.bytes);
             }),
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -178,15 +178,16 @@
     ],
     parseResponseHead: (statusCode, headers) => {
         const map = toHeaderMap(headers);
+        const instance = map.get("x-instance");
         return {
             id: map.get("x-id"),
             isSigned: map.has("x-seal"),
             isRefusal: map.has("x-refused") || (statusCode === 421 && !map.has("x-seal")),
             load: undefined,
-            notice: noNotice,
+            notice: { ...noNotice, isLeaving: map.has("x-leaving") },
             idleTimeoutMs: undefined,
             coldLeftMs: undefined,
-            target: undefined,
+            target: instance === undefined ? undefined : ids.toTargetId(instance),
             forwardedHeaders: ["x-seal", map.get("x-seal") ?? ""],
             isEncoded: map.has("content-encoding"),
         };
