Do not take what another target says for a word of the expected one

A probe of a target whose address has changed hands gets the response of the next one there, which names it. Its notices and limits were recorded for the expected target, and so was that it lives: the check for a request that ends targets then did not count the one that had ended. Only a 421 was excluded. A response that names another target is now excluded, too.

The new test failed before: the expected target was marked as leaving. The 12 tests of the sender, connectivity, crashes and copies of probes' responses pass.

--- a/src/node/routes/probeCopies.test.ts
+++ b/src/node/routes/probeCopies.test.ts
@@ -76,3 +76,13 @@
     t.is(await target.send(), "broken");
     t.deepEqual(target.heads, []);
 });
+
+// Guards against a target that has ended and counts as alive, leaving or limited by what the next one at its address says.
+test("what another target says in its response to a probe does not count for the expected one", async t => {
+    const target = await startTarget([formatResponse("200 OK", "x-instance: b", "x-leaving: 1")]);
+    t.is((await target.probe()).kind, "response");
+    t.deepEqual(target.heads, []);
+    const expected = await startTarget([formatResponse("200 OK", "x-instance: a", "x-leaving: 1")]);
+    await expected.probe();
+    t.deepEqual(expected.heads, ["a leaves"]);
+});
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -150,8 +150,9 @@
         return connection.send({
             ...request,
             handleHead: (statusCode, head) => {
-                // Another target responds with 421, and says nothing about this one.
-                if (statusCode !== misdirectedStatus) {
+                // Another target responds with 421, or with its own id, and says nothing about this one.
+                const isOther = head.target !== undefined && head.target !== registration.id;
+                if (statusCode !== misdirectedStatus && !isOther) {
                     options.handleHead(registration, head, sentAtMs);
                 }
             },
