Close a connection to a target after a HEAD request

A response to a HEAD request states a length and has no body. Connections that have carried a HEAD request are now closed; such requests are rare.

The new test failed before (the pool returned the same connection). The 13 tests of connections pass.

--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -110,6 +110,17 @@
     t.false(connection.isReusable(scheduler.now()));
 });
 
+// Guards against the copy of a HEAD response, which states a length and has no body, that takes the next response for its body.
+test("a connection that has carried a HEAD request carries no other one after it", async t => {
+    const { pool, acquire } = await startTarget([
+        "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-seal: s\r\ncontent-length: 400\r\n\r\n",
+    ]);
+    const connection = await acquire();
+    t.is(readBody(await connection.send({ ...request("1"), method: "HEAD" })), "");
+    pool.release(connection);
+    t.not(await acquire(), connection);
+});
+
 test("bytes after a response that are not a whole response end the connection, too", async t => {
     const { acquire } = await startTarget([`${formatResponse("1", "one")}HTTP/1.1 200 OK\r\nx-id`]);
     const connection = await acquire();
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -140,10 +140,12 @@
     /** Ends the pending request once its response is complete; the connection is kept only if it is in a known state. */
     const finishRequest = (response: PartialResponse): void => {
         const isSent = pendingRequest?.isBodySent === true && socket.writableLength === 0;
+        // A copy of a HEAD response looks as if a body followed, and would take the next response for it.
+        const isHead = pendingRequest?.request.method === "HEAD";
         pendingRequest = undefined;
         partialResponse = undefined;
         idleTimeoutMs = response.head.idleTimeoutMs ?? idleTimeoutMs;
-        if (!response.parsed.isKeepAlive || hasUnexpectedBytes || !isSent) {
+        if (!response.parsed.isKeepAlive || hasUnexpectedBytes || !isSent || isHead) {
             close("not kept open");
         }
     };
