Do not take a 400 for a probe for a word of the expected target

After its address has gone to another service, the target there has another health path and rejects a probe with 400, as the probe has no id. Its notices and limits were recorded for the expected target, which counted as alive.

--- a/src/node/routes/probeCopies.test.ts
+++ b/src/node/routes/probeCopies.test.ts
@@ -82,7 +82,23 @@
     const target = await startTarget([formatResponse("200 OK", "x-instance: b", "x-leaving: 1")]);
     t.is((await target.probe()).kind, "response");
     t.deepEqual(target.heads, []);
+    const reused = await startTarget([formatResponse("400 Bad Request", "x-refused: 1", "x-leaving: 1")]);
+    t.is((await reused.probe()).kind, "response");
+    t.deepEqual(
+        reused.heads,
+        [],
+        "a target of another service has another health path and rejects a request without an id",
+    );
     const expected = await startTarget([formatResponse("200 OK", "x-instance: a", "x-leaving: 1")]);
     await expected.probe();
     t.deepEqual(expected.heads, ["a leaves"]);
 });
+
+test("a probe's copy that counts for the next probe does so once, as its connection is closed then", async t => {
+    const health = formatResponse("200 OK", "x-instance: a");
+    const target = await startTarget([health, health + health]);
+    for (const opened of [1, 1, 2]) {
+        t.is((await target.probe()).kind, "response");
+        t.is(target.countOpened(), opened);
+    }
+});
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -11,6 +11,8 @@
 const maxNonIdempotentIdleMs = 2_000;
 /** Status with which a target rejects a request that was meant for another one. */
 export const misdirectedStatus = 421;
+/** Status with which a target of another service, which has another health path, rejects a probe, as that has no id. */
+const withoutIdStatus = 400;
 
 export interface OutgoingRequest {
     readonly id: string;
@@ -150,9 +152,12 @@
         return connection.send({
             ...request,
             handleHead: (statusCode, head) => {
-                // Another target responds with 421, or with its own id, and says nothing about this one.
-                const isOther = head.target !== undefined && head.target !== registration.id;
-                if (statusCode !== misdirectedStatus && !isOther) {
+                // Another target at the address says nothing about this one.
+                const isOther =
+                    statusCode === misdirectedStatus ||
+                    (request.id === undefined && statusCode === withoutIdStatus) ||
+                    (head.target !== undefined && head.target !== registration.id);
+                if (!isOther) {
                     options.handleHead(registration, head, sentAtMs);
                 }
             },
