Log the status, the connection and the responder of each ended attempt

Change: lines of attempts with a response or a broken connection have the status, the number of the connection, how many requests it had carried before, and the id in the response, if any; all lines of ended attempts have the address. Results of attempts carry the number and the count. No decision reads them.

--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -54,7 +54,7 @@
             bytes: [Buffer.from("GET /log HTTP/1.1\r\nhost: a\r\n\r\n")],
             id: "1",
             method: "GET",
-        })) ?? { kind: "broken", reason: "no connection" };
+        })) ?? { kind: "broken", reason: "no connection", connection: fixture.firstConnection };
         if (result.kind === "broken" || connection === undefined) {
             return undefined;
         }
--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -70,6 +70,7 @@
                 const connection: targetConnection.TargetConnection = targetConnection.createTargetConnection({
                     socket,
                     address,
+                    number: opened,
                     dialect,
                     clock: scheduler,
                     readTurns,
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -159,7 +159,7 @@
     };
 
     const handleFailedRun = (attempt: runningAttempts.RunningAttempt, reason: string): void => {
-        log.logAttempt(attempt.reservation, "failed", { reason, runs, latencyMs: computeAgeMs(attempt) });
+        log.logAttempt(attempt, "failed", { reason, runs, latencyMs: computeAgeMs(attempt) });
         if (isIdempotent) {
             repeat(reason);
         } else {
@@ -171,7 +171,7 @@
     const handleRefusal = (attempt: runningAttempts.RunningAttempt): void => {
         runs--;
         refusals++;
-        log.logAttempt(attempt.reservation, "refused", { refusals, latencyMs: computeAgeMs(attempt) });
+        log.logAttempt(attempt, "refused", { refusals, latencyMs: computeAgeMs(attempt) });
         if (refusals < maxRefusals) {
             repeat("refused by targets");
         } else {
@@ -183,7 +183,7 @@
     const handleUnreachable = (attempt: runningAttempts.RunningAttempt): void => {
         runs--;
         unreachableTargets++;
-        log.logAttempt(attempt.reservation, "unreachable", {
+        log.logAttempt(attempt, "unreachable", {
             unreached: unreachableTargets,
             latencyMs: computeAgeMs(attempt),
         });
@@ -228,8 +228,7 @@
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
             return;
         }
-        log.logAttempt(attempt.reservation, "answered", {
-            status: statusCode,
+        log.logAttempt(attempt, "answered", {
             runs,
             latencyMs: Math.round(latencyMs),
             bytes: responseBytes,
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -4,6 +4,7 @@
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as shared from "../../common/Types.js";
+import * as targetSender from "./targetSender.js";
 
 /** Fields common to all log lines of a request. */
 export interface ExchangeIdentity {
@@ -25,9 +26,15 @@
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
 }
 
+/** An attempt that has ended, by itself with a result or as it was stopped. */
+export interface EndedAttempt {
+    readonly reservation: targetPool.Reservation;
+    readonly result: targetSender.AttemptResult | undefined;
+}
+
 export interface ExchangeLog {
     /** Logs the end of an attempt, successful or not. */
-    logAttempt(reservation: targetPool.Reservation, end: AttemptEnd, fields: shared.LogFields): void;
+    logAttempt(attempt: EndedAttempt, end: AttemptEnd, fields: shared.LogFields): void;
     logHedge(reservation: targetPool.Reservation, afterMs: number): void;
     /** Logs the end of a body that was passed on while it was received. */
     logBody(reservation: targetPool.Reservation, end: bodyForwarding.BodyEnd): void;
@@ -46,6 +53,21 @@
     limitPerSecond: inputs.limitPerSecond,
 });
 
+/** Formats what tells by whom, and on which connection, an attempt was ended. */
+const formatResult = (result: targetSender.AttemptResult | undefined): shared.LogFields => {
+    if (result?.kind !== "response" && result?.kind !== "broken") {
+        return {};
+    }
+    const response = result.kind === "response" ? result.response : undefined;
+    const { number, carriedRequests } = result.kind === "response" ? result.response.connection : result.connection;
+    return {
+        status: response?.statusCode,
+        responder: response?.head.target,
+        connection: number,
+        carried: carriedRequests,
+    };
+};
+
 /**
  * Creates the log of a request.
  *
@@ -59,13 +81,15 @@
     metrics: ExchangeMetrics,
     identity: ExchangeIdentity,
 ): ExchangeLog => ({
-    logAttempt: (reservation, end, fields) => {
+    logAttempt: ({ reservation, result }, end, fields) => {
         metrics.recordAttempt(end);
         const line = {
             ...identity,
             target: reservation.registration.id,
+            address: reservation.registration.address,
             end,
             ...fields,
+            ...formatResult(result),
             ...formatPickInputs(reservation.inputs),
         };
         if (end === "answered" || end === "stopped") {
--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -65,7 +65,7 @@
         resolve =>
             void scheduler.schedule(giveUpMs, () => {
                 connection.dispose();
-                resolve({ kind: "broken", reason: "test timeout" });
+                resolve({ kind: "broken", reason: "test timeout", connection: fixture.firstConnection });
             }),
     );
     return { result: await Promise.race([pending, timeout]), countSent: () => sentBytes };
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -16,8 +16,11 @@
     body: { kind: "whole", bytes: Buffer.alloc(0) },
     isDelimited: true,
     received: Promise.resolve(),
+    connection: fixture.firstConnection,
 };
 
+const brokenResult = { kind: "broken", reason: "ECONNRESET", connection: fixture.firstConnection } as const;
+
 /** Runs one request; each VM to which it is offered takes the next step as its result. */
 const run = async (
     peers: readonly routes.Peer[],
@@ -47,7 +50,7 @@
                 }
                 return {
                     result,
-                    abort: () => resolveResult({ kind: "broken", reason: "closed here" }),
+                    abort: () => resolveResult({ ...brokenResult, reason: "closed here" }),
                     abortIfUnsent: () => undefined,
                     isSent: () => true,
                 };
@@ -90,7 +93,7 @@
     t.deepEqual(second.offered, [near.frontAddress, far.frontAddress]);
     t.deepEqual(second.getEnd(), { kind: "relayed", response });
     t.deepEqual(second.outcomes, ["not taken", "relayed"]);
-    const broken = await run([far, near], [{ kind: "broken", reason: "ECONNRESET" }]);
+    const broken = await run([far, near], [brokenResult]);
     t.deepEqual(broken.offered, [near.frontAddress]);
     t.deepEqual(broken.getEnd(), { kind: "failed", reason: "ECONNRESET", statusCode: 502 });
 });
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -32,6 +32,8 @@
 export interface RunningAttempt {
     readonly reservation: targetPool.Reservation;
     readonly startedAtMs: number;
+    /** Undefined until the attempt has ended by itself. */
+    readonly result: targetSender.AttemptResult | undefined;
 }
 
 export interface RunningAttempts {
@@ -44,6 +46,7 @@
 
 interface Entry extends RunningAttempt {
     readonly attempt: targetSender.Attempt;
+    result: targetSender.AttemptResult | undefined;
     hasEnded: boolean;
 }
 
@@ -70,6 +73,7 @@
     const handleResult = (entry: Entry, result: targetSender.AttemptResult): void => {
         if (!entry.hasEnded) {
             entry.hasEnded = true;
+            entry.result = result;
             entries.delete(entry);
             options.handleResult(entry, result);
         }
@@ -92,7 +96,7 @@
         entry.attempt.abort();
         entry.reservation.finish(reason === "deadline" ? { kind: "silent" } : { kind: "cancelled" }, undefined);
         const afterMs = Math.round(clock.now() - entry.startedAtMs);
-        log.logAttempt(entry.reservation, reason === "deadline" ? "silent" : "stopped", { reason, afterMs });
+        log.logAttempt(entry, reason === "deadline" ? "silent" : "stopped", { reason, afterMs });
     };
 
     return {
@@ -102,6 +106,7 @@
                 reservation,
                 attempt: options.send(reservation),
                 startedAtMs: clock.now(),
+                result: undefined,
                 hasEnded: false,
             };
             entries.add(entry);
--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -3,6 +3,7 @@
 import * as fixture from "../../testing/routes/fixture.js";
 import * as httpServer from "../../testing/http/httpServer.js";
 import * as systemScheduler from "../systemScheduler.js";
+import * as connectionInfo from "./connectionInfo.js";
 import * as connectionPool from "./connectionPool.js";
 import * as targetConnection from "./targetConnection.js";
 
@@ -75,6 +76,20 @@
     t.is(readBody(await connection.send(request("2"))), "two");
 });
 
+// Guards against a log from which a second attempt on the connection of the first one cannot be told.
+test("results name the connection and how many requests it had carried, also if it broke", async t => {
+    const { acquire } = await startTarget([formatResponse("1", "one"), undefined, formatResponse("3", "three")]);
+    const connection = await acquire();
+    const getConnection = (result: targetConnection.SendResult): connectionInfo.ConnectionInfo =>
+        result.kind === "response" ? result.response.connection : result.connection;
+    t.deepEqual(getConnection(await connection.send(request("1"))), { number: 1, carriedRequests: 0 });
+    const broken = await connection.send(request("2"));
+    t.is(broken.kind, "broken");
+    t.deepEqual(getConnection(broken), { number: 1, carriedRequests: 1 });
+    t.deepEqual(getConnection(await connection.send(request("2"))), { number: 1, carriedRequests: 2 });
+    t.deepEqual(getConnection(await (await acquire()).send(request("3"))), { number: 2, carriedRequests: 0 });
+});
+
 test("a second response in the same packet is discarded and ends the connection", async t => {
     const { acquire } = await startTarget([formatResponse("1", "one") + formatResponse("1", "again")]);
     const connection = await acquire();
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -5,6 +5,7 @@
 import * as net from "node:net";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
+import * as connectionInfo from "./connectionInfo.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
@@ -33,12 +34,13 @@
     readonly isDelimited: boolean;
     /** Resolves when the connection no longer receives this response; at once for a body that is held whole. */
     readonly received: Promise<void>;
+    readonly connection: connectionInfo.ConnectionInfo;
 }
 
 export type SendResult =
     | { readonly kind: "response"; readonly response: TargetResponse }
     /** The connection broke, or the bytes received are not a response; the request may have run. */
-    | { readonly kind: "broken"; readonly reason: string };
+    | { readonly kind: "broken"; readonly reason: string; readonly connection: connectionInfo.ConnectionInfo };
 
 export interface ConnectionRequest {
     /** Serialized head and body; without the body if that is held back. */
@@ -71,6 +73,7 @@
 interface PendingRequest {
     readonly request: ConnectionRequest;
     readonly resolve: (result: SendResult) => void;
+    readonly connection: connectionInfo.ConnectionInfo;
     isBodySent: boolean;
 }
 
@@ -87,6 +90,8 @@
 export interface ConnectionOptions {
     readonly socket: net.Socket;
     readonly address: shared.Address;
+    /** Identifies the connection within its pool. */
+    readonly number: number;
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     readonly readTurns: readControl.ReadTurns;
@@ -112,6 +117,7 @@
     let hasUnexpectedBytes = false;
     let isClosed = false;
     let skippedBytes = 0;
+    let carriedRequests = 0;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
@@ -131,7 +137,7 @@
         pendingRequest = undefined;
         partialResponse = undefined;
         options.onClose();
-        abortedRequest?.resolve({ kind: "broken", reason });
+        abortedRequest?.resolve({ kind: "broken", reason, connection: abortedRequest.connection });
         streamed?.fail(reason);
         streamed?.resolveReceived();
     };
@@ -148,11 +154,12 @@
     };
 
     const resolveRequest = (response: PartialResponse, body: types.ResponseBody, received: Promise<void>): void => {
-        const { parsed, head } = response;
-        pendingRequest?.resolve({
-            kind: "response",
-            response: { statusCode: parsed.statusCode, head, body, isDelimited: parsed.isDelimited, received },
-        });
+        const { head } = response;
+        const { statusCode, isDelimited } = response.parsed;
+        if (pendingRequest !== undefined) {
+            const { connection, resolve } = pendingRequest;
+            resolve({ kind: "response", response: { statusCode, head, body, isDelimited, received, connection } });
+        }
     };
 
     /** Starts to pass on the body while it is received; the consumer's pace is the target's from here on. */
@@ -299,11 +306,13 @@
     return {
         send: request =>
             new Promise(resolve => {
+                const connection = { number: options.number, carriedRequests };
                 if (isClosed) {
-                    resolve({ kind: "broken", reason: "closed" });
+                    resolve({ kind: "broken", reason: "closed", connection });
                     return;
                 }
-                pendingRequest = { request, resolve, isBodySent: request.heldBody === undefined };
+                carriedRequests++;
+                pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
                 parser.startRequest(request.method);
                 write(request.bytes);
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -3,6 +3,7 @@
  */
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as connectionInfo from "./connectionInfo.js";
 import * as connectionPool from "./connectionPool.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
@@ -28,7 +29,7 @@
     /** Nothing was sent, as the attempt was aborted before its connection was open. */
     | { readonly kind: "withdrawn" }
     /** The request may have run. */
-    | { readonly kind: "broken"; readonly reason: string };
+    | { readonly kind: "broken"; readonly reason: string; readonly connection: connectionInfo.ConnectionInfo };
 
 export interface Attempt {
     readonly result: Promise<AttemptResult>;
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -2,15 +2,18 @@
  * Runs single exchanges in tests, with scripted results of attempts.
  */
 import * as events from "../../common/events.js";
+import * as ids from "../../common/ids.js";
 import * as requestCrashes from "../../common/crashes/requestCrashes.js";
 import * as random from "../../common/random.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as targetSet from "../../common/routes/targetSet.js";
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
+import * as shared from "../../common/Types.js";
 import * as fixture from "./fixture.js";
 import * as silentLogger from "../silentLogger.js";
 import * as virtualScheduler from "../virtualScheduler.js";
+import * as connectionInfo from "../../node/routes/connectionInfo.js";
 import * as exchange from "../../node/routes/exchange.js";
 import * as exchangeRequest from "../../node/routes/exchangeRequest.js";
 import * as exchangeLog from "../../node/routes/exchangeLog.js";
@@ -23,6 +26,8 @@
     readonly status?: number;
     readonly isSigned?: boolean;
     readonly isRefusal?: boolean;
+    readonly responder?: string;
+    readonly connection?: connectionInfo.ConnectionInfo;
 }): targetSender.AttemptResult => ({
     kind: "response",
     response: {
@@ -30,6 +35,7 @@
         body: { kind: "whole", bytes: Buffer.from("body") },
         isDelimited: true,
         received: Promise.resolve(),
+        connection: fields.connection ?? fixture.firstConnection,
         head: {
             id: "r1",
             isSigned: fields.isSigned ?? true,
@@ -38,18 +44,24 @@
             notice: fixture.noNotice,
             idleTimeoutMs: undefined,
             coldLeftMs: undefined,
-            target: undefined,
+            target: fields.responder === undefined ? undefined : ids.toTargetId(fields.responder),
             forwardedHeaders: [],
             isEncoded: false,
         },
     },
 });
 
+const createBroken = (reason: string): targetSender.AttemptResult => ({
+    kind: "broken",
+    reason,
+    connection: fixture.firstConnection,
+});
+
 export const ok = (afterMs: number): Step => ({ afterMs, result: createResponse({}) });
 export const refusal: Step = { afterMs: 5, result: createResponse({ status: 503, isSigned: false, isRefusal: true }) };
-export const broken: Step = { afterMs: 5, result: { kind: "broken", reason: "ECONNRESET" } };
+export const broken: Step = { afterMs: 5, result: createBroken("ECONNRESET") };
 export const unreachable: Step = { afterMs: 5, result: { kind: "unreachable" } };
-export const noResponse: Step = { afterMs: 1_000_000, result: { kind: "broken", reason: "never" } };
+export const noResponse: Step = { afterMs: 1_000_000, result: createBroken("never") };
 
 /** Runs one request; each attempt takes the next step as its result. */
 export const run = (
@@ -85,8 +97,8 @@
         vm: fixture.vm,
         getRateView: fixture.createLoneRateView,
     });
-    const ids = ["a", "b", "c"].slice(0, options.targets ?? 3);
-    targets.setTargets(ids.map(id => fixture.createRegistration(id)));
+    const targetIds = ["a", "b", "c"].slice(0, options.targets ?? 3);
+    targets.setTargets(targetIds.map(id => fixture.createRegistration(id)));
     (options.limitedTargets ?? []).forEach(id =>
         limits.recordResponse(fixture.createRegistration(id), { kind: "limited", perSecond: 0 }, scheduler.now()),
     );
@@ -108,6 +120,8 @@
     const crashed: string[] = [];
     const errors: unknown[] = [];
     const ends: exchangeLog.AttemptEnd[] = [];
+    const logged: shared.LogFields[] = [];
+    const logLine = (message: string, fields: shared.LogFields = {}): void => void logged.push({ message, ...fields });
     let hedges = 0;
     const sender: Pick<targetSender.TargetSender, "start"> = {
         start: ({ registration }) => {
@@ -136,7 +150,7 @@
                 sender,
                 budget: { recordCall: () => undefined, takeRetry: () => budget-- > 0 },
                 crashes,
-                logger: silentLogger.createSilentLogger(),
+                logger: { ...silentLogger.createSilentLogger(), info: logLine, warn: logLine },
                 metrics: {
                     recordAttempt: end => void ends.push(end),
                     recordHedge: () => void hedges++,
@@ -188,6 +202,8 @@
         sent,
         crashed,
         ends,
+        /** Lines of level info and warn. */
+        logged,
         countErrors: () => errors.length,
         countInFlight: () => set.listKnown().reduce((sum, entry) => sum + entry.inFlightAttempts.size, 0),
         countHedges: () => hedges,
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -6,6 +6,7 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as connectionInfo from "../../node/routes/connectionInfo.js";
 import * as nodeRoutes from "../../node/routes/Types.js";
 import * as virtualScheduler from "../virtualScheduler.js";
 import * as silentLogger from "../silentLogger.js";
@@ -94,6 +95,9 @@
     unknownValues: [],
 });
 
+/** The first request of a pool's first connection. */
+export const firstConnection: connectionInfo.ConnectionInfo = { number: 1, carriedRequests: 0 };
+
 /** The view of a VM that has no peers. */
 export const createLoneRateView = (): ownedRates.RateView => ({ owners: [vm], share: 1 });
 
