--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -6,6 +6,7 @@
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
 import * as connectionInfo from "./connectionInfo.js";
+import * as partialResponses from "./partialResponses.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
@@ -23,8 +24,6 @@
 /** For targets that do not send their idle timeout. */
 const defaultIdleTimeoutMs = 5_000;
 const continueStatus = 100;
-/** Responses from this status on are failures, which are repeated or replaced and thus never streamed. */
-const firstFailureStatus = 500;
 
 export interface TargetResponse {
     readonly statusCode: number;
@@ -70,6 +69,8 @@
     readonly address: shared.Address;
 }
 
+type PartialResponse = partialResponses.PartialResponse;
+
 interface PendingRequest {
     readonly request: ConnectionRequest;
     readonly resolve: (result: SendResult) => void;
@@ -77,16 +78,6 @@
     isBodySent: boolean;
 }
 
-/** The response that is being received. */
-interface PartialResponse {
-    readonly parsed: responseParser.ParsedHead;
-    readonly head: types.ResponseHead;
-    /** Bytes of the body that were received and not passed on yet. */
-    readonly held: joinedBytes.JoinedBytes;
-    /** Set once the body is passed on while it is received. */
-    streamed: streamedBody.StreamedBody | undefined;
-}
-
 export interface ConnectionOptions {
     readonly socket: net.Socket;
     readonly address: shared.Address;
@@ -98,11 +89,6 @@
     onClose(): void;
 }
 
-const isStreamable = (response: PartialResponse): boolean => {
-    const { head, parsed } = response;
-    return head.isSigned && !head.isEncoded && !head.isRefusal && parsed.statusCode < firstFailureStatus;
-};
-
 /**
  * Creates the client side of an open connection.
  *
@@ -232,7 +218,7 @@
         if (response.streamed !== undefined || response.held.count() <= maxHeldBytes) {
             return;
         }
-        if (isStreamable(response)) {
+        if (partialResponses.isStreamable(response)) {
             startStream(response);
         } else {
             close("response too large");
