--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -158,7 +158,7 @@
     };
 
     const handleFailedRun = (attempt: runningAttempts.RunningAttempt, reason: string): void => {
-        log.logAttempt(attempt.reservation, "failed", { reason, runs, latencyMs: computeAgeMs(attempt) });
+        log.logAttempt(attempt, "failed", { reason, runs, latencyMs: computeAgeMs(attempt) });
         if (isIdempotent) {
             repeat(reason);
         } else {
@@ -170,7 +170,7 @@
     const handleRefusal = (attempt: runningAttempts.RunningAttempt, isMisdirected: boolean): void => {
         runs--;
         refusals.record(isMisdirected);
-        log.logAttempt(attempt.reservation, "refused", {
+        log.logAttempt(attempt, "refused", {
             refusals: refusals.count(),
             latencyMs: computeAgeMs(attempt),
         });
@@ -185,7 +185,7 @@
     const handleUnreachable = (attempt: runningAttempts.RunningAttempt): void => {
         runs--;
         unreachableTargets++;
-        log.logAttempt(attempt.reservation, "unreachable", {
+        log.logAttempt(attempt, "unreachable", {
             unreached: unreachableTargets,
             latencyMs: computeAgeMs(attempt),
         });
@@ -230,8 +230,7 @@
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
             return;
         }
-        log.logAttempt(attempt.reservation, "answered", {
-            status: statusCode,
+        log.logAttempt(attempt, "answered", {
             runs,
             latencyMs: Math.round(latencyMs),
             bytes: responseBytes,
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -5,6 +5,8 @@
 import * as net from "node:net";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
+import * as connectionInfo from "./connectionInfo.js";
+import * as partialResponses from "./partialResponses.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
@@ -22,8 +24,6 @@
 /** For targets that do not send their idle timeout. */
 const defaultIdleTimeoutMs = 5_000;
 const continueStatus = 100;
-/** Responses from this status on are failures, which are repeated or replaced and thus never streamed. */
-const firstFailureStatus = 500;
 
 export interface TargetResponse {
     readonly statusCode: number;
@@ -33,12 +33,13 @@
     readonly isDelimited: boolean;
     /** Resolves when the connection no longer receives this response; at once for a body that is held whole. */
     readonly received: Promise<void>;
+    readonly connection: connectionInfo.ConnectionInfo;
 }
 
 export type SendResult =
     | { readonly kind: "response"; readonly response: TargetResponse }
     /** The connection broke, or the bytes received are not a response; the request may have run. */
-    | { readonly kind: "broken"; readonly reason: string };
+    | { readonly kind: "broken"; readonly reason: string; readonly connection: connectionInfo.ConnectionInfo };
 
 export interface ConnectionRequest {
     /** Serialized head and body; without the body if that is held back. */
@@ -68,36 +69,26 @@
     readonly address: shared.Address;
 }
 
+type PartialResponse = partialResponses.PartialResponse;
+
 interface PendingRequest {
     readonly request: ConnectionRequest;
     readonly resolve: (result: SendResult) => void;
+    readonly connection: connectionInfo.ConnectionInfo;
     isBodySent: boolean;
 }
 
-/** The response that is being received. */
-interface PartialResponse {
-    readonly parsed: responseParser.ParsedHead;
-    readonly head: types.ResponseHead;
-    /** Bytes of the body that were received and not passed on yet. */
-    readonly held: joinedBytes.JoinedBytes;
-    /** Set once the body is passed on while it is received. */
-    streamed: streamedBody.StreamedBody | undefined;
-}
-
 export interface ConnectionOptions {
     readonly socket: net.Socket;
     readonly address: shared.Address;
+    /** Identifies the connection within its pool. */
+    readonly number: number;
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     readonly readTurns: readControl.ReadTurns;
     onClose(): void;
 }
 
-const isStreamable = (response: PartialResponse): boolean => {
-    const { head, parsed } = response;
-    return head.isSigned && !head.isEncoded && !head.isRefusal && parsed.statusCode < firstFailureStatus;
-};
-
 /**
  * Creates the client side of an open connection.
  *
@@ -113,6 +104,7 @@
     let isClosed = false;
     let skippedBytes = 0;
     let hasCarriedProbe = false;
+    let carriedRequests = 0;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
@@ -132,7 +124,7 @@
         pendingRequest = undefined;
         partialResponse = undefined;
         options.onClose();
-        abortedRequest?.resolve({ kind: "broken", reason });
+        abortedRequest?.resolve({ kind: "broken", reason, connection: abortedRequest.connection });
         streamed?.fail(reason);
         streamed?.resolveReceived();
     };
@@ -151,11 +143,12 @@
     };
 
     const resolveRequest = (response: PartialResponse, body: types.ResponseBody, received: Promise<void>): void => {
-        const { parsed, head } = response;
-        pendingRequest?.resolve({
-            kind: "response",
-            response: { statusCode: parsed.statusCode, head, body, isDelimited: parsed.isDelimited, received },
-        });
+        const { head } = response;
+        const { statusCode, isDelimited } = response.parsed;
+        if (pendingRequest !== undefined) {
+            const { connection, resolve } = pendingRequest;
+            resolve({ kind: "response", response: { statusCode, head, body, isDelimited, received, connection } });
+        }
     };
 
     /** Starts to pass on the body while it is received; the consumer's pace is the target's from here on. */
@@ -229,7 +222,7 @@
         if (response.streamed !== undefined || response.held.count() <= maxHeldBytes) {
             return;
         }
-        if (isStreamable(response)) {
+        if (partialResponses.isStreamable(response)) {
             startStream(response);
         } else {
             close("response too large");
@@ -303,11 +296,13 @@
     return {
         send: request =>
             new Promise(resolve => {
+                const connection = { number: options.number, carriedRequests };
                 if (isClosed) {
-                    resolve({ kind: "broken", reason: "closed" });
+                    resolve({ kind: "broken", reason: "closed", connection });
                     return;
                 }
-                pendingRequest = { request, resolve, isBodySent: request.heldBody === undefined };
+                carriedRequests++;
+                pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
                 hasCarriedProbe ||= request.id === undefined;
                 parser.startRequest(request.method);
