Count and log the responses of targets that belong to no request

Change: `tarragonpath_unexpected_responses_total{kind}` counts them: other-request, no-request, after-response, no-id. The line `connection: unexpected response` names the address, the connection and both ids, cut to 100 characters; only the first one of a connection is logged, as it gets no further request. Bytes on an idle connection are now parsed after it is closed, for the id. What is skipped or closed is as before.

That no bytes are recorded after a connection was closed here, with bytes still buffered, is not tested.

--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -8,6 +8,7 @@
 import * as readControl from "./readControl.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /** Zones are a few milliseconds apart, and another target can be tried. */
 const connectTimeoutMs = 250;
@@ -39,6 +40,8 @@
 export const createConnectionPool = (options: {
     readonly scheduler: shared.Scheduler;
     readonly dialect: types.HttpDialect;
+    /** Counts and logs responses that belong to no request, or to another one. */
+    readonly recordUnexpected?: unexpectedResponses.UnexpectedRecorder;
 }): ConnectionPool => {
     const { scheduler, dialect } = options;
     const idle = new Map<shared.Address, targetConnection.TargetConnection[]>();
@@ -74,6 +77,7 @@
                     dialect,
                     clock: scheduler,
                     readTurns,
+                    recordUnexpected: options.recordUnexpected,
                     onClose: () => removeIdle(address, connection),
                 });
                 resolve(connection);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -6,6 +6,7 @@
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /** Cover the latency objectives, 100 ms to 1 s; the last buckets are for the longest deadlines. */
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
@@ -69,6 +70,8 @@
      * @param isBehindRequest - whether a request before them on their connection had no response yet
      */
     recordUnreadable(isBehindRequest: boolean): void;
+    /** Counts a response on a connection to a target that belongs to no request, or to another one. */
+    recordUnexpectedResponse(kind: unexpectedResponses.UnexpectedKind): void;
     /** Counts a header of a target whose value is malformed. */
     recordMalformedHeader(header: string): void;
     format(): Promise<string>;
@@ -214,6 +217,12 @@
         labelNames: ["behind_request"],
         registers,
     });
+    const strayResponses = new promClient.Counter({
+        name: `${namePrefix}unexpected_responses_total`,
+        help: "Responses of targets that belong to no request, or to another one than that under way, by kind.",
+        labelNames: ["kind"],
+        registers,
+    });
     addGauges(registry, sources);
     addCounter(
         registry,
@@ -256,6 +265,7 @@
         recordError: source => errors.inc({ source }),
         recordNotRun: source => notRunResponses.inc({ source }),
         recordUnreadable: isBehindRequest => unreadableRequests.inc({ behind_request: String(isBehindRequest) }),
+        recordUnexpectedResponse: kind => strayResponses.inc({ kind }),
         recordMalformedHeader: header => malformedHeaders.inc({ header }),
         format: () => registry.metrics(),
     };
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -31,6 +31,7 @@
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
 const retryBoundShare = 0.7;
@@ -154,7 +155,11 @@
             };
         },
     });
-    const connections = connectionPool.createConnectionPool({ scheduler, dialect: options.http });
+    const connections = connectionPool.createConnectionPool({
+        scheduler,
+        dialect: options.http,
+        recordUnexpected: unexpectedResponses.createUnexpectedRecorder(logger, () => routeMetrics),
+    });
     const sender = targetSender.createTargetSender({
         pool: connections,
         dialect: options.http,
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -11,6 +11,7 @@
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
 import * as types from "./Types.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /**
  * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
@@ -86,6 +87,8 @@
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     readonly readTurns: readControl.ReadTurns;
+    /** Counts and logs responses that belong to no request, or to another one. */
+    readonly recordUnexpected: unexpectedResponses.UnexpectedRecorder | undefined;
     onClose(): void;
 }
 
@@ -104,9 +107,15 @@
     let isClosed = false;
     let skippedBytes = 0;
     let carriedRequests = 0;
+    let lastId: string | undefined;
+    /** Id of the first response that has arrived while no request was under way. */
+    let strayId: string | undefined;
+    let hasBytesAfterResponse = false;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
+    const recordUnexpected = unexpectedResponses.createConnectionRecorder(options);
+
     const close = (reason: string): void => {
         if (isClosed) {
             return;
@@ -178,18 +187,21 @@
     };
 
     const handleHead = (parsed: responseParser.ParsedHead): void => {
+        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         if (pendingRequest === undefined) {
             hasUnexpectedBytes = true;
+            strayId ??= head.id;
             return;
         }
-        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         const expectedId = pendingRequest.request.id;
         if (head.id !== expectedId && head.id !== undefined) {
             // A late response to an earlier request; the expected one follows it.
             hasUnexpectedBytes = true;
+            recordUnexpected("other-request", expectedId, head.id);
             return;
         }
         if (head.id !== expectedId) {
+            recordUnexpected("no-id", expectedId, undefined);
             close("response without an id");
             return;
         }
@@ -232,6 +244,7 @@
         }
         if (hasMoreBytes) {
             hasUnexpectedBytes = true;
+            hasBytesAfterResponse = true;
         }
         const { streamed } = response;
         if (streamed === undefined) {
@@ -255,11 +268,21 @@
 
     const handleData = (chunk: Buffer): void => {
         lastByteAtMs = clock.now();
+        // Bytes that were buffered while reading was paused may follow.
+        if (isClosed) {
+            return;
+        }
         if (pendingRequest === undefined) {
             close("bytes without a request");
+            // Only to log the id.
+            parser.parse(chunk);
+            recordUnexpected("no-request", lastId, strayId);
             return;
         }
         const fault = parser.parse(chunk);
+        if (hasBytesAfterResponse) {
+            recordUnexpected("after-response", lastId, strayId);
+        }
         flushStream();
         if (fault !== undefined) {
             close(`not a response: ${fault}`);
@@ -298,6 +321,7 @@
                     return;
                 }
                 carriedRequests++;
+                lastId = request.id;
                 pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
                 parser.startRequest(request.method);
