Send no request on a connection that has carried its id

Callers got 503 for a booking that ran, and later bookings got 503 beside an idle target. A target may send a refusal twice. The id tells the copy from the response to another request, but all attempts of a request share the id: if the next attempt went to the same address, under another id of a target, it got the connection used last, and the copy counted as its refusal while the target ran it.

A connection now remembers the ids that it has carried, whatever their responses were, and the pool does not give it to a request with one of them, so that a connection and an id name one attempt. This holds for each path by which an id comes again: another attempt, a request that another VM passes on, a client that uses an id twice, and for connections to other VMs. The connection that is passed over is closed and replaced, so that the number of connections does not grow.

Weighed: to close connections after refusals (frequent when targets are full, and new connections are dear), a new connection for each further attempt of an exchange (does not hold for requests that are passed on or sent twice), to leave out targets by address (takes sound targets from requests).

--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -49,7 +49,7 @@
     const handle = async (
         request: frontendServer.ClientRequest,
     ): Promise<frontendServer.ClientResponse | undefined> => {
-        const connection = await pool.acquire({ address: targetAddress, maxIdleMs: Infinity });
+        const connection = await pool.acquire({ address: targetAddress, maxIdleMs: Infinity, requestId: undefined });
         const result: targetConnection.SendResult = (await connection?.send({
             bytes: [Buffer.from("GET /log HTTP/1.1\r\nhost: a\r\n\r\n")],
             id: "1",
@@ -117,7 +117,7 @@
     await waitFor(() => path.ends.length > 0);
     t.like(path.ends[0], { kind: "whole", bytes: largeBytes });
     const { targetAddress: address } = path;
-    t.not(await path.pool.acquire({ address, maxIdleMs: 5_000 }), undefined);
+    t.not(await path.pool.acquire({ address, maxIdleMs: 5_000, requestId: undefined }), undefined);
     t.is(path.pool.countOpened(), 1);
     path.server.dispose();
 });
--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -18,6 +18,8 @@
     readonly address: shared.Address;
     /** Connections idle for longer are not used for this request, as they may be dead without having been closed. */
     readonly maxIdleMs: number;
+    /** Id of the request, which goes to a connection that has not carried it; undefined for probes. */
+    readonly requestId: string | undefined;
 }
 
 export interface ConnectionPool extends shared.Disposable {
@@ -104,17 +106,19 @@
     const expiryChecks = repeat.repeatAction(scheduler, expiryCheckIntervalMs, closeExpired);
 
     return {
-        acquire: async ({ address, maxIdleMs }) => {
-            const list = idle.get(address) ?? [];
+        acquire: async ({ address, maxIdleMs, requestId }) => {
             const nowMs = scheduler.now();
+            const usable = (idle.get(address) ?? []).filter(
+                connection => connection.isReusable(nowMs) && connection.computeIdleMs(nowMs) <= maxIdleMs,
+            );
             // The most recently used connection first, as it is the least likely to be dead.
-            for (let index = list.length - 1; index >= 0; index--) {
-                const connection = list[index];
-                if (connection?.isReusable(nowMs) === true && connection.computeIdleMs(nowMs) <= maxIdleMs) {
-                    list.splice(index, 1);
-                    return connection;
-                }
+            const connection = usable.findLast(({ hasCarried }) => requestId === undefined || !hasCarried(requestId));
+            if (connection !== undefined) {
+                removeIdle(address, connection);
+                return connection;
             }
+            // Replaced, so that a request that is sent again and again does not add connections.
+            usable.at(-1)?.dispose();
             return open(address);
         },
         release: connection => {
--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -52,7 +52,7 @@
     const address = await httpServer.waitForListening(server, "127.0.0.1:0");
     server.unref();
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
-    const connection = await pool.acquire({ address, maxIdleMs: Infinity });
+    const connection = await pool.acquire({ address, maxIdleMs: Infinity, requestId: undefined });
     if (connection === undefined) {
         throw new Error("the test target does not accept connections");
     }
--- a/src/node/routes/targetConnection.test.ts
+++ b/src/node/routes/targetConnection.test.ts
@@ -43,7 +43,7 @@
     server.unref();
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
     const acquire = async (): Promise<targetConnection.TargetConnection> => {
-        const connection = await pool.acquire({ address, maxIdleMs: Infinity });
+        const connection = await pool.acquire({ address, maxIdleMs: Infinity, requestId: undefined });
         if (connection === undefined) {
             throw new Error("the test target does not accept connections");
         }
@@ -178,8 +178,8 @@
     await connection.send(request("1"));
     const address = connection.address;
     pool.release(connection);
-    t.is(await pool.acquire({ address, maxIdleMs: 10_000 }), connection);
+    t.is(await pool.acquire({ address, maxIdleMs: 10_000, requestId: undefined }), connection);
     pool.release(connection);
-    t.not(await pool.acquire({ address, maxIdleMs: -1 }), connection);
+    t.not(await pool.acquire({ address, maxIdleMs: -1, requestId: undefined }), connection);
     t.is(pool.countOpened(), 2);
 });
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -5,6 +5,7 @@
 import * as net from "node:net";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
+import * as carriedIds from "./carriedIds.js";
 import * as connectionInfo from "./connectionInfo.js";
 import * as partialResponses from "./partialResponses.js";
 import * as readControl from "./readControl.js";
@@ -65,6 +66,8 @@
     send(request: ConnectionRequest): Promise<SendResult>;
     /** Whether another request may be sent on this connection. */
     isReusable(nowMs: number): boolean;
+    /** Whether a request with this id was sent on this connection, so that the id does not tell the responses apart. */
+    hasCarried(id: string): boolean;
     /** Time since the last byte from the target. */
     computeIdleMs(nowMs: number): number;
     readonly address: shared.Address;
@@ -107,6 +110,7 @@
     let isClosed = false;
     let skippedBytes = 0;
     let carriedRequests = 0;
+    const ids = carriedIds.createCarriedIds();
     let lastId: string | undefined;
     /** Id of the first response that has arrived while no request was under way. */
     let strayId: string | undefined;
@@ -324,6 +328,7 @@
                 lastId = request.id;
                 pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
+                ids.record(request.id);
                 parser.startRequest(request.method);
                 write(request.bytes);
             }),
@@ -331,7 +336,9 @@
             !isClosed &&
             !hasUnexpectedBytes &&
             pendingRequest === undefined &&
+            !ids.isFull() &&
             nowMs - lastByteAtMs < idleTimeoutMs - idleTimeoutMarginMs,
+        hasCarried: ids.has,
         computeIdleMs: nowMs => nowMs - lastByteAtMs,
         address: options.address,
         dispose: () => close("closed here"),
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -177,6 +177,7 @@
             connection = await pool.acquire({
                 address,
                 maxIdleMs: attempt.isIdempotent ? Infinity : maxNonIdempotentIdleMs,
+                requestId: attempt.request.id,
             });
             if (connection === undefined) {
                 return { kind: "unreachable" };
@@ -257,7 +258,7 @@
     const sendProbe = async (probe: Probe): Promise<ProbeResult> => {
         const { registration } = probe;
         const maxIdleMs = probe.onNewConnection ? -Infinity : Infinity;
-        const connection = await pool.acquire({ address: registration.address, maxIdleMs });
+        const connection = await pool.acquire({ address: registration.address, maxIdleMs, requestId: undefined });
         if (connection === undefined) {
             return { kind: "unreachable" };
         }
--- a/src/node/routes/unexpectedResponses.test.ts
+++ b/src/node/routes/unexpectedResponses.test.ts
@@ -44,7 +44,7 @@
         dialect: fixture.testDialect,
         recordUnexpected: response => void recorded.push(response),
     });
-    const connection = await pool.acquire({ address, maxIdleMs: Infinity });
+    const connection = await pool.acquire({ address, maxIdleMs: Infinity, requestId: undefined });
     if (connection === undefined) {
         throw new Error("the test target does not accept connections");
     }
