--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -5,12 +5,14 @@
 import * as net from "node:net";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
+import * as carriedIds from "./carriedIds.js";
 import * as connectionInfo from "./connectionInfo.js";
 import * as partialResponses from "./partialResponses.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
 import * as types from "./Types.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /**
  * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
@@ -64,6 +66,8 @@
     send(request: ConnectionRequest): Promise<SendResult>;
     /** Whether another request may be sent on this connection. */
     isReusable(nowMs: number): boolean;
+    /** Whether a request with this id was sent on this connection, so that the id does not tell the responses apart. */
+    hasCarried(id: string): boolean;
     /** Time since the last byte from the target. */
     computeIdleMs(nowMs: number): number;
     readonly address: shared.Address;
@@ -86,6 +90,8 @@
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     readonly readTurns: readControl.ReadTurns;
+    /** Counts and logs responses that belong to no request, or to another one. */
+    readonly recordUnexpected: unexpectedResponses.UnexpectedRecorder | undefined;
     onClose(): void;
 }
 
@@ -105,9 +111,16 @@
     let skippedBytes = 0;
     let hasCarriedProbe = false;
     let carriedRequests = 0;
+    const ids = carriedIds.createCarriedIds();
+    let lastId: string | undefined;
+    /** Id of the first response that has arrived while no request was under way. */
+    let strayId: string | undefined;
+    let hasBytesAfterResponse = false;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
+    const recordUnexpected = unexpectedResponses.createConnectionRecorder(options);
+
     const close = (reason: string): void => {
         if (isClosed) {
             return;
@@ -181,19 +194,22 @@
     };
 
     const handleHead = (parsed: responseParser.ParsedHead): void => {
+        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         if (pendingRequest === undefined) {
             hasUnexpectedBytes = true;
+            strayId ??= head.id;
             return;
         }
-        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         const expectedId = pendingRequest.request.id;
         const isLateProbeResponse = head.id === undefined && hasCarriedProbe && !head.isSigned;
         if (head.id !== expectedId && (head.id !== undefined || isLateProbeResponse)) {
             // A late response to an earlier request or probe; the expected one follows it.
             hasUnexpectedBytes = true;
+            recordUnexpected("other-request", expectedId, head.id);
             return;
         }
         if (head.id !== expectedId) {
+            recordUnexpected("no-id", expectedId, undefined);
             close("response without an id");
             return;
         }
@@ -236,6 +252,7 @@
         }
         if (hasMoreBytes) {
             hasUnexpectedBytes = true;
+            hasBytesAfterResponse = true;
         }
         const { streamed } = response;
         if (streamed === undefined) {
@@ -259,11 +276,21 @@
 
     const handleData = (chunk: Buffer): void => {
         lastByteAtMs = clock.now();
+        // Bytes that were buffered while reading was paused may follow.
+        if (isClosed) {
+            return;
+        }
         if (pendingRequest === undefined) {
             close("bytes without a request");
+            // Only to log the id.
+            parser.parse(chunk);
+            recordUnexpected("no-request", lastId, strayId);
             return;
         }
         const fault = parser.parse(chunk);
+        if (hasBytesAfterResponse) {
+            recordUnexpected("after-response", lastId, strayId);
+        }
         flushStream();
         if (fault !== undefined) {
             close(`not a response: ${fault}`);
@@ -302,9 +329,11 @@
                     return;
                 }
                 carriedRequests++;
+                lastId = request.id;
                 pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
                 hasCarriedProbe ||= request.id === undefined;
+                ids.record(request.id);
                 parser.startRequest(request.method);
                 write(request.bytes);
             }),
@@ -312,7 +341,9 @@
             !isClosed &&
             !hasUnexpectedBytes &&
             pendingRequest === undefined &&
+            !ids.isFull() &&
             nowMs - lastByteAtMs < idleTimeoutMs - idleTimeoutMarginMs,
+        hasCarried: ids.has,
         computeIdleMs: nowMs => nowMs - lastByteAtMs,
         address: options.address,
         dispose: () => close("closed here"),
