--- a/src/node/routes/carriedIds.ts
+++ b/src/node/routes/carriedIds.ts
@@ -13,6 +13,8 @@
      */
     record(id: string | undefined): void;
     has(id: string): boolean;
+    /** Whether there was a probe, whose response has no id. */
+    hasProbe(): boolean;
     /** Whether no more ids are to be recorded. */
     isFull(): boolean;
 }
@@ -25,14 +27,17 @@
 export const createCarriedIds = (): CarriedIds => {
     const ids = new Set<string>();
     let bytes = 0;
+    let hasProbe = false;
     return {
         record: id => {
+            hasProbe ||= id === undefined;
             if (id !== undefined) {
                 ids.add(id);
                 bytes += id.length;
             }
         },
         has: id => ids.has(id),
+        hasProbe: () => hasProbe,
         isFull: () => bytes >= maxBytes,
     };
 };
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -109,7 +109,6 @@
     let hasUnexpectedBytes = false;
     let isClosed = false;
     let skippedBytes = 0;
-    let hasCarriedProbe = false;
     let carriedRequests = 0;
     const ids = carriedIds.createCarriedIds();
     let lastId: string | undefined;
@@ -201,16 +200,14 @@
             return;
         }
         const expectedId = pendingRequest.request.id;
-        const isLateProbeResponse = head.id === undefined && hasCarriedProbe && !head.isSigned;
-        if (head.id !== expectedId && (head.id !== undefined || isLateProbeResponse)) {
-            // A late response to an earlier request or probe; the expected one follows it.
-            hasUnexpectedBytes = true;
-            recordUnexpected("other-request", expectedId, head.id);
-            return;
-        }
         if (head.id !== expectedId) {
-            recordUnexpected("no-id", expectedId, undefined);
-            close("response without an id");
+            recordUnexpected(head.id === undefined ? "no-id" : "other-request", expectedId, head.id);
+            if (head.id !== undefined || (ids.hasProbe() && !head.isSigned)) {
+                // A late response to an earlier request or probe; the expected one follows it.
+                hasUnexpectedBytes = true;
+            } else {
+                close("response without an id");
+            }
             return;
         }
         pendingRequest.request.handleHead?.(parsed.statusCode, head);
@@ -332,7 +329,6 @@
                 lastId = request.id;
                 pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
-                hasCarriedProbe ||= request.id === undefined;
                 ids.record(request.id);
                 parser.startRequest(request.method);
                 write(request.bytes);
