--- a/src/node/routes/relayedRequests.test.ts
+++ b/src/node/routes/relayedRequests.test.ts
@@ -105,3 +105,38 @@
         t.false(Buffer.concat(received).includes(body), "a frozen VM that continues has no whole request to run");
     });
 }
+
+/** A VM that refuses the first request that it has taken, and copies the refusal ahead of its next response there. */
+const startCopyingVm = async (): Promise<shared.Address> => {
+    const refusal = "HTTP/1.1 503 Full\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
+    const success = "HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: s\r\ncontent-length: 4\r\n\r\ndone";
+    let hasRefused = false;
+    const sockets: net.Socket[] = [];
+    const server = net.createServer(socket => {
+        let copy = "";
+        sockets.push(socket);
+        socket.on("error", () => undefined);
+        socket.on("data", (chunk: Buffer) => {
+            if (!chunk.toString("latin1").endsWith("0\r\n\r\n")) {
+                socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+                return;
+            }
+            socket.write(copy + (hasRefused ? success : refusal));
+            copy = refusal;
+            hasRefused = true;
+        });
+    });
+    const address = await httpServer.waitForListening(server, "127.0.0.1:0");
+    closers.push(() => {
+        server.close();
+        sockets.forEach(socket => socket.destroy());
+    });
+    return address;
+};
+
+// Guards against a request that comes again after a refusal, and gets the copy of that from a VM where it then runs.
+test("the copy of another VM's refusal does not refuse a request that is passed on again", async t => {
+    const relay = createRelay([fixture.createPeer("copying", { frontAddress: await startCopyingVm() })]);
+    t.like(await relayJob(relay, "non-idempotent", body), { kind: "relayed", response: { statusCode: 503 } });
+    t.like(await relayJob(relay, "non-idempotent", body), { kind: "relayed", response: { statusCode: 200 } });
+});
