Reject heads of targets' responses that contain another status line

Callers got 503 for a booking that ran. A target's refusal may arrive twice, and the copy may break off within a line of its head. The status line of the next response is then the rest of that line, and its headers are the rest of the copy's head: of two ids the last one counts, so that the status or the statement of the refusal is joined with the id of the request that runs. It takes no second attempt, and in the same way the status of a success may be joined with the headers of a failure.

A header's value or a reason phrase that contains a status line is now an error: the request may have run, and the client gets 502. Cuts at the end of a line were errors already, as a status line is no header.

--- a/src/node/routes/responseParser.test.ts
+++ b/src/node/routes/responseParser.test.ts
@@ -202,3 +202,16 @@
         t.not(parse(`${chunkedHead}0\r\n${line}\r\n\r\n`, []).fault, undefined, line);
     }
 });
+
+// Guards against a copy that breaks off within its head: its status or statements and the id of the next response count as one head.
+test("a head that breaks off in front of another response is an error, wherever it breaks off", t => {
+    const response = "HTTP/1.1 200 OK\r\nx-id: 2\r\ncontent-length: 4\r\n\r\ndone";
+    for (const copy of [
+        "HTTP/1.1 503 Full\r\nx-id: 1\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-seal: s\r\nx-id: 1\r\n\r\n",
+    ]) {
+        for (let end = 1; end < copy.length; end++) {
+            t.not(parse(copy.slice(0, end) + response, []).fault, undefined, copy.slice(0, end));
+        }
+    }
+});
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -15,6 +15,7 @@
 const maxInterimResponses = 16;
 const lineFeed = 0x0a;
 
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
 const minStatusCode = 100;
@@ -92,6 +93,16 @@
 };
 
 /** Parses a header; throws if the line is none. Lines that continue a header are obsolete, and are none either. */
+/**
+ * Throws if the text of a line contains the status line of another response: the head before it has broken off within the
+ * line, and the two would be taken for one.
+ */
+const checkUnbroken = (text: string): void => {
+    if (statusLinePattern.test(text)) {
+        throw new Error("status line within a head");
+    }
+};
+
 const parseHeaderLine = (line: string): readonly [name: string, value: string] => {
     const colonAt = line.indexOf(":");
     const name = line.slice(0, Math.max(0, colonAt));
@@ -100,6 +111,7 @@
     if (fault !== undefined) {
         throw new Error(fault);
     }
+    checkUnbroken(value);
     return [name, value];
 };
 
@@ -155,6 +167,7 @@
         if (statusCode < minStatusCode || statusCode === switchingProtocolsStatus) {
             throw new Error("unknown status code");
         }
+        checkUnbroken(info.statusMessage);
         const framing = readFraming(headers);
         isInterim = statusCode < 200;
         if (isInterim) {
