Bound the ids that a connection has carried by their number, and keep their hashes

It now keeps hashes, at most 1,000, so that long ids cost no connections. Two ids with one hash cost a new connection.

The test of the bound sends ids of 200 characters: 1,000 of them use one connection.

--- a/src/node/routes/connectionPool.test.ts
+++ b/src/node/routes/connectionPool.test.ts
@@ -78,7 +78,7 @@
 
 // Guards against a client that uses one id for all its requests and takes the connections that the target accepts.
 test("requests that share an id do not add idle connections", async t => {
-    const { pool, acquire, countOpen } = await startTarget([formatResponse("r1")]);
+    const { pool, acquire, countOpen } = await startTarget(Array<string>(10).fill(formatResponse("r1")));
     for (let count = 0; count < 10; count++) {
         const connection = await acquire("r1");
         t.is(readStatus(await send(connection, "r1")), 200);
@@ -88,15 +88,24 @@
     t.is(countOpen(), 1);
 });
 
-// Guards against a connection whose record of ids grows without end.
-test("a connection is closed once the ids that it has carried exceed a limit", async t => {
-    const longId = "i".repeat(9_000);
-    const { pool, acquire } = await startTarget([formatResponse(`${longId}1`), formatResponse(`${longId}2`)]);
-    const connection = await acquire(undefined);
-    await send(connection, `${longId}1`);
-    t.true(connection.isReusable(scheduler.now()));
-    await send(connection, `${longId}2`);
-    t.false(connection.isReusable(scheduler.now()));
-    pool.release(connection);
-    t.not(await acquire(undefined), connection);
+// Guards against a connection whose record of ids grows without end, and against long ids that cost connections.
+test("a connection is closed once it has carried a number of requests, however long their ids are", async t => {
+    const requests = 1_000;
+    const toId = (index: number): string => `${"i".repeat(200)}${index}`;
+    const { pool, acquire, countOpen } = await startTarget(
+        Array.from({ length: requests }, (_, index) => formatResponse(toId(index))),
+    );
+    const first = await acquire(toId(0));
+    pool.release(first);
+    for (let index = 0; index < requests; index++) {
+        const connection = await acquire(toId(index));
+        t.is(connection, first);
+        await send(connection, toId(index));
+        t.true(connection.hasCarried(toId(index)));
+        t.is(connection.isReusable(scheduler.now()), index < requests - 1);
+        pool.release(connection);
+    }
+    t.not(await acquire(undefined), first);
+    await httpServer.waitMs(50);
+    t.is(countOpen(), 1);
 });
