Soak: targets send copies of responses and start again at their address under a new id

The targets of the soak sent each response once (the second ones of `extra-answer` had a made-up success), and each address had one id. So the copy of a refusal never met another attempt of the same request.

- A target that crashes may start again behind the same link, so at the same address, while the row of its old id lasts.
- Fault `restart`: all targets of a service do so one after the other, mostly in that mode until the old rows have gone.

--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -19,7 +19,9 @@
     | "false-refusal"
     | "full"
     | "limited"
-    | "pausing";
+    | "pausing"
+    /** Refuses requests, fails some, and sends copies of these and other responses at later turns. */
+    | "response-copies";
 
 /** Fault mode of the store, which affects all VMs. */
 export type StoreMode = "busy" | "silent" | "slow" | "lost-answers" | "no-history";
@@ -42,8 +44,17 @@
     | { readonly kind: "target"; readonly target: number; readonly mode: TargetMode; readonly forMs: number }
     /** Affects all targets of a service, so that retries do not help. */
     | { readonly kind: "service"; readonly service: number; readonly mode: TargetMode; readonly forMs: number }
-    /** The target ends without notice and starts again, cold, under a new id. */
-    | { readonly kind: "crash"; readonly target: number; readonly forMs: number }
+    /** The target ends without notice and starts again, cold, under a new id, possibly while its old row lasts. */
+    | { readonly kind: "crash"; readonly target: number; readonly keepsAddress: boolean; readonly forMs: number }
+    /** All targets of a service do so, one after the other, at their addresses. */
+    | {
+          readonly kind: "restart";
+          readonly service: number;
+          readonly gapMs: number;
+          readonly forMs: number;
+          /** Mode in which the new targets are until the old rows have gone. */
+          readonly mode: TargetMode | undefined;
+      }
     /** The target reports that it is draining and ends; another one replaces it. */
     | { readonly kind: "drain"; readonly target: number }
     /** The same, but the target says so in its responses only. */
--- a/src/testing/soak/plan.ts
+++ b/src/testing/soak/plan.ts
@@ -27,6 +27,8 @@
 /** Long enough for requests after the third crash and the time in which VMs may learn of it. */
 const minCrashingMs = 6_000;
 const minCrashGapMs = 200;
+/** Between the restarts of the targets of a service, which are cold at first. */
+const minRestartGapMs = 400;
 
 type CreateFault = (source: shared.Random, size: SoakSize) => types.Fault;
 
@@ -69,6 +71,7 @@
     "full",
     "limited",
     "pausing",
+    "response-copies",
 ];
 
 const createSignalFault: CreateFault = (source, size) => ({
@@ -126,7 +129,19 @@
         state: pickOne(source, linkFaults),
         forMs: pickDurationMs(source),
     }),
-    (source, size) => ({ kind: "crash", target: source.nextInt(size.targets), forMs: pickDurationMs(source) }),
+    (source, size) => ({
+        kind: "crash",
+        target: source.nextInt(size.targets),
+        keepsAddress: source.nextInt(2) === 0,
+        forMs: pickDurationMs(source),
+    }),
+    (source, size) => ({
+        kind: "restart",
+        service: source.nextInt(size.services),
+        gapMs: minRestartGapMs + source.nextInt(minRestartGapMs),
+        forMs: minFaultMs + source.nextInt(minFaultMs),
+        mode: source.nextInt(3) === 0 ? undefined : "response-copies",
+    }),
     (source, size) => ({ kind: "drain", target: source.nextInt(size.targets) }),
     (source, size) => ({ kind: "leave", target: source.nextInt(size.targets) }),
     (source, size) => ({ kind: "remove", target: source.nextInt(size.targets) }),
--- a/src/testing/system/relay.ts
+++ b/src/testing/system/relay.ts
@@ -23,6 +23,8 @@
     readonly address: common.Address;
     readonly url: string;
     readonly setState: (state: LinkState) => void;
+    /** Relays new connections to another `ip:port`. */
+    readonly setTarget: (target: string) => void;
     /** Sets the state for the connections from one host; undefined lets the common state apply to them again. */
     readonly setStateOf: (host: string, state: LinkState | undefined) => void;
     /** Without a listener, new connections are refused; the state of the open ones does not change. */
@@ -55,7 +57,7 @@
  * @returns the relay
  */
 export const startRelay = async (target: string): Promise<Relay> => {
-    const { host, port } = ids.splitAddress(target);
+    let { host, port } = ids.splitAddress(target);
     /** The sockets of all connections, by the host that they come from. */
     const sockets = new Map<net.Socket, string>();
     let commonState: LinkState = { kind: "pass" };
@@ -162,6 +164,9 @@
         address,
         url: `http://${address}`,
         setState,
+        setTarget: next => {
+            ({ host, port } = ids.splitAddress(next));
+        },
         setStateOf,
         setListening: isListening => {
             if (isListening && !server.listening) {
