--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -109,6 +109,43 @@
     );
 });
 
+// Guards against checks that excuse a sending because another one under the same id ran, was served or was refused.
+test("requests that are sent again under their id are judged sending by sending", t => {
+    const refusal = createResponse(503, false);
+    const first = createCall("a", { sentAtMs: 20_000, endedAtMs: 20_100, outcome: refusal });
+    const second = createCall("a", { sentAtMs: 20_200, endedAtMs: 20_300 });
+    const early = createRun("a", { atMs: 20_050 });
+    const late = createRun("a", { atMs: 20_250 });
+    t.deepEqual(findRules({ calls: [first, second], runs: [late] }), []);
+    t.deepEqual(findRules({ calls: [first, second], runs: [early, late] }), ["refused"]);
+    t.deepEqual(findRules({ calls: [first, second], runs: [late, late] }), ["twice"]);
+    const refused = { ...second, outcome: refusal };
+    t.deepEqual(findRules({ calls: [first, refused], runs: [early] }), ["refused"]);
+    t.deepEqual(findRules({ calls: [first, refused], runs: [late] }), ["refused"]);
+    const unconnected: types.CallerRecord = { ...second, outcome: { kind: "unconnected" } };
+    t.deepEqual(findRules({ calls: [first, unconnected], runs: [late] }), ["refused"]);
+});
+
+test("the copy of an earlier response is reported as the response to a request that is sent again", t => {
+    const kind = "idempotent";
+    const calls = [
+        createCall("a", { kind, outcome: createResponse(500, true) }),
+        createCall("a", { kind, sentAtMs: 20_200, endedAtMs: 20_300, outcome: createResponse(500, true) }),
+    ];
+    const failed = createRun("a", { status: 500 });
+    t.deepEqual(findRules({ calls, runs: [failed] }), ["mixed"]);
+    t.deepEqual(findRules({ calls, runs: [failed, createRun("a", { atMs: 20_250 })] }), ["mixed"]);
+    t.deepEqual(findRules({ calls, runs: [failed, createRun("a", { atMs: 20_250, status: 500 })] }), []);
+});
+
+test("a request that is sent again is no retry of the load balancer", t => {
+    const times = [20_000, 20_200, 20_400, 20_600];
+    const calls = times.map(sentAtMs => createCall("a", { sentAtMs, outcome: createResponse(503, false) }));
+    const arrivals = times.map(sentAtMs => createArrival("a", { atMs: sentAtMs + 10 }));
+    t.deepEqual(findRules({ calls, arrivals }), []);
+    t.true(findRules({ calls: calls.slice(0, 1), arrivals }).includes("budget"));
+});
+
 test("responses that differ from what the target sent are reported", t => {
     const runs = [createRun("a")];
     t.deepEqual(findRules({ calls: [createCall("a", { outcome: createResponse(200, true, "other") })], runs }), [
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -2,6 +2,7 @@
  * Checks what callers and targets recorded against the guarantees in the platform's documentation.
  */
 import * as routeKind from "../../common/routes/routeKind.js";
+import * as attempts from "./attempts.js";
 import * as historyChecks from "./historyChecks.js";
 import * as targetChecks from "./targetChecks.js";
 import * as types from "./Types.js";
@@ -214,5 +215,7 @@
  * @param bounds - the guaranteed bounds
  * @returns all violations
  */
-export const checkHistory = (history: types.SoakHistory, bounds: types.SoakBounds): readonly types.SoakViolation[] =>
-    checks.flatMap(check => check(history, bounds));
+export const checkHistory = (history: types.SoakHistory, bounds: types.SoakBounds): readonly types.SoakViolation[] => {
+    const separated = attempts.splitAttempts(history);
+    return checks.flatMap(check => check(separated, bounds));
+};
