--- a/src/node/routes/hostileResponses.test.ts
+++ b/src/node/routes/hostileResponses.test.ts
@@ -52,7 +52,7 @@
     const address = await httpServer.waitForListening(server, "127.0.0.1:0");
     server.unref();
     const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
-    const connection = await pool.acquire({ address, maxIdleMs: Infinity });
+    const connection = await pool.acquire({ address, maxIdleMs: Infinity, requestId: undefined });
     if (connection === undefined) {
         throw new Error("the test target does not accept connections");
     }
@@ -65,7 +65,7 @@
         resolve =>
             void scheduler.schedule(giveUpMs, () => {
                 connection.dispose();
-                resolve({ kind: "broken", reason: "test timeout" });
+                resolve({ kind: "broken", reason: "test timeout", connection: fixture.firstConnection });
             }),
     );
     return { result: await Promise.race([pending, timeout]), countSent: () => sentBytes };
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -5,10 +5,14 @@
 import * as net from "node:net";
 import * as joinedBytes from "../../common/joinedBytes.js";
 import * as shared from "../../common/Types.js";
+import * as carriedIds from "./carriedIds.js";
+import * as connectionInfo from "./connectionInfo.js";
+import * as partialResponses from "./partialResponses.js";
 import * as readControl from "./readControl.js";
 import * as responseParser from "./responseParser.js";
 import * as streamedBody from "./streamedBody.js";
 import * as types from "./Types.js";
+import * as unexpectedResponses from "./unexpectedResponses.js";
 
 /**
  * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
@@ -22,8 +26,6 @@
 /** For targets that do not send their idle timeout. */
 const defaultIdleTimeoutMs = 5_000;
 const continueStatus = 100;
-/** Responses from this status on are failures, which are repeated or replaced and thus never streamed. */
-const firstFailureStatus = 500;
 
 export interface TargetResponse {
     readonly statusCode: number;
@@ -33,12 +35,13 @@
     readonly isDelimited: boolean;
     /** Resolves when the connection no longer receives this response; at once for a body that is held whole. */
     readonly received: Promise<void>;
+    readonly connection: connectionInfo.ConnectionInfo;
 }
 
 export type SendResult =
     | { readonly kind: "response"; readonly response: TargetResponse }
     /** The connection broke, or the bytes received are not a response; the request may have run. */
-    | { readonly kind: "broken"; readonly reason: string };
+    | { readonly kind: "broken"; readonly reason: string; readonly connection: connectionInfo.ConnectionInfo };
 
 export interface ConnectionRequest {
     /** Serialized head and body; without the body if that is held back. */
@@ -63,41 +66,35 @@
     send(request: ConnectionRequest): Promise<SendResult>;
     /** Whether another request may be sent on this connection. */
     isReusable(nowMs: number): boolean;
+    /** Whether a request with this id was sent on this connection, so that the id does not tell the responses apart. */
+    hasCarried(id: string): boolean;
     /** Time since the last byte from the target. */
     computeIdleMs(nowMs: number): number;
     readonly address: shared.Address;
 }
 
+type PartialResponse = partialResponses.PartialResponse;
+
 interface PendingRequest {
     readonly request: ConnectionRequest;
     readonly resolve: (result: SendResult) => void;
+    readonly connection: connectionInfo.ConnectionInfo;
     isBodySent: boolean;
 }
 
-/** The response that is being received. */
-interface PartialResponse {
-    readonly parsed: responseParser.ParsedHead;
-    readonly head: types.ResponseHead;
-    /** Bytes of the body that were received and not passed on yet. */
-    readonly held: joinedBytes.JoinedBytes;
-    /** Set once the body is passed on while it is received. */
-    streamed: streamedBody.StreamedBody | undefined;
-}
-
 export interface ConnectionOptions {
     readonly socket: net.Socket;
     readonly address: shared.Address;
+    /** Identifies the connection within its pool. */
+    readonly number: number;
     readonly dialect: types.HttpDialect;
     readonly clock: shared.Clock;
     readonly readTurns: readControl.ReadTurns;
+    /** Counts and logs responses that belong to no request, or to another one. */
+    readonly recordUnexpected: unexpectedResponses.UnexpectedRecorder | undefined;
     onClose(): void;
 }
 
-const isStreamable = (response: PartialResponse): boolean => {
-    const { head, parsed } = response;
-    return head.isSigned && !head.isEncoded && !head.isRefusal && parsed.statusCode < firstFailureStatus;
-};
-
 /**
  * Creates the client side of an open connection.
  *
@@ -112,9 +109,17 @@
     let hasUnexpectedBytes = false;
     let isClosed = false;
     let skippedBytes = 0;
+    let carriedRequests = 0;
+    const ids = carriedIds.createCarriedIds();
+    let lastId: string | undefined;
+    /** Id of the first response that has arrived while no request was under way. */
+    let strayId: string | undefined;
+    let hasBytesAfterResponse = false;
     let lastByteAtMs = clock.now();
     let idleTimeoutMs = defaultIdleTimeoutMs;
 
+    const recordUnexpected = unexpectedResponses.createConnectionRecorder(options);
+
     const close = (reason: string): void => {
         if (isClosed) {
             return;
@@ -131,7 +136,7 @@
         pendingRequest = undefined;
         partialResponse = undefined;
         options.onClose();
-        abortedRequest?.resolve({ kind: "broken", reason });
+        abortedRequest?.resolve({ kind: "broken", reason, connection: abortedRequest.connection });
         streamed?.fail(reason);
         streamed?.resolveReceived();
     };
@@ -148,11 +153,12 @@
     };
 
     const resolveRequest = (response: PartialResponse, body: types.ResponseBody, received: Promise<void>): void => {
-        const { parsed, head } = response;
-        pendingRequest?.resolve({
-            kind: "response",
-            response: { statusCode: parsed.statusCode, head, body, isDelimited: parsed.isDelimited, received },
-        });
+        const { head } = response;
+        const { statusCode, isDelimited } = response.parsed;
+        if (pendingRequest !== undefined) {
+            const { connection, resolve } = pendingRequest;
+            resolve({ kind: "response", response: { statusCode, head, body, isDelimited, received, connection } });
+        }
     };
 
     /** Starts to pass on the body while it is received; the consumer's pace is the target's from here on. */
@@ -185,18 +191,21 @@
     };
 
     const handleHead = (parsed: responseParser.ParsedHead): void => {
+        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         if (pendingRequest === undefined) {
             hasUnexpectedBytes = true;
+            strayId ??= head.id;
             return;
         }
-        const head = dialect.parseResponseHead(parsed.statusCode, parsed.headers);
         const expectedId = pendingRequest.request.id;
         if (head.id !== expectedId && head.id !== undefined) {
             // A late response to an earlier request; the expected one follows it.
             hasUnexpectedBytes = true;
+            recordUnexpected("other-request", expectedId, head.id);
             return;
         }
         if (head.id !== expectedId) {
+            recordUnexpected("no-id", expectedId, undefined);
             close("response without an id");
             return;
         }
@@ -225,7 +234,7 @@
         if (response.streamed !== undefined || response.held.count() <= maxHeldBytes) {
             return;
         }
-        if (isStreamable(response)) {
+        if (partialResponses.isStreamable(response)) {
             startStream(response);
         } else {
             close("response too large");
@@ -239,6 +248,7 @@
         }
         if (hasMoreBytes) {
             hasUnexpectedBytes = true;
+            hasBytesAfterResponse = true;
         }
         const { streamed } = response;
         if (streamed === undefined) {
@@ -262,11 +272,21 @@
 
     const handleData = (chunk: Buffer): void => {
         lastByteAtMs = clock.now();
+        // Bytes that were buffered while reading was paused may follow.
+        if (isClosed) {
+            return;
+        }
         if (pendingRequest === undefined) {
             close("bytes without a request");
+            // Only to log the id.
+            parser.parse(chunk);
+            recordUnexpected("no-request", lastId, strayId);
             return;
         }
         const fault = parser.parse(chunk);
+        if (hasBytesAfterResponse) {
+            recordUnexpected("after-response", lastId, strayId);
+        }
         flushStream();
         if (fault !== undefined) {
             close(`not a response: ${fault}`);
@@ -299,12 +319,16 @@
     return {
         send: request =>
             new Promise(resolve => {
+                const connection = { number: options.number, carriedRequests };
                 if (isClosed) {
-                    resolve({ kind: "broken", reason: "closed" });
+                    resolve({ kind: "broken", reason: "closed", connection });
                     return;
                 }
-                pendingRequest = { request, resolve, isBodySent: request.heldBody === undefined };
+                carriedRequests++;
+                lastId = request.id;
+                pendingRequest = { request, resolve, connection, isBodySent: request.heldBody === undefined };
                 skippedBytes = 0;
+                ids.record(request.id);
                 parser.startRequest(request.method);
                 write(request.bytes);
             }),
@@ -312,7 +336,9 @@
             !isClosed &&
             !hasUnexpectedBytes &&
             pendingRequest === undefined &&
+            !ids.isFull() &&
             nowMs - lastByteAtMs < idleTimeoutMs - idleTimeoutMarginMs,
+        hasCarried: ids.has,
         computeIdleMs: nowMs => nowMs - lastByteAtMs,
         address: options.address,
         dispose: () => close("closed here"),
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -3,6 +3,7 @@
  */
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as connectionInfo from "./connectionInfo.js";
 import * as connectionPool from "./connectionPool.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
@@ -28,7 +29,7 @@
     /** Nothing was sent, as the attempt was aborted before its connection was open. */
     | { readonly kind: "withdrawn" }
     /** The request may have run. */
-    | { readonly kind: "broken"; readonly reason: string };
+    | { readonly kind: "broken"; readonly reason: string; readonly connection: connectionInfo.ConnectionInfo };
 
 export interface Attempt {
     readonly result: Promise<AttemptResult>;
@@ -176,6 +177,7 @@
             connection = await pool.acquire({
                 address,
                 maxIdleMs: attempt.isIdempotent ? Infinity : maxNonIdempotentIdleMs,
+                requestId: attempt.request.id,
             });
             if (connection === undefined) {
                 return { kind: "unreachable" };
@@ -256,7 +258,7 @@
     const sendProbe = async (probe: Probe): Promise<ProbeResult> => {
         const { registration } = probe;
         const maxIdleMs = probe.onNewConnection ? -Infinity : Infinity;
-        const connection = await pool.acquire({ address: registration.address, maxIdleMs });
+        const connection = await pool.acquire({ address: registration.address, maxIdleMs, requestId: undefined });
         if (connection === undefined) {
             return { kind: "unreachable" };
         }
