--- a/src/testing/system/relay.test.ts
+++ b/src/testing/system/relay.test.ts
@@ -47,3 +47,20 @@
     t.is(await send("after"), "after");
     await close();
 });
+
+// Guards against restarts that reach the server which has ended, or that change the address.
+test("a relay whose target is replaced keeps its address", async t => {
+    const { link, send, close } = await startPair();
+    const replacement = await httpServer.startHttpServer((_, response) => {
+        response.end("replacement");
+        return Promise.resolve();
+    });
+    t.is(await send("before"), "before");
+    link.setState({ kind: "cut" });
+    link.setTarget(replacement.address);
+    await t.throwsAsync(send("cut"));
+    link.setState({ kind: "pass" });
+    t.is(await send("after"), "replacement");
+    await close();
+    await replacement.close();
+});
