Parse the connections of clients in slices, and in turn

What callers saw: beside 60 clients that send a body in chunks of one byte and connect again at once, their requests waited for 5.1 to 5.6 s (median).

Cause: libuv accepts one new connection in each iteration of the event loop, and a read of 64 KB is parsed whole. It holds 11,000 chunks, each of which calls JavaScript, also behind the one at which the body is refused. Requests of others took 19 ms in the process, and seconds in the queue of connections to be accepted, behind the 60.

Why it works: a connection is parsed for 1 ms or one slice of 4 KB in a row, then it waits behind those that wait already, one of which is parsed on in each iteration. The first slice of a new connection is parsed when it is read. The bound holds for each connection and not for each address, which many clients may share. Bytes behind a body that is too large, or that cannot be read, are no longer parsed.

The bodies of requests that arrive together are now passed on after all heads of the slice, so that a request behind a body that is too large may have begun; it is dropped by its number ("a request behind one whose body is too large is not handled" failed without).

--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -4,11 +4,12 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import * as stream from "node:stream";
-import * as timers from "node:timers/promises";
 import * as ids from "../../common/ids.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as clientReading from "./clientReading.js";
 import * as headSyntax from "./headSyntax.js";
+import * as readControl from "./readControl.js";
 import * as requestBody from "./requestBody.js";
 import * as responseBodies from "./responseBodies.js";
 import * as types from "./Types.js";
@@ -66,9 +67,14 @@
 
 /** A connection of a client, on which several requests may be in progress (pipelining). */
 interface ClientConnection {
+    readonly reading: clientReading.ClientReading;
     readonly activeRequests: Set<AbortController>;
+    /** Requests that have begun. */
+    requests: number;
     /** The request that began last; its response is the last one. */
     newestRequest: http.IncomingMessage | undefined;
+    /** Number of the first request whose body is too large. Those behind it may have begun, as bodies are passed on later. */
+    refusedRequest: number;
     /** Set once a response announces that the connection closes after it; requests behind it count as not read. */
     isClosing: boolean;
     /** Set once bytes behind the newest request cannot be read; its response is the last one. */
@@ -77,16 +83,6 @@
     bodyReader: requestBody.BodyReader | undefined;
 }
 
-/**
- * Lets the event loop read data that has already arrived. When the event loop is busy, a client's request and the close
- * of its connection may both be pending in the socket; the request must not be forwarded before the close is seen. The
- * event loop reads a connection again only in its next iteration, hence two of them.
- */
-const waitForPendingReads = async (): Promise<void> => {
-    await timers.setImmediate();
-    await timers.setImmediate();
-};
-
 const countHeaderBytes = (headers: types.RawHeaders): number =>
     headers.reduce((sum, text) => sum + text.length + separatorBytes, 0);
 
@@ -99,6 +95,7 @@
 export const createFrontendServer = (options: FrontendOptions): FrontendServer => {
     const { clock } = options;
     const openConnections = new Map<stream.Duplex, ClientConnection>();
+    const readTurns = readControl.createReadTurns();
     let isDraining = false;
     let isAccepting = true;
 
@@ -183,6 +180,7 @@
         }
         connection.activeRequests.add(clientAbort);
         connection.newestRequest = request;
+        const index = ++connection.requests;
         const limits = options.getLimits();
         const fail = (statusCode: number, reason: string): Promise<void> =>
             sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
@@ -204,13 +202,20 @@
                 await fail(503, "shutting down");
                 return;
             }
-            connection.bodyReader = requestBody.startReading(request, limits?.maxBodyBytes ?? Infinity);
+            connection.bodyReader = requestBody.startReading(request, limits?.maxBodyBytes ?? Infinity, () => {
+                connection.isClosing = true;
+                connection.refusedRequest = Math.min(connection.refusedRequest, index);
+                connection.reading.startDiscarding();
+            });
             const body = await connection.bodyReader.result;
             if (body.kind !== "whole") {
                 await fail(body.kind === "too-large" ? 413 : 400, body.kind);
                 return;
             }
-            await waitForPendingReads();
+            await clientReading.waitForPendingReads(connection.reading);
+            if (index > connection.refusedRequest) {
+                return;
+            }
             const response = await options.handle({
                 method: request.method ?? "GET",
                 url: request.url ?? "/",
@@ -249,11 +254,13 @@
         const unreadable = unreadableRequests.toUnreadableRequest(error, connection.activeRequests.size);
         options.recordUnreadable(unreadable);
         if (connection.activeRequests.size > 0) {
+            connection.reading.startDiscarding();
             if (connection.newestRequest?.complete !== true) {
                 connection.bodyReader?.abortMalformed();
             }
             return;
         }
+        connection.reading.stop();
         const { statusCode, reason } = unreadable;
         const refusal = unreadableRequests.formatRefusal(options.formatRefusal([], statusCode, reason));
         socket.end(refusal, () => socket.destroy());
@@ -277,14 +284,19 @@
     server.on("checkExpectation", beginRequest);
     // Without a listener the server would close the connection.
     server.on("connect", (_request, socket) => {
+        // The HTTP server has released its parser.
+        openConnections.get(socket)?.reading.startDiscarding();
         const error = Object.assign(new Error("no tunnels"), { code: "ERR_HTTP_METHOD" });
         handleClientError(error, socket);
     });
     server.on("connection", socket => {
         const activeRequests = new Set<AbortController>();
         openConnections.set(socket, {
+            reading: clientReading.startClientReading(socket, readTurns, clock),
             activeRequests,
+            requests: 0,
             newestRequest: undefined,
+            refusedRequest: Infinity,
             isClosing: false,
             isUnreadable: false,
             bodyReader: undefined,
--- a/src/node/routes/requestBody.ts
+++ b/src/node/routes/requestBody.ts
@@ -28,27 +28,28 @@
  *
  * @param request - the request
  * @param maxBytes - size from which on the body is too large
+ * @param handleTooLarge - called while the bytes are parsed; what follows belongs to no request
  * @returns the reader
  */
-export const startReading = (request: http.IncomingMessage, maxBytes: number): BodyReader => {
+export const startReading = (
+    request: http.IncomingMessage,
+    maxBytes: number,
+    handleTooLarge: () => void,
+): BodyReader => {
     const received = joinedBytes.createJoinedBytes();
     let pieces = 0;
     let resolveResult: (result: RequestBody) => void = () => undefined;
     const result = new Promise<RequestBody>(resolve => (resolveResult = resolve));
 
     const finish = (body: RequestBody): void => {
-        // What still comes is discarded.
         request.off("data", handleData);
         received.drop();
         resolveResult(body);
     };
     const handleData = (chunk: Buffer): void => {
         received.add(chunk);
-        if (received.count() > maxBytes) {
-            finish({ kind: "too-large" });
-        } else if (++pieces > maxPieces + received.count() / bytesPerPiece) {
-            // Each further piece would cost as much as the ones before.
-            request.socket.pause();
+        if (received.count() > maxBytes || ++pieces > maxPieces + received.count() / bytesPerPiece) {
+            handleTooLarge();
             finish({ kind: "too-large" });
         }
     };
