--- a/src/node/routes/unexpectedResponses.ts
+++ b/src/node/routes/unexpectedResponses.ts
@@ -8,8 +8,8 @@
 const maxLoggedIdLength = 100;
 
 /**
- * Why a response is unexpected: it has the id of another request and is skipped; or its connection is closed, as bytes arrived
- * while no request was under way or right after a response, or as it has no id.
+ * Why a response is unexpected: it has the id of another request, or none, or its bytes arrived while no request was under way
+ * or right after a response. Its connection is closed, at once or after the response that is awaited.
  */
 export type UnexpectedKind = "other-request" | "no-request" | "after-response" | "no-id";
 
