--- a/src/node/routes/connectionPool.test.ts
+++ b/src/node/routes/connectionPool.test.ts
@@ -1,15 +1,13 @@
-import * as net from "node:net";
 import test from "ava";
-import * as shared from "../../common/Types.js";
-import * as fixture from "../../testing/routes/fixture.js";
+import * as scriptedTarget from "../../testing/routes/scriptedTarget.js";
 import * as httpServer from "../../testing/http/httpServer.js";
 import * as systemScheduler from "../systemScheduler.js";
 import * as connectionPool from "./connectionPool.js";
 import * as targetConnection from "./targetConnection.js";
 
 const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
-const opened: net.Socket[] = [];
-test.after.always(() => opened.forEach(socket => socket.destroy()));
+const closers: (() => void)[] = [];
+test.after.always(() => closers.forEach(close => close()));
 
 const refusalHead = "HTTP/1.1 503 Full\r\nx-id: r1\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n";
 const formatResponse = (id: string): string =>
@@ -23,18 +21,11 @@
     readonly acquire: (requestId: string | undefined) => Promise<targetConnection.TargetConnection>;
     readonly countOpen: () => number;
 }> => {
-    const sockets = new Set<net.Socket>();
-    const server = net.createServer(socket => {
+    const { address, pool, countOpen, close } = await scriptedTarget.startScriptedTarget(scheduler, socket => {
         let count = 0;
-        sockets.add(socket);
-        opened.push(socket);
-        socket.on("error", () => undefined);
-        socket.on("close", () => sockets.delete(socket));
         socket.on("data", () => socket.write(responses[count++] ?? formatResponse("none")));
     });
-    const address: shared.Address = await httpServer.waitForListening(server, "127.0.0.1:0");
-    server.unref();
-    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
+    closers.push(close);
     return {
         pool,
         acquire: async requestId => {
@@ -44,7 +35,7 @@
             }
             return connection;
         },
-        countOpen: () => sockets.size,
+        countOpen,
     };
 };
 
--- a/src/node/routes/probeCopies.test.ts
+++ b/src/node/routes/probeCopies.test.ts
@@ -1,10 +1,7 @@
-import * as net from "node:net";
 import test from "ava";
-import * as shared from "../../common/Types.js";
 import * as fixture from "../../testing/routes/fixture.js";
-import * as httpServer from "../../testing/http/httpServer.js";
+import * as scriptedTarget from "../../testing/routes/scriptedTarget.js";
 import * as systemScheduler from "../systemScheduler.js";
-import * as connectionPool from "./connectionPool.js";
 import * as targetSender from "./targetSender.js";
 
 const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
@@ -19,20 +16,11 @@
 /** Starts a target that responds to each request on a connection with the next text, and a sender to it. */
 const startTarget = async (responses: readonly string[]) => {
     const heads: string[] = [];
-    const sockets: net.Socket[] = [];
-    const server = net.createServer(socket => {
+    const { address, pool, close } = await scriptedTarget.startScriptedTarget(scheduler, socket => {
         let count = 0;
-        sockets.push(socket);
-        socket.on("error", () => undefined);
         socket.on("data", () => socket.write(responses[count++] ?? ""));
     });
-    const address: shared.Address = await httpServer.waitForListening(server, "127.0.0.1:0");
-    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
-    closers.push(() => {
-        pool.dispose();
-        server.close();
-        sockets.forEach(socket => socket.destroy());
-    });
+    closers.push(close);
     const sender = targetSender.createTargetSender({
         pool,
         dialect: fixture.testDialect,
--- a/src/node/routes/sameRequestId.test.ts
+++ b/src/node/routes/sameRequestId.test.ts
@@ -1,10 +1,7 @@
-import * as net from "node:net";
 import test from "ava";
-import * as shared from "../../common/Types.js";
 import * as fixture from "../../testing/routes/fixture.js";
-import * as httpServer from "../../testing/http/httpServer.js";
+import * as scriptedTarget from "../../testing/routes/scriptedTarget.js";
 import * as systemScheduler from "../systemScheduler.js";
-import * as connectionPool from "./connectionPool.js";
 import * as targetSender from "./targetSender.js";
 
 const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
@@ -24,12 +21,9 @@
 
 /** Starts a target that copies its responses, and a sender whose connections to it are kept. */
 const startCopyingTarget = async (handleRequest: (request: ReceivedRequest, count: number) => void) => {
-    const sockets: net.Socket[] = [];
     let count = 0;
-    const server = net.createServer(socket => {
+    const { address, pool, close } = await scriptedTarget.startScriptedTarget(scheduler, socket => {
         let copy = "";
-        sockets.push(socket);
-        socket.on("error", () => undefined);
         socket.on("data", () => {
             const respond = (response: string): void => {
                 socket.write(copy + response);
@@ -38,13 +32,7 @@
             handleRequest({ respond }, count++);
         });
     });
-    const address: shared.Address = await httpServer.waitForListening(server, "127.0.0.1:0");
-    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
-    closers.push(() => {
-        pool.dispose();
-        server.close();
-        sockets.forEach(socket => socket.destroy());
-    });
+    closers.push(close);
     const sender = targetSender.createTargetSender({
         pool,
         dialect: fixture.testDialect,
