--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -7,8 +7,6 @@
 import * as targetChecks from "./targetChecks.js";
 import * as types from "./Types.js";
 
-/** Statuses that guarantee that the request has not run and will not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Minimum share of the requests after the recovery time that must succeed. */
 const minRecoveredShare = 0.9;
 
@@ -30,7 +28,7 @@
     return calls
         .filter(({ kind, outcome, id }) => {
             // Clients take the status for a promise, whoever it comes from.
-            const isRefused = outcome?.kind === "answered" && notRunStatuses.has(outcome.status);
+            const isRefused = outcome?.kind === "answered" && historyChecks.notRunStatuses.includes(outcome.status);
             return isRefused && !routeKind.isIdempotent(kind) && ran.has(id);
         })
         .map(call => ({ rule: "refused", message: `${call.id} ran although VM ${call.vm} refused it` }));
--- a/src/testing/soak/historyChecks.ts
+++ b/src/testing/soak/historyChecks.ts
@@ -8,6 +8,8 @@
 
 /** Window in which rates per second are checked. */
 export const rateWindowMs = 1_000;
+/** Statuses that tell clients that a request has not run and will not run. */
+export const notRunStatuses: readonly number[] = [408, 421, 429, 503];
 const crashingPathPrefix = "/crash/";
 
 /** Returns the path of a request that crashes the targets that run it. */
