--- a/src/node/routes/clientReading.ts
+++ b/src/node/routes/clientReading.ts
@@ -8,12 +8,10 @@
 import * as shared from "../../common/Types.js";
 import * as readControl from "./readControl.js";
 
-/** Node.js reads up to this much at a time. */
-const fullReadBytes = 64 * 1024;
 /** The time is looked at after each slice. One of chunks of one byte takes 1 to 2 ms. */
 const minSliceBytes = 4 * 1024;
 /** Slices grow up to a whole read while they cost little, as each slice of a large body costs as much as a chunk. */
-const maxSliceBytes = fullReadBytes;
+const maxSliceBytes = readControl.fullReadBytes;
 /** The bytes of a connection are parsed for this long in a row, and at least one slice of them. */
 const turnMs = 1;
 /** A slice that takes longer is followed by one of the smallest size. */
@@ -109,7 +107,7 @@
         const isPausedByServer = socket.isPaused();
         if (rest !== undefined && rest.length > 0) {
             putBack(rest);
-        } else if (bytes.length < fullReadBytes) {
+        } else if (bytes.length < readControl.fullReadBytes) {
             usedMs = 0;
             return;
         } else if (mode === "parse" && usedMs < turnMs) {
--- a/src/node/routes/readControl.ts
+++ b/src/node/routes/readControl.ts
@@ -5,7 +5,7 @@
 import type * as net from "node:net";
 
 /** Node.js reads up to this much at a time, and libuv up to 32 times in a row while so much has arrived. */
-const fullReadBytes = 64 * 1024;
+export const fullReadBytes = 64 * 1024;
 
 /** Connections that wait to be read again. */
 export interface ReadTurns {
--- a/src/node/routes/refusalCount.ts
+++ b/src/node/routes/refusalCount.ts
@@ -4,7 +4,7 @@
 
 /** A request is refused after this many targets have refused it; the others are usually full, too. */
 const maxRefusals = 2;
-/** Each such attempt costs a way to the target and back; an address rarely stands in the store under more ended ids. */
+/** Each such attempt costs a way to the target and back, and draws on the retry budget. */
 const maxMisdirections = 4;
 
 export interface RefusalCount {
