Add organisations to the types of configurations and requests

Callers of a new deployment identify themselves by keys, which the parts for identity, quotas and fair admission share. No behaviour changes.

--- a/src/common/Types.ts
+++ b/src/common/Types.ts
@@ -14,6 +14,10 @@
 export type IncarnationId = Brand<string, "IncarnationId">;
 export type ZoneName = Brand<string, "ZoneName">;
 export type RegionName = Brand<string, "RegionName">;
+/** A customer's organisation, whose callers share its keys and its quota. */
+export type OrganisationName = Brand<string, "OrganisationName">;
+/** SHA-256 of a caller's key; keys themselves are not kept. */
+export type KeyDigest = Brand<string, "KeyDigest">;
 export type CallId = Brand<string, "CallId">;
 export type AttemptId = Brand<string, "AttemptId">;
 /** Identifies one run of a target; changes when the target restarts. */
--- a/src/common/ids.ts
+++ b/src/common/ids.ts
@@ -55,6 +55,8 @@
 export const toIncarnationId = (text: string): types.IncarnationId => text as types.IncarnationId;
 export const toZoneName = (text: string): types.ZoneName => text as types.ZoneName;
 export const toRegionName = (text: string): types.RegionName => text as types.RegionName;
+export const toOrganisationName = (text: string): types.OrganisationName => text as types.OrganisationName;
+export const toKeyDigest = (text: string): types.KeyDigest => text as types.KeyDigest;
 export const toCallId = (text: string): types.CallId => text as types.CallId;
 export const toAttemptId = (text: string): types.AttemptId => text as types.AttemptId;
 export const toBootId = (text: string): types.BootId => text as types.BootId;
--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -29,6 +29,8 @@
     /** Maximum number of targets that one request may be sent to. */
     readonly maxTargets: number;
     readonly services: readonly WeightedService[];
+    /** Whether requests need no key although the configuration has organisations; VMs of earlier versions do not say so. */
+    readonly isPublic?: boolean;
 }
 
 export interface RoutedService {
@@ -38,6 +40,19 @@
     readonly coldPerSecond: number;
 }
 
+/** An organisation whose callers identify themselves by a key. */
+export interface Organisation {
+    readonly name: types.OrganisationName;
+    /** SHA-256 digests of the keys. */
+    readonly keys: readonly types.KeyDigest[];
+    /** Precedes the priority of routes; undefined if the routes decide. */
+    readonly priority?: number;
+    /** Requests per second over all VMs together; undefined if there is no limit. */
+    readonly perSecond?: number;
+    /** Requests beyond the rate after a time without requests. */
+    readonly burst: number;
+}
+
 /** Limits on client requests. */
 export interface RequestLimits {
     readonly maxHeaderBytes: number;
@@ -59,6 +74,8 @@
     readonly routes: readonly Route[];
     readonly services: readonly RoutedService[];
     readonly limits: RequestLimits;
+    /** Undefined if callers need no keys, and from VMs of earlier versions. */
+    readonly organisations?: readonly Organisation[];
     readonly unknownValues: readonly UnknownRouteValue[];
 }
 
--- a/src/node/routes/exchangeRequest.ts
+++ b/src/node/routes/exchangeRequest.ts
@@ -13,6 +13,8 @@
     /** Latest time of the final response, on the local monotonic clock. */
     readonly deadlineAtMs: number;
     readonly fingerprint: string;
+    /** Organisation of the caller; undefined if the caller needs no key. */
+    readonly organisation?: shared.OrganisationName;
     /** Version of the configuration by which the request was routed. */
     readonly configurationVersion: number;
     /** Aborted when the client disconnects. */
