Count the bytes of connections by kind, direction and zones

Bytes between zones are the largest price of some deployments, and nothing told which connections carry them. The zone of callers and of the store is not known to a VM and is reported as unknown.

--- a/src/common/routes/activeVmSelection.ts
+++ b/src/common/routes/activeVmSelection.ts
@@ -16,6 +16,26 @@
 /** Total slots of the targets in use, by zone. */
 export type SlotsByZone = ReadonlyMap<shared.ZoneName, number>;
 
+/**
+ * Counts the slots of the targets in use.
+ *
+ * @param targets - all targets
+ * @param isZoneOut - whether the targets of a zone may not be used
+ * @returns the slots, by zone
+ */
+export const countZoneSlots = (
+    targets: Iterable<types.Registration>,
+    isZoneOut: (zone: shared.ZoneName) => boolean,
+): SlotsByZone => {
+    const slots = new Map<shared.ZoneName, number>();
+    for (const target of targets) {
+        if (!isZoneOut(target.zone)) {
+            slots.set(target.zone, (slots.get(target.zone) ?? 0) + target.slots);
+        }
+    }
+    return slots;
+};
+
 /**
  * Checks whether a VM can run requests.
  *
--- a/src/node/routes/connectionPool.ts
+++ b/src/node/routes/connectionPool.ts
@@ -44,6 +44,8 @@
     readonly dialect: types.HttpDialect;
     /** Counts and logs responses that belong to no request, or to another one. */
     readonly recordUnexpected?: unexpectedResponses.UnexpectedRecorder;
+    /** Called with each connection and the address that it leads to. */
+    readonly watchSocket?: (socket: net.Socket, address: shared.Address) => void;
 }): ConnectionPool => {
     const { scheduler, dialect } = options;
     const idle = new Map<shared.Address, targetConnection.TargetConnection[]>();
@@ -72,6 +74,7 @@
                 timer.dispose();
                 socket.off("error", fail);
                 opened++;
+                options.watchSocket?.(socket, address);
                 const connection: targetConnection.TargetConnection = targetConnection.createTargetConnection({
                     socket,
                     address,
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -63,6 +63,7 @@
     /** Called with an error that no other handler expects; it ends the request. */
     recordError(error: unknown): void;
     recordUnreadable(request: unreadableRequests.UnreadableRequest): void;
+    watchSocket?(socket: net.Socket): void;
 }
 
 /** A connection of a client, on which several requests may be in progress (pipelining). */
@@ -290,6 +291,7 @@
         handleClientError(error, socket);
     });
     server.on("connection", socket => {
+        options.watchSocket?.(socket);
         const activeRequests = new Set<AbortController>();
         openConnections.set(socket, {
             reading: clientReading.startClientReading(socket, readTurns, clock),
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -10,6 +10,7 @@
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
 
@@ -54,6 +55,7 @@
 export interface HubLinkOptions {
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter | undefined;
     readonly seeds: readonly shared.Address[];
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
@@ -215,6 +217,7 @@
             setRetryDelay(address, result.kind === "refused" ? refusedRetryDelayMs : retryDelayMs);
             return false;
         }
+        options.traffic?.watch(result.socket, "vm", () => findPeer(address)?.zone);
         const connection = await waitForHeartbeat(result.socket, address);
         const peer = findPeer(address);
         const isHub = connection !== undefined && peer !== undefined && isPreferred(peer) && isUseful(connection);
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -2,6 +2,7 @@
  * Serves the platform's readiness checks and the clients' lookups of active VMs.
  */
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as ids from "../../common/ids.js";
 import * as shared from "../../common/Types.js";
 import * as types from "./Types.js";
@@ -19,6 +20,7 @@
     pickActiveAddresses(lookup: types.LookupRequest): readonly shared.Address[];
     /** Called with an error that no other handler expects; it ends the request. */
     recordError(error: unknown): void;
+    watchSocket?(socket: net.Socket): void;
 }
 
 /**
@@ -65,6 +67,7 @@
             response.end();
         }
     });
+    server.on("connection", socket => options.watchSocket?.(socket));
     const { host, port } = ids.splitAddress(options.address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -10,6 +10,7 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
 import * as hubLink from "./hubLink.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
@@ -52,6 +53,7 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic?: byteMeter.ByteMeter;
     getBounds(): types.RouteBounds;
     isReady(): boolean;
     /** Whether this VM reaches no target, as far as it knows. */
@@ -69,7 +71,7 @@
  * @returns the membership, not started
  */
 export const createMembership = (options: MembershipOptions): Membership => {
-    const { settings, store, state, scheduler, logger } = options;
+    const { settings, store, state, scheduler, logger, traffic } = options;
     const startedAtMs = Date.now();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
@@ -114,6 +116,7 @@
                   address: settings.peerAddress,
                   scheduler,
                   logger,
+                  traffic,
                   getOwnPeer,
                   computeOverdueMs,
                   listKnownPeers: () => listConnectedPeers(),
@@ -138,6 +141,7 @@
     const link = hubLink.createHubLink({
         scheduler,
         logger,
+        traffic,
         seeds: settings.seeds,
         getOwnPeer,
         addMessageHandlers: channel => {
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -24,6 +24,7 @@
         countDroppedLogLines: () => 0,
         countIgnoredChanges: () => 5,
         countMalformedRows: () => 6,
+        listTraffic: () => [{ kind: "target", direction: "in", zones: "other", bytes: 7 }],
     });
 
 const listenOnFreePort = (): Promise<{ readonly server: net.Server; readonly address: shared.Address }> =>
@@ -62,6 +63,7 @@
     t.regex(text, /tarragonpath_unexpected_errors_total\{source="exchange"\} 1/);
     t.regex(text, /tarragonpath_relays_total\{end="not taken"\} 1/);
     t.regex(text, /tarragonpath_blocked_requests 2/);
+    t.regex(text, /tarragonpath_traffic_bytes_total\{kind="target",direction="in",zones="other"\} 7/);
     t.regex(text, /tarragonpath_event_loop_delay_seconds 1.5/);
     t.regex(text, /tarragonpath_configuration_version 12/);
     t.regex(text, /tarragonpath_store_age_seconds \+Inf/);
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -3,6 +3,7 @@
  */
 import * as promClient from "prom-client";
 import * as bodyForwarding from "./bodyForwarding.js";
+import * as byteMeter from "./byteMeter.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
@@ -45,6 +46,8 @@
     countDroppedLogLines(): number;
     countIgnoredChanges(): number;
     countMalformedRows(): number;
+    /** Bytes since the start, by kind, direction and zones. */
+    listTraffic(): readonly byteMeter.TrafficCount[];
 }
 
 export interface RouteMetrics {
@@ -125,6 +128,19 @@
     });
 };
 
+const addTraffic = (registry: promClient.Registry, listTraffic: MetricSources["listTraffic"]): void => {
+    new promClient.Counter({
+        name: `${namePrefix}traffic_bytes_total`,
+        help: "Bytes of connections, by kind, direction and whether the other side is in the same zone.",
+        labelNames: ["kind", "direction", "zones"],
+        registers: [registry],
+        collect() {
+            this.reset();
+            listTraffic().forEach(({ bytes, ...labels }) => this.inc(labels, bytes));
+        },
+    });
+};
+
 /**
  * Creates the metrics.
  *
@@ -224,6 +240,7 @@
         registers,
     });
     addGauges(registry, sources);
+    addTraffic(registry, sources.listTraffic);
     addCounter(
         registry,
         "target_connections_opened_total",
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -8,6 +8,7 @@
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
 
 /** A VM that lost power is detected after `maxMissedHeartbeats` of these intervals. */
@@ -28,6 +29,7 @@
     readonly address: shared.Address;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter | undefined;
     getOwnPeer(): routes.Peer;
     /** How long the store's response to this VM is overdue; infinite if this VM does not follow the store. */
     computeOverdueMs(): number;
@@ -140,6 +142,7 @@
             hasSnapshots: false,
         };
         followers.add(follower);
+        options.traffic?.watch(socket, "vm", () => follower.peer?.zone);
         follower.channel.on("peer.hello", ({ peer }) => handleHello(follower, peer));
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A heartbeat only shows that the VM is alive, which the channel has recorded.
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -16,6 +16,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as byteMeter from "./byteMeter.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
@@ -58,6 +59,7 @@
     readonly store: types.StateStore;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter;
     countDroppedLogLines(): number;
     /** Returns the longest delay of the event loop since the last call. */
     takeMaxLoopDelayMs(): number;
@@ -70,7 +72,7 @@
  * @returns the daemon, not started
  */
 export const createRouteDaemon = (options: RouteDaemonOptions): RouteDaemon => {
-    const { settings, scheduler, logger, store } = options;
+    const { settings, scheduler, logger, store, traffic } = options;
     let { bounds } = settings;
     const incarnation = ids.toIncarnationId(crypto.randomUUID());
     const state = sharedState.createSharedState({ scheduler, logger });
@@ -89,6 +91,7 @@
         state,
         scheduler,
         logger,
+        traffic,
         getBounds: () => bounds,
         isReady,
         isCutOff: () => !reach.isConfirmed(),
@@ -159,6 +162,7 @@
         scheduler,
         dialect: options.http,
         recordUnexpected: unexpectedResponses.createUnexpectedRecorder(logger, () => routeMetrics),
+        watchSocket: byteMeter.createAddressWatcher(traffic, { ...state, listPeers: members.listPeers }),
     });
     const sender = targetSender.createTargetSender({
         pool: connections,
@@ -200,6 +204,7 @@
         takeMaxLoopDelayMs: options.takeMaxLoopDelayMs,
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
+        listTraffic: traffic.list,
     });
     const recordError = unexpectedErrors.createErrorRecorder({ logger, countError: routeMetrics.recordError });
     const crashes = crashMonitor.createCrashMonitor({
@@ -256,6 +261,7 @@
                   formatRefusal: handler.formatRefusal,
                   recordError: error => recordError("frontend", error),
                   recordUnreadable: unreadableRequests.createUnreadableRecorder({ logger, metrics: routeMetrics }),
+                  watchSocket: socket => traffic.watch(socket, "client", () => undefined),
               });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
@@ -270,13 +276,7 @@
     };
 
     const handleTargets = (): void => {
-        const slots = new Map<shared.ZoneName, number>();
-        for (const target of state.listTargets()) {
-            if (!state.isZoneOut(target.zone)) {
-                slots.set(target.zone, (slots.get(target.zone) ?? 0) + target.slots);
-            }
-        }
-        zoneSlots = slots;
+        zoneSlots = activeVmSelection.countZoneSlots(state.listTargets(), state.isZoneOut);
         targets.setTargets(state.listTargets());
     };
 
@@ -298,6 +298,7 @@
                     isReady,
                     pickActiveAddresses,
                     recordError: error => recordError("lookup", error),
+                    watchSocket: socket => traffic.watch(socket, "lookup", () => undefined),
                 });
             }
         }
