Compress long messages between VMs that accept it

A VM that joins gets the state and the list of VMs, and many join at once after an outage. VMs of the previous version say nothing; they get and send plain lines as before.

A line that is JSON but no object led to an unhandled rejection; it is ignored with a warning now.

--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -22,6 +22,8 @@
     listTargets(): Iterable<types.Registration>;
     /** Number of changes that were ignored, as what they change is known in a newer version. */
     countIgnoredChanges(): number;
+    /** Rises with each change of the snapshots; undefined while they change with time. */
+    getRevision(): number | undefined;
     /** Snapshots of all tables, for a peer that joins. */
     listSnapshots(): readonly types.StateSnapshot[];
     /**
@@ -89,6 +91,7 @@
     const targetsEmitter = events.createEmitter<void>();
     let configuration: types.RouteConfiguration | undefined;
     let ignoredChanges = 0;
+    let revision = 0;
 
     const setTarget = (change: types.StateChange & { kind: "target" }): void => {
         pendingExpiries.get(change.id)?.timer.dispose();
@@ -208,6 +211,7 @@
 
     const applyChanges = (changes: readonly types.StateChange[]): readonly types.StateChange[] => {
         const applied: types.StateChange[] = [];
+        revision++;
         for (const change of changes) {
             if (admitChange(change)) {
                 applyChange(change);
@@ -304,6 +308,7 @@
 
     const applyUpdate = ({ table, version, changes }: types.StateUpdate): readonly types.StateChange[] => {
         const applied = applyChanges(changes);
+        // Also counts an update without changes, which has a newer version.
         completeVersions[table] = rowVersion.pickNewer(completeVersions[table], version);
         return applied;
     };
@@ -315,6 +320,8 @@
             return change !== undefined && !stateChanges.isRemoval(change);
         },
         listTargets: () => targets.values(),
+        // Rows that have expired are described by the time that is left for their targets.
+        getRevision: () => (pendingExpiries.size > 0 ? undefined : revision),
         listSnapshots: () => [toSnapshot("operators"), toSnapshot("targets")],
         countIgnoredChanges: () => ignoredChanges,
         applyChanges,
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -13,6 +13,7 @@
 import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as peerMessages from "./peerMessages.js";
 
 const connectTimeoutMs = 250;
 /** A VM that has not sent its first heartbeat by then is skipped. */
@@ -203,12 +204,13 @@
             };
             const timeout = scheduler.schedule(firstHeartbeatTimeoutMs, () => resolve(undefined));
             channel.on("hub.beat", heartbeat => {
+                channel.setFeatures(heartbeat.accepts);
                 handleHeartbeat(connection, heartbeat);
                 timeout.dispose();
                 resolve(connection);
             });
             options.addMessageHandlers(channel);
-            channel.send("peer.hello", { peer: options.getOwnPeer() });
+            channel.send("peer.hello", { peer: options.getOwnPeer(), accepts: peerMessages.ownFeatures });
         });
 
     const joinAddress = async (address: shared.Address): Promise<boolean> => {
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -126,6 +126,7 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
+                  getStateRevision: state.getRevision,
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
               });
@@ -151,11 +152,11 @@
                 snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot)));
             });
             // Without the snapshots before them, changes do not make a table complete.
-            channel.on("state.update", update =>
+            const applyUpdate = (update: routes.StateUpdate): void =>
                 hasSnapshots
                     ? void state.applyUpdate(toVersioned(update))
-                    : void state.applyChanges(toVersioned(update).changes),
-            );
+                    : void state.applyChanges(toVersioned(update).changes);
+            channel.on("state.update", applyUpdate);
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -4,16 +4,23 @@
 import * as net from "node:net";
 import * as jsonRpc from "json-rpc-2.0";
 import * as crashTypes from "../../common/crashes/Types.js";
+import * as errorText from "../../common/errors/errorText.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as peerMessages from "./peerMessages.js";
 
 /** Limits the memory that a peer which does not read can take up; beyond this its connection is closed. */
 const maxSendBufferBytes = 4 * 1024 * 1024;
 const maxLineBytes = 8 * 1024 * 1024;
 
-export interface HubHeartbeat extends peerOrder.PeerChanges {
+/** What a VM sends of itself in its first message; VMs of earlier versions leave it out. */
+export interface Introduction {
+    readonly accepts?: readonly peerMessages.PeerFeature[];
+}
+
+export interface HubHeartbeat extends Introduction, peerOrder.PeerChanges {
     /** False if the VM follows a hub itself; other VMs can then only find that hub through it. */
     readonly isHub: boolean;
     /** How long the store's response to the hub is overdue. */
@@ -39,7 +46,7 @@
 /** Notifications by method. */
 export interface PeerMessages {
     /** A VM joins, or its own record has changed. */
-    readonly "peer.hello": { readonly peer: routes.Peer };
+    readonly "peer.hello": Introduction & { readonly peer: routes.Peer };
     /** A follower reports to its hub a VM that has connected to it, as that VM may precede the hub in the order. */
     readonly "peer.met": { readonly peer: routes.Peer };
     /** Heartbeat of a follower. */
@@ -56,11 +63,26 @@
 
 export interface PeerChannel extends shared.Disposable {
     send<M extends PeerMethod>(method: M, params: PeerMessages[M]): void;
+    /** Sends a message that is serialised and compressed once for all VMs that get it. */
+    sendMessage(message: peerMessages.PeerMessage): void;
+    /** Records what the other side accepts; undefined if a message does not say so. */
+    setFeatures(features: readonly peerMessages.PeerFeature[] | undefined): void;
+    accepts(feature: peerMessages.PeerFeature): boolean;
     on<M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void): void;
     /** Local monotonic time of the last message. */
     getLastSeenAtMs(): number;
 }
 
+/**
+ * Creates a message for several VMs.
+ *
+ * @param method - the notification's method
+ * @param params - its parameters
+ * @returns the message
+ */
+export const createMessage = <M extends PeerMethod>(method: M, params: PeerMessages[M]): peerMessages.PeerMessage =>
+    peerMessages.createMessage(method, params);
+
 /**
  * Wraps a connection to a peer.
  *
@@ -82,6 +104,7 @@
     let incompleteLine: string[] = [];
     let incompleteBytes = 0;
     let isClosed = false;
+    let accepted: readonly peerMessages.PeerFeature[] = [];
 
     const close = (): void => {
         if (!isClosed) {
@@ -93,8 +116,24 @@
 
     const receiveLine = (line: string): void => {
         lastSeenAtMs = clock.now();
-        // JSON-RPC notifications have no response, so the result is not sent back.
-        void server.receiveJSON(line);
+        try {
+            // JSON-RPC notifications have no response, so the result is not sent back.
+            void server.receive(peerMessages.parseLine(line, maxLineBytes) as jsonRpc.JSONRPCRequest);
+        } catch (error) {
+            logger.warn("peer: malformed message ignored", { reason: errorText.toErrorText(error) });
+        }
+    };
+
+    const sendMessage = (message: peerMessages.PeerMessage): void => {
+        if (isClosed) {
+            return;
+        }
+        if (socket.writableLength > maxSendBufferBytes) {
+            logger.warn("peer: send buffer is full, closing the connection", { bytes: socket.writableLength });
+            close();
+            return;
+        }
+        socket.write(`${accepted.includes("deflate") ? message.getDeflatedText() : message.getText()}\n`);
     };
 
     socket.setEncoding("utf8");
@@ -120,17 +159,12 @@
     socket.on("close", close);
 
     return {
-        send: (method, params) => {
-            if (isClosed) {
-                return;
-            }
-            if (socket.writableLength > maxSendBufferBytes) {
-                logger.warn("peer: send buffer is full, closing the connection", { bytes: socket.writableLength });
-                close();
-                return;
-            }
-            socket.write(`${JSON.stringify(jsonRpc.createJSONRPCNotification(method, params))}\n`);
+        send: (method, params) => sendMessage(createMessage(method, params)),
+        sendMessage,
+        setFeatures: features => {
+            accepted = features ?? accepted;
         },
+        accepts: feature => accepted.includes(feature),
         // Peers run the same program, so messages are not validated against their type.
         on: <M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void) =>
             server.addMethod(method, (params: unknown) => handler(params as PeerMessages[M])),
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -10,6 +10,7 @@
 import * as shared from "../../common/Types.js";
 import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
+import * as peerMessages from "./peerMessages.js";
 
 /** A VM that lost power is detected after `maxMissedHeartbeats` of these intervals. */
 export const heartbeatIntervalMs = 400;
@@ -40,6 +41,8 @@
     /** Whether this VM is a hub, that is, follows no other one. */
     isHub(): boolean;
     listSnapshots(): readonly routes.StateSnapshot[];
+    /** Rises with each change of the snapshots; undefined while they change with time. */
+    getStateRevision(): number | undefined;
     listTargetReports(): peerChannel.TargetReports;
     /** Applies reports of a follower; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
@@ -69,6 +72,8 @@
     const followers = new Set<Follower>();
     /** Peers at the last heartbeat. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
+    /** The last message with all snapshots, for followers that join before they change. */
+    let snapshots: { readonly revision: number | undefined; readonly message: peerMessages.PeerMessage } | undefined;
 
     const isAlive = (follower: Follower): boolean =>
         scheduler.now() - follower.channel.getLastSeenAtMs() < heartbeatIntervalMs * maxMissedHeartbeats;
@@ -90,25 +95,41 @@
         params: peerChannel.PeerMessages[M],
         excluded?: Follower,
     ): void => {
+        const message = peerChannel.createMessage(method, params);
         for (const follower of followers) {
             if (follower !== excluded && follower.peer !== undefined) {
-                follower.channel.send(method, params);
+                follower.channel.sendMessage(message);
             }
         }
     };
 
+    /** Many followers join at once after an outage, so they get the same message. */
+    const getSnapshotsMessage = (): peerMessages.PeerMessage => {
+        const revision = options.getStateRevision();
+        if (snapshots === undefined || revision === undefined || snapshots.revision !== revision) {
+            const params = { snapshots: options.listSnapshots() };
+            snapshots = { revision, message: peerChannel.createMessage("state.snapshots", params) };
+        }
+        return snapshots.message;
+    };
+
     const sendHeartbeat = (follower: Follower, changes: peerOrder.PeerChanges): void => {
-        const peerChanges = follower.hasPeerList ? changes : { changed: options.listKnownPeers(), left: [] };
-        follower.hasPeerList = true;
         const overdueMs = Math.min(maxSentOverdueMs, options.computeOverdueMs());
-        follower.channel.send("hub.beat", { isHub: options.isHub(), overdueMs, ...peerChanges });
+        const beat = { isHub: options.isHub(), overdueMs };
+        if (follower.hasPeerList) {
+            follower.channel.send("hub.beat", { ...beat, ...changes });
+            return;
+        }
+        follower.hasPeerList = true;
+        const introduction = { accepts: peerMessages.ownFeatures };
+        follower.channel.send("hub.beat", { ...beat, ...introduction, changed: options.listKnownPeers(), left: [] });
     };
 
     /** Sends the state once. A VM that follows another hub does not forward state, so it sends none. */
     const sendSnapshots = (follower: Follower): void => {
         if (!follower.hasSnapshots && options.isHub()) {
             follower.hasSnapshots = true;
-            follower.channel.send("state.snapshots", { snapshots: options.listSnapshots() });
+            follower.channel.sendMessage(getSnapshotsMessage());
             follower.channel.send("target.reports", options.listTargetReports());
         }
     };
@@ -143,7 +164,10 @@
         };
         followers.add(follower);
         options.traffic?.watch(socket, "vm", () => follower.peer?.zone);
-        follower.channel.on("peer.hello", ({ peer }) => handleHello(follower, peer));
+        follower.channel.on("peer.hello", ({ peer, accepts }) => {
+            follower.channel.setFeatures(accepts);
+            handleHello(follower, peer);
+        });
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A heartbeat only shows that the VM is alive, which the channel has recorded.
         follower.channel.on("peer.beat", () => undefined);
