Send configurations to followers as the rows that changed

Each configuration went whole to all VMs, 0.4 MB for 91 of them. A hub now sends the routes, services and organisations that were added, changed or removed (state.difference) to the followers that accept it. The difference names the digests of the configuration that it is based on and of the one that results; a follower that has neither asks for the whole configuration (state.request) and applies the rest of the update. A change that rows by name cannot express (another order, a name twice) is sent whole. VMs of the previous version get whole configurations and send no request.

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -163,11 +163,11 @@
         connection.isHub = heartbeat.isHub;
         connection.overdueMs = heartbeat.overdueMs;
         connection.heartbeatAtMs = scheduler.now();
-        for (const peer of heartbeat.changed) {
+        for (const peer of heartbeat.changed ?? []) {
             connection.peers.set(peer.vm, peer);
             candidates.set(peer.vm, peer);
         }
-        for (const vm of heartbeat.left) {
+        for (const vm of heartbeat.left ?? []) {
             connection.peers.delete(vm);
             candidates.delete(vm);
             former.remove(vm);
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -11,6 +11,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import type * as byteMeter from "./byteMeter.js";
+import * as configurationPush from "./configurationPush.js";
 import * as hubLink from "./hubLink.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
@@ -127,6 +128,7 @@
                   },
                   listSnapshots: () => state.listSnapshots(),
                   getStateRevision: state.getRevision,
+                  toDifference: configurationPush.createConfigurationPush(state).toDifference,
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
               });
@@ -157,6 +159,18 @@
                     ? void state.applyUpdate(toVersioned(update))
                     : void state.applyChanges(toVersioned(update).changes);
             channel.on("state.update", applyUpdate);
+            channel.on("state.difference", received => {
+                const update = configurationPush.applyDifference(state.getConfiguration(), received);
+                if (update === undefined) {
+                    state.applyChanges(toVersioned(received.update).changes);
+                    logger.info("config: difference based on another configuration", {
+                        version: received.difference.fields.version,
+                    });
+                    channel.send("state.request", {});
+                } else {
+                    applyUpdate(update);
+                }
+            });
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -9,6 +9,7 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as configurationPush from "./configurationPush.js";
 import * as peerMessages from "./peerMessages.js";
 
 /** Limits the memory that a peer which does not read can take up; beyond this its connection is closed. */
@@ -20,7 +21,8 @@
     readonly accepts?: readonly peerMessages.PeerFeature[];
 }
 
-export interface HubHeartbeat extends Introduction, peerOrder.PeerChanges {
+/** The changes are left out if there are none and the receiver accepts differences. */
+export interface HubHeartbeat extends Introduction, Partial<peerOrder.PeerChanges> {
     /** False if the VM follows a hub itself; other VMs can then only find that hub through it. */
     readonly isHub: boolean;
     /** How long the store's response to the hub is overdue. */
@@ -55,6 +57,10 @@
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
     readonly "state.update": routes.StateUpdate;
+    /** An update with a new configuration, for VMs that accept differences. */
+    readonly "state.difference": configurationPush.StateDifference;
+    /** A follower that cannot apply a difference asks its hub for the whole configuration. */
+    readonly "state.request": Readonly<Record<string, never>>;
     /** What targets have said about themselves: changes, or all that is known to a VM that joins. */
     readonly "target.reports": TargetReports;
 }
--- a/src/node/routes/peerCompatibility.test.ts
+++ b/src/node/routes/peerCompatibility.test.ts
@@ -1,8 +1,10 @@
 import * as net from "node:net";
 import test from "ava";
 import * as ids from "../../common/ids.js";
+import * as routes from "../../common/routes/Types.js";
 import * as fixture from "../../testing/routes/fixture.js";
 import * as membershipFixture from "../../testing/routes/membershipFixture.js";
+import * as peerMessages from "./peerMessages.js";
 
 const { acquirePorts, createStore, startVm, waitUntil } = membershipFixture;
 
@@ -49,13 +51,30 @@
     t.true(await waitUntil(() => old.has("hub.beat") && hub.member.listPeers().length === 2));
     store.setConfiguration(2);
     t.true(await waitUntil(() => old.has("state.update")));
-    t.false(old.has("peer.deflated"));
+    t.false(old.has("peer.deflated") || old.has("state.difference"));
     const beats = old.lines.filter(({ method }) => method === "hub.beat");
     t.true(beats.every(({ params }) => Array.isArray(params["changed"]) && Array.isArray(params["left"])));
     old.socket.destroy();
     hub.member.dispose();
 });
 
+test("a VM that accepts differences gets one, and the whole configuration when it asks for it", async t => {
+    const store = createStore();
+    const [port = 0] = await acquirePorts(1);
+    const hub = await startVm("hub", { store, port, seeds: [] });
+    t.true(await waitUntil(() => hub.getVersion() === 1));
+    const follower = joinHub(port, peerMessages.ownFeatures);
+    t.true(await waitUntil(() => follower.has("hub.beat") && hub.member.listPeers().length === 2));
+    store.setConfiguration(2);
+    t.true(await waitUntil(() => follower.has("state.difference")));
+    t.false(follower.has("state.update"));
+    follower.socket.write(`{"jsonrpc":"2.0","method":"state.request","params":{}}\n`);
+    t.true(await waitUntil(() => follower.has("state.update")));
+    t.true(await waitUntil(() => follower.has("peer.deflated")));
+    follower.socket.destroy();
+    hub.member.dispose();
+});
+
 /** Starts a hub of the previous version or of this one, which the test drives. */
 const startHub = async (accepts: readonly string[] | undefined) => {
     const [port = 0, followerPort = 0] = await acquirePorts(2);
@@ -104,3 +123,32 @@
     t.false(lines.some(({ method }) => method === "peer.deflated"));
     close();
 });
+
+// Guards against a follower that stays with an old configuration as it has another one than its hub believes.
+test("a follower that cannot apply a difference asks for the whole configuration", async t => {
+    const { follower, lines, send, close } = await startHub(peerMessages.ownFeatures);
+    t.true(await waitUntil(() => follower.member.listPeers().length === 2));
+    const { version: number, limits, unknownValues } = fixture.createConfiguration(4);
+    const rows = { changed: [], removed: [] };
+    const version: routes.RowVersion = fixture.createVersion(4);
+    send("state.difference", {
+        update: { table: "operators", version, changes: [] },
+        rowVersion: version,
+        difference: {
+            baseDigest: "a",
+            digest: "b",
+            fields: { version: number, limits, unknownValues },
+            routes: rows,
+            services: rows,
+        },
+    });
+    t.true(await waitUntil(() => lines.some(({ method }) => method === "state.request")));
+    const configuration = fixture.createConfiguration(4);
+    send("state.update", {
+        table: "operators",
+        version,
+        changes: [{ kind: "configuration", version, configuration }],
+    });
+    t.true(await waitUntil(() => follower.getVersion() === 4));
+    close();
+});
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -9,6 +9,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import type * as byteMeter from "./byteMeter.js";
+import * as configurationPush from "./configurationPush.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerMessages from "./peerMessages.js";
 
@@ -43,6 +44,8 @@
     listSnapshots(): readonly routes.StateSnapshot[];
     /** Rises with each change of the snapshots; undefined while they change with time. */
     getStateRevision(): number | undefined;
+    /** Describes an update by a difference; undefined if it has to be sent whole. */
+    toDifference(update: routes.StateUpdate): configurationPush.StateDifference | undefined;
     listTargetReports(): peerChannel.TargetReports;
     /** Applies reports of a follower; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
@@ -103,6 +106,17 @@
         }
     };
 
+    const pushUpdate = (update: routes.StateUpdate): void => {
+        const whole = peerChannel.createMessage("state.update", update);
+        const difference = options.toDifference(update);
+        const brief = difference === undefined ? whole : peerChannel.createMessage("state.difference", difference);
+        for (const { peer, channel } of followers) {
+            if (peer !== undefined) {
+                channel.sendMessage(channel.accepts("differences") ? brief : whole);
+            }
+        }
+    };
+
     /** Many followers join at once after an outage, so they get the same message. */
     const getSnapshotsMessage = (): peerMessages.PeerMessage => {
         const revision = options.getStateRevision();
@@ -113,6 +127,13 @@
         return snapshots.message;
     };
 
+    const sendConfiguration = (follower: Follower): void => {
+        const operators = options.listSnapshots().find(({ table }) => table === "operators");
+        if (operators !== undefined) {
+            follower.channel.send("state.update", operators);
+        }
+    };
+
     const sendHeartbeat = (follower: Follower, changes: peerOrder.PeerChanges): void => {
         const overdueMs = Math.min(maxSentOverdueMs, options.computeOverdueMs());
         const beat = { isHub: options.isHub(), overdueMs };
@@ -168,6 +189,7 @@
             follower.channel.setFeatures(accepts);
             handleHello(follower, peer);
         });
+        follower.channel.on("state.request", () => sendConfiguration(follower));
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A heartbeat only shows that the VM is alive, which the channel has recorded.
         follower.channel.on("peer.beat", () => undefined);
@@ -211,7 +233,7 @@
                 follower.channel.dispose();
             }
         },
-        pushUpdate: update => push("state.update", update),
+        pushUpdate,
         pushTargetReports: reports => push("target.reports", reports),
         dispose: () => {
             heartbeats.dispose();
--- a/src/node/routes/peerMessages.ts
+++ b/src/node/routes/peerMessages.ts
@@ -6,8 +6,8 @@
 import * as jsonRpc from "json-rpc-2.0";
 
 /** What a VM accepts from others; VMs of earlier versions say nothing and get what they have always got. */
-export type PeerFeature = "deflate";
-export const ownFeatures: readonly PeerFeature[] = ["deflate"];
+export type PeerFeature = "deflate" | "differences";
+export const ownFeatures: readonly PeerFeature[] = ["deflate", "differences"];
 
 /** Notification that contains the compressed text of another one. */
 const deflatedMethod = "peer.deflated";
