Announce VMs that join together once, and steady rates not at all

A VM that joined got the whole list at once, and with the next heartbeat all VMs again that had joined in the same 400 ms: at 92 VMs, up to 2.9 MB. It now gets what the others were told so far, and a heartbeat 100 ms after a join tells all of them the rest, in one message for all. The second peer.hello of the same content, 400 ms after the first, is not sent.

A rate of requests is published when it has left the published one by 0.8 of a step; it changed to and fro between two steps before. Rates have three digits, the overdue time is in whole milliseconds, and a heartbeat without changes leaves the empty lists out for VMs that accept differences.

--- a/src/common/routes/rate.ts
+++ b/src/common/routes/rate.ts
@@ -17,6 +17,11 @@
 /** Lower rates are published as 0: they do not affect the selection of active VMs and would change constantly. */
 const minPublishedRate = 5;
 
+const computeStep = (perSecond: number): number => Math.log(perSecond) / Math.log(roundingFactor);
+
+/** Three digits, as every digit is sent to all VMs. */
+const roundStep = (step: number): number => Number((roundingFactor ** step).toPrecision(3));
+
 /**
  * Rounds a rate to a power of the rounding factor.
  *
@@ -24,7 +29,25 @@
  * @returns the rounded rate, or 0 for a low one
  */
 export const roundRate = (perSecond: number): number =>
-    perSecond < minPublishedRate ? 0 : roundingFactor ** Math.round(Math.log(perSecond) / Math.log(roundingFactor));
+    perSecond < minPublishedRate ? 0 : roundStep(Math.round(computeStep(perSecond)));
+
+/** Steps by which a rate has to differ from the published one; with half a step, it would change to and fro between two. */
+const publishedSteps = 0.8;
+
+/**
+ * Creates a rounding that keeps its last result while the rate is near it, as each change is sent to all VMs.
+ *
+ * @returns the rounding
+ */
+export const createSteadyRounding = (): ((perSecond: number) => number) => {
+    let published = 0;
+    return perSecond => {
+        const isNear =
+            published > 0 && Math.abs(computeStep(Math.max(perSecond, 1)) - computeStep(published)) < publishedSteps;
+        published = isNear ? published : roundRate(perSecond);
+        return published;
+    };
+};
 
 /**
  * Creates a meter without events.
--- a/src/common/routes/routes.test.ts
+++ b/src/common/routes/routes.test.ts
@@ -106,6 +106,15 @@
     t.true(rate.roundRate(100) > 80 && rate.roundRate(100) < 125);
 });
 
+// Guards against a rate between two steps that is sent to all VMs several times a second.
+test("a rate that varies by a twentieth is published once, and one that grows is published", t => {
+    const publish = rate.createSteadyRounding();
+    const published = Array.from({ length: 100 }, (_value, index) => publish(100 * (1 + 0.05 * Math.sin(index))));
+    t.is(new Set(published).size, 1);
+    t.true(publish(150) > 130 && publish(0) === 0);
+    t.true(String(publish(77)).length <= 4);
+});
+
 test("a rate meter converges to the number of events per second", async t => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const events = rate.createRateMeter(scheduler);
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -92,6 +92,8 @@
     isHub: boolean;
     overdueMs: number;
     heartbeatAtMs: number;
+    /** The own record that was sent last. */
+    helloText: string;
 }
 
 /**
@@ -108,7 +110,6 @@
     let hub: HubConnection | undefined;
     let isDisposed = false;
     let isSearching = false;
-    let lastHelloText = "";
     let storeFallbackTimer: shared.Disposable | undefined;
     let timers: shared.Disposable[] = [];
 
@@ -201,6 +202,7 @@
                 isHub: false,
                 overdueMs: Infinity,
                 heartbeatAtMs: scheduler.now(),
+                helloText: "",
             };
             const timeout = scheduler.schedule(firstHeartbeatTimeoutMs, () => resolve(undefined));
             channel.on("hub.beat", heartbeat => {
@@ -210,7 +212,9 @@
                 resolve(connection);
             });
             options.addMessageHandlers(channel);
-            channel.send("peer.hello", { peer: options.getOwnPeer(), accepts: peerMessages.ownFeatures });
+            const own = options.getOwnPeer();
+            connection.helloText = JSON.stringify(own);
+            channel.send("peer.hello", { peer: own, accepts: peerMessages.ownFeatures });
         });
 
     const joinAddress = async (address: shared.Address): Promise<boolean> => {
@@ -231,7 +235,6 @@
             return false;
         }
         hub = connection;
-        lastHelloText = "";
         logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(connection.overdueMs) });
         options.handleConnected();
         return true;
@@ -280,11 +283,11 @@
     const sendHelloOrHeartbeat = (connection: HubConnection): void => {
         const own = options.getOwnPeer();
         const text = JSON.stringify(own);
-        if (text === lastHelloText) {
+        if (text === connection.helloText) {
             connection.channel.send("peer.beat", {});
             return;
         }
-        lastHelloText = text;
+        connection.helloText = text;
         connection.channel.send("peer.hello", { peer: own });
     };
 
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -74,6 +74,7 @@
 export const createMembership = (options: MembershipOptions): Membership => {
     const { settings, store, state, scheduler, logger, traffic } = options;
     const startedAtMs = Date.now();
+    const roundRate = rate.createSteadyRounding();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
@@ -93,7 +94,7 @@
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
         isCutOff: options.isCutOff(),
-        requestsPerSecond: rate.roundRate(options.computeRequestRate()),
+        requestsPerSecond: roundRate(options.computeRequestRate()),
     });
 
     const ownStoreFollower = storeFollower.createStoreFollower({
--- a/src/node/routes/peerCompatibility.test.ts
+++ b/src/node/routes/peerCompatibility.test.ts
@@ -75,6 +75,28 @@
     hub.member.dispose();
 });
 
+// Guards against a list of all VMs that each VM gets again when many join at once: 3 MB at 92 VMs.
+test("VMs that join together are announced together, and each of them once to each follower", async t => {
+    const store = createStore();
+    const [port = 0] = await acquirePorts(1);
+    const hub = await startVm("hub", { store, port, seeds: [] });
+    t.true(await waitUntil(() => hub.getVersion() === 1));
+    const count = 12;
+    const joined = Array.from({ length: count }, (_value, index) => joinHub(port, ["differences"], index));
+    t.true(await waitUntil(() => hub.member.listPeers().length === count + 1));
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    for (const { lines } of joined) {
+        const beats = lines.filter(({ method }) => method === "hub.beat");
+        const announced = beats.flatMap(({ params }) => (params["changed"] ?? []) as readonly routes.Peer[]);
+        const others = announced.filter(({ vm }) => vm !== hub.vm).map(({ vm }) => vm);
+        t.is(new Set(others).size, count);
+        t.is(others.length, count);
+        t.true(beats.length <= 8, `${beats.length} heartbeats`);
+    }
+    joined.forEach(({ socket }) => socket.destroy());
+    hub.member.dispose();
+});
+
 /** Starts a hub of the previous version or of this one, which the test drives. */
 const startHub = async (accepts: readonly string[] | undefined) => {
     const [port = 0, followerPort = 0] = await acquirePorts(2);
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -53,7 +53,8 @@
 
 /** Sent in place of infinity, which JSON cannot express. */
 const maxSentOverdueMs = 60_000;
-const noChanges: peerOrder.PeerChanges = { changed: [], left: [] };
+/** VMs that join within this time are announced to the others together; they know them within it, too. */
+const joinDelayMs = 100;
 
 /** A VM that is connected to this hub. */
 interface Follower {
@@ -73,8 +74,10 @@
 export const createPeerHub = (options: PeerHubOptions): PeerHub => {
     const { scheduler, logger } = options;
     const followers = new Set<Follower>();
-    /** Peers at the last heartbeat. */
+    /** Peers at the last heartbeat, which is what followers know. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
+    let joinTimer: shared.Disposable | undefined;
+    let introduction: { readonly text: string; readonly message: peerMessages.PeerMessage } | undefined;
     /** The last message with all snapshots, for followers that join before they change. */
     let snapshots: { readonly revision: number | undefined; readonly message: peerMessages.PeerMessage } | undefined;
 
@@ -134,16 +137,37 @@
         }
     };
 
-    const sendHeartbeat = (follower: Follower, changes: peerOrder.PeerChanges): void => {
+    const getHeartbeat = (): peerChannel.HubHeartbeat => {
         const overdueMs = Math.min(maxSentOverdueMs, options.computeOverdueMs());
-        const beat = { isHub: options.isHub(), overdueMs };
-        if (follower.hasPeerList) {
-            follower.channel.send("hub.beat", { ...beat, ...changes });
-            return;
+        return { isHub: options.isHub(), overdueMs: Math.round(overdueMs) };
+    };
+
+    /**
+     * What followers of this hub were told; the next heartbeat tells a new one the rest, the same to all. Other VMs that join
+     * this one have to find its own hub.
+     */
+    const listAnnouncedPeers = (): readonly routes.Peer[] => {
+        if (!options.isHub()) {
+            return options.listKnownPeers();
         }
+        const own = options.getOwnPeer();
+        return [own, ...[...lastPeers.values()].filter(({ vm }) => vm !== own.vm)];
+    };
+
+    const createIntroduction = (changed: readonly routes.Peer[]): peerMessages.PeerMessage => {
+        const { ownFeatures } = peerMessages;
+        return peerChannel.createMessage("hub.beat", { ...getHeartbeat(), accepts: ownFeatures, changed, left: [] });
+    };
+
+    /** Sends the first heartbeat, with the VMs that the next one does not report. */
+    const sendIntroduction = (follower: Follower): void => {
         follower.hasPeerList = true;
-        const introduction = { accepts: peerMessages.ownFeatures };
-        follower.channel.send("hub.beat", { ...beat, ...introduction, changed: options.listKnownPeers(), left: [] });
+        const peers = listAnnouncedPeers();
+        const text = JSON.stringify([getHeartbeat(), peers]);
+        if (introduction?.text !== text) {
+            introduction = { text, message: createIntroduction(peers) };
+        }
+        follower.channel.sendMessage(introduction.message);
     };
 
     /** Sends the state once. A VM that follows another hub does not forward state, so it sends none. */
@@ -155,6 +179,33 @@
         }
     };
 
+    const sendHeartbeats = (): void => {
+        const peers = listPeers();
+        const changes = peerOrder.comparePeerLists(lastPeers, peers);
+        lastPeers = new Map(peers.map(peer => [peer.vm, peer]));
+        const heartbeat = getHeartbeat();
+        const whole = peerChannel.createMessage("hub.beat", { ...heartbeat, ...changes });
+        const hasChanges = changes.changed.length + changes.left.length > 0;
+        const brief = hasChanges ? whole : peerChannel.createMessage("hub.beat", heartbeat);
+        for (const follower of [...followers]) {
+            const { channel } = follower;
+            if (!isAlive(follower)) {
+                channel.dispose();
+            } else if (follower.peer !== undefined) {
+                sendSnapshots(follower);
+                channel.sendMessage(channel.accepts("differences") ? brief : whole);
+            }
+        }
+    };
+    const heartbeats = repeat.repeatAction(scheduler, heartbeatIntervalMs, sendHeartbeats);
+
+    const scheduleJoins = (): void => {
+        joinTimer ??= scheduler.schedule(joinDelayMs, () => {
+            joinTimer = undefined;
+            sendHeartbeats();
+        });
+    };
+
     const handleHello = (follower: Follower, peer: routes.Peer): void => {
         const isNew = follower.peer === undefined;
         follower.peer = peer;
@@ -162,7 +213,8 @@
             options.handlePeer(peer);
             logger.info("peer: joined", { vm: peer.vm, incarnation: peer.incarnation });
             sendSnapshots(follower);
-            sendHeartbeat(follower, noChanges);
+            sendIntroduction(follower);
+            scheduleJoins();
         }
     };
 
@@ -201,21 +253,6 @@
         });
     };
 
-    const sendHeartbeats = (): void => {
-        const peers = listPeers();
-        const changes = peerOrder.comparePeerLists(lastPeers, peers);
-        lastPeers = new Map(peers.map(peer => [peer.vm, peer]));
-        for (const follower of [...followers]) {
-            if (!isAlive(follower)) {
-                follower.channel.dispose();
-            } else if (follower.peer !== undefined) {
-                sendSnapshots(follower);
-                sendHeartbeat(follower, changes);
-            }
-        }
-    };
-    const heartbeats = repeat.repeatAction(scheduler, heartbeatIntervalMs, sendHeartbeats);
-
     const server = net.createServer(handleConnection);
 
     return {
@@ -227,16 +264,17 @@
             }),
         listPeers,
         closeFollowers: () => {
-            const peerChanges: peerOrder.PeerChanges = { changed: options.listKnownPeers(), left: [] };
-            for (const follower of [...followers]) {
-                sendHeartbeat(follower, peerChanges);
-                follower.channel.dispose();
+            const message = createIntroduction(options.listKnownPeers());
+            for (const { channel } of [...followers]) {
+                channel.sendMessage(message);
+                channel.dispose();
             }
         },
         pushUpdate,
         pushTargetReports: reports => push("target.reports", reports),
         dispose: () => {
             heartbeats.dispose();
+            joinTimer?.dispose();
             server.close();
             followers.forEach(follower => follower.channel.dispose());
         },
