--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -10,8 +10,10 @@
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as peerMessages from "./peerMessages.js";
 
 const connectTimeoutMs = 250;
 /** A VM that has not sent its first heartbeat by then is skipped. */
@@ -54,6 +56,7 @@
 export interface HubLinkOptions {
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter | undefined;
     readonly seeds: readonly shared.Address[];
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
@@ -89,6 +92,8 @@
     isHub: boolean;
     overdueMs: number;
     heartbeatAtMs: number;
+    /** The own record that was sent last. */
+    helloText: string;
 }
 
 /**
@@ -105,7 +110,6 @@
     let hub: HubConnection | undefined;
     let isDisposed = false;
     let isSearching = false;
-    let lastHelloText = "";
     let storeFallbackTimer: shared.Disposable | undefined;
     let timers: shared.Disposable[] = [];
 
@@ -160,11 +164,11 @@
         connection.isHub = heartbeat.isHub;
         connection.overdueMs = heartbeat.overdueMs;
         connection.heartbeatAtMs = scheduler.now();
-        for (const peer of heartbeat.changed) {
+        for (const peer of heartbeat.changed ?? []) {
             connection.peers.set(peer.vm, peer);
             candidates.set(peer.vm, peer);
         }
-        for (const vm of heartbeat.left) {
+        for (const vm of heartbeat.left ?? []) {
             connection.peers.delete(vm);
             candidates.delete(vm);
             former.remove(vm);
@@ -198,15 +202,19 @@
                 isHub: false,
                 overdueMs: Infinity,
                 heartbeatAtMs: scheduler.now(),
+                helloText: "",
             };
             const timeout = scheduler.schedule(firstHeartbeatTimeoutMs, () => resolve(undefined));
             channel.on("hub.beat", heartbeat => {
+                channel.setFeatures(heartbeat.accepts);
                 handleHeartbeat(connection, heartbeat);
                 timeout.dispose();
                 resolve(connection);
             });
             options.addMessageHandlers(channel);
-            channel.send("peer.hello", { peer: options.getOwnPeer() });
+            const own = options.getOwnPeer();
+            connection.helloText = JSON.stringify(own);
+            channel.send("peer.hello", { peer: own, accepts: peerMessages.ownFeatures });
         });
 
     const joinAddress = async (address: shared.Address): Promise<boolean> => {
@@ -215,6 +223,7 @@
             setRetryDelay(address, result.kind === "refused" ? refusedRetryDelayMs : retryDelayMs);
             return false;
         }
+        options.traffic?.watch(result.socket, "vm", () => findPeer(address)?.zone);
         const connection = await waitForHeartbeat(result.socket, address);
         const peer = findPeer(address);
         const isHub = connection !== undefined && peer !== undefined && isPreferred(peer) && isUseful(connection);
@@ -226,7 +235,6 @@
             return false;
         }
         hub = connection;
-        lastHelloText = "";
         logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(connection.overdueMs) });
         options.handleConnected();
         return true;
@@ -275,11 +283,11 @@
     const sendHelloOrHeartbeat = (connection: HubConnection): void => {
         const own = options.getOwnPeer();
         const text = JSON.stringify(own);
-        if (text === lastHelloText) {
+        if (text === connection.helloText) {
             connection.channel.send("peer.beat", {});
             return;
         }
-        lastHelloText = text;
+        connection.helloText = text;
         connection.channel.send("peer.hello", { peer: own });
     };
 
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -10,6 +10,8 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
+import * as configurationPush from "./configurationPush.js";
 import * as hubLink from "./hubLink.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
@@ -52,6 +54,7 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic?: byteMeter.ByteMeter;
     getBounds(): types.RouteBounds;
     isReady(): boolean;
     /** Whether this VM reaches no target, as far as it knows. */
@@ -69,8 +72,9 @@
  * @returns the membership, not started
  */
 export const createMembership = (options: MembershipOptions): Membership => {
-    const { settings, store, state, scheduler, logger } = options;
+    const { settings, store, state, scheduler, logger, traffic } = options;
     const startedAtMs = Date.now();
+    const roundRate = rate.createSteadyRounding();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
@@ -90,7 +94,7 @@
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
         isCutOff: options.isCutOff(),
-        requestsPerSecond: rate.roundRate(options.computeRequestRate()),
+        requestsPerSecond: roundRate(options.computeRequestRate()),
     });
 
     const ownStoreFollower = storeFollower.createStoreFollower({
@@ -114,6 +118,7 @@
                   address: settings.peerAddress,
                   scheduler,
                   logger,
+                  traffic,
                   getOwnPeer,
                   computeOverdueMs,
                   listKnownPeers: () => listConnectedPeers(),
@@ -123,6 +128,8 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
+                  getStateRevision: state.getRevision,
+                  toDifference: configurationPush.createConfigurationPush(state).toDifference,
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
               });
@@ -138,6 +145,7 @@
     const link = hubLink.createHubLink({
         scheduler,
         logger,
+        traffic,
         seeds: settings.seeds,
         getOwnPeer,
         addMessageHandlers: channel => {
@@ -147,11 +155,23 @@
                 snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot)));
             });
             // Without the snapshots before them, changes do not make a table complete.
-            channel.on("state.update", update =>
+            const applyUpdate = (update: routes.StateUpdate): void =>
                 hasSnapshots
                     ? void state.applyUpdate(toVersioned(update))
-                    : void state.applyChanges(toVersioned(update).changes),
-            );
+                    : void state.applyChanges(toVersioned(update).changes);
+            channel.on("state.update", applyUpdate);
+            channel.on("state.difference", received => {
+                const update = configurationPush.applyDifference(state.getConfiguration(), received);
+                if (update === undefined) {
+                    state.applyChanges(toVersioned(received.update).changes);
+                    logger.info("config: difference based on another configuration", {
+                        version: received.difference.fields.version,
+                    });
+                    channel.send("state.request", {});
+                } else {
+                    applyUpdate(update);
+                }
+            });
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
