Identify callers by their keys before requests are sent

Cause: organisations share the gateway, and nothing tells whose requests run.

Change: the platform decodes organisations (Tenants) with digests in place of keys, with a warning for each malformed field. A request on a route that is not public needs a key that exactly one organisation holds; otherwise it gets 401, or 503 from a VM that may not know the newest configuration. Targets get the organisation's name and no key; another VM gets a proof instead. The organisation's priority precedes that of the route, and the organisation is part of the fingerprint. Refusals are counted by what is wrong with the key, and log lines of requests name the organisation.

Requests without organisations keep their fingerprint, headers and configuration encoding. Another VM's 401 to a request that may have run becomes 502, as clients never repeat after 401.

--- a/src/common/crashes/Types.ts
+++ b/src/common/crashes/Types.ts
@@ -7,6 +7,8 @@
 export interface FingerprintParts {
     /** Host or service that the request is addressed to; what a host's requests are routed to may change or be split. */
     readonly addressee: string;
+    /** Organisation of the caller; undefined if the caller needs no key. */
+    readonly organisation?: types.OrganisationName | undefined;
     readonly method: string;
     readonly path: string;
     /** Query including the leading `?`, or empty. */
--- a/src/common/crashes/fingerprint.ts
+++ b/src/common/crashes/fingerprint.ts
@@ -14,7 +14,9 @@
  * @returns SHA-256 in lower-case hexadecimal
  */
 export const computeFingerprint = (parts: types.FingerprintParts): string => {
-    const fields = [parts.addressee, parts.method, parts.path, parts.query, String(parts.bodyLength)];
+    const common = [parts.addressee, parts.method, parts.path, parts.query, String(parts.bodyLength)];
+    // VMs of earlier versions know no organisations and must compute the same for requests without one.
+    const fields = parts.organisation === undefined ? common : [...common, parts.organisation];
     // JSON delimits the fields, so that moving a character from one field to the next changes the fingerprint.
     return crypto
         .createHash("sha256")
--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -69,6 +69,15 @@
     readonly usedValue: RouteKind;
 }
 
+/** A malformed part of the organisations. Values are not given, as keys may stand in any field by mistake. */
+export interface OrganisationFault {
+    /** Name of the organisation, or the position of a row without one. */
+    readonly row: string;
+    readonly field: string;
+    /** What is wrong, and what is used instead. */
+    readonly fault: string;
+}
+
 export interface RouteConfiguration {
     readonly version: number;
     readonly routes: readonly Route[];
@@ -76,6 +85,8 @@
     readonly limits: RequestLimits;
     /** Undefined if callers need no keys, and from VMs of earlier versions. */
     readonly organisations?: readonly Organisation[];
+    /** Undefined if there are none, and from VMs of earlier versions; only the first ones, if there are many. */
+    readonly organisationFaults?: readonly OrganisationFault[];
     readonly unknownValues: readonly UnknownRouteValue[];
 }
 
--- a/src/common/routes/routeTable.ts
+++ b/src/common/routes/routeTable.ts
@@ -2,11 +2,14 @@
  * Finds the route and the service of a request.
  */
 import * as shared from "../Types.js";
+import * as callerTable from "./callers.js";
 import * as types from "./Types.js";
 
 export interface RouteTable {
     /** Version of the configuration that the table was created from. */
     readonly version: number;
+    /** The callers that the same configuration knows. */
+    readonly callers: callerTable.CallerTable;
     /**
      * Finds the route with the longest matching prefix.
      *
@@ -15,6 +18,13 @@
      * @returns the route, or undefined if none matches
      */
     find(host: string, path: string): types.Route | undefined;
+    /**
+     * Checks whether requests of a route can be sent to a service.
+     *
+     * @param route - the route
+     * @returns false if no service has a weight above 0
+     */
+    hasService(route: types.Route): boolean;
     /**
      * Picks the service for the next request in proportion to the weights.
      *
@@ -46,11 +56,13 @@
 /**
  * Creates the route table of a configuration.
  *
- * @param configuration - its version and all routes
+ * @param configuration - its version, all routes and all organisations
  * @returns the table
  */
-export const createRouteTable = (configuration: Pick<types.RouteConfiguration, "version" | "routes">): RouteTable => {
-    const { version, routes } = configuration;
+export const createRouteTable = (
+    configuration: Pick<types.RouteConfiguration, "version" | "routes" | "organisations">,
+): RouteTable => {
+    const { version, routes, organisations } = configuration;
     const byHost = new Map<string, types.Route[]>();
     for (const route of routes) {
         const list = byHost.get(route.host) ?? [];
@@ -66,7 +78,9 @@
     }
     return {
         version,
+        callers: callerTable.createCallerTable(organisations),
         find: (host, path) => byHost.get(host)?.find(route => path.startsWith(route.prefix)),
+        hasService: route => route.services.some(({ weight }) => weight > 0),
         pickService: route => splits.get(route)?.(),
     };
 };
--- a/src/common/routes/sharedState.test.ts
+++ b/src/common/routes/sharedState.test.ts
@@ -40,6 +40,23 @@
     t.is(state.getConfiguration()?.version, 9);
 });
 
+// Guards against VMs that need no keys after an upgrade, until the operator writes the configuration again.
+test("a row that a VM of an earlier version sent without organisations is completed, and not stripped of them", t => {
+    const state = createState();
+    const without = fixture.createConfiguration(9);
+    const complete: routes.RouteConfiguration = { ...without, organisations: [] };
+    const apply = (sequence: number, configuration: routes.RouteConfiguration): boolean =>
+        state.applyChanges([{ kind: "configuration", version: fixture.createVersion(sequence), configuration }])
+            .length > 0;
+    t.true(apply(5, without));
+    t.true(apply(5, complete));
+    t.false(apply(5, without));
+    t.is(state.getConfiguration(), complete);
+    t.true(apply(6, without), "the operator has taken the organisations out");
+    t.false(apply(5, complete));
+    t.is(state.getConfiguration(), without);
+});
+
 test("a snapshot removes the rows that it does not contain, except those newer than the snapshot", t => {
     const state = createState();
     state.applyChanges([
--- a/src/common/routes/sharedState.ts
+++ b/src/common/routes/sharedState.ts
@@ -121,10 +121,19 @@
     };
 
     /** The operator numbers the configurations, so that their numbers hold also if the store has returned from a copy. */
-    const admitConfiguration = (change: types.StateChange & { kind: "configuration" }, isNewRow: boolean): boolean => {
+    const admitConfiguration = (
+        change: types.StateChange & { kind: "configuration" },
+        knownVersion: types.RowVersion,
+    ): boolean => {
+        const comparison = rowVersion.compareVersions(change.version, knownVersion);
         const number = change.configuration?.version ?? -1;
         const knownNumber = configuration?.version ?? -1;
-        return number > knownNumber || (number === knownNumber && isNewRow);
+        // A hub of an earlier version knows no organisations and sends the same row without them.
+        const isMoreComplete =
+            comparison === 0 &&
+            change.configuration?.organisations !== undefined &&
+            configuration?.organisations === undefined;
+        return number > knownNumber || (number === knownNumber && (comparison > 0 || isMoreComplete));
     };
 
     const admitRow = (change: types.StateChange, known: types.StateChange | undefined, isNewRow: boolean): boolean => {
@@ -146,7 +155,9 @@
             return false;
         }
         const isAdmitted =
-            change.kind === "configuration" ? admitConfiguration(change, isNewRow) : admitRow(change, known, isNewRow);
+            change.kind === "configuration"
+                ? admitConfiguration(change, knownVersion)
+                : admitRow(change, known, isNewRow);
         if (!isAdmitted) {
             recordIgnored(change, knownVersion);
         }
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -2,6 +2,7 @@
  * Interfaces between the route daemon and the platform.
  */
 import type * as stream from "node:stream";
+import * as callers from "../../common/routes/callers.js";
 import * as routes from "../../common/routes/Types.js";
 import * as types from "../../common/Types.js";
 
@@ -17,6 +18,12 @@
     readonly clientTimeoutMs: number | undefined;
     /** Targets at which a request that another VM has passed on may run; undefined for requests of clients. */
     readonly relayedMaxTargets: number | undefined;
+    /** Digests of the keys that the request carries. */
+    readonly keys: readonly types.KeyDigest[];
+    /** What the other VM states about the caller; undefined for requests of clients. */
+    readonly relayedStatement: callers.CallerStatement | undefined;
+    /** Version of the other VM's configuration; undefined for requests of clients, and from VMs of earlier versions. */
+    readonly relayedConfiguration: number | undefined;
 }
 
 /** Headers of a target's response that the load balancer evaluates. */
@@ -54,19 +61,39 @@
           isReceived(): boolean;
       };
 
+/** What the headers of an attempt say. */
+export interface AttemptHeaders {
+    readonly target: types.TargetId;
+    readonly remainingMs: number;
+    /** Organisation of the caller, which replaces what the client says; undefined if the caller needs no key. */
+    readonly organisation: types.OrganisationName | undefined;
+}
+
+/** What the headers of a request that is passed on to another VM say. */
+export interface RelayHeaders {
+    readonly maxTargets: number;
+    readonly remainingMs: number;
+    /** Undefined if the caller needs no key. */
+    readonly statement: callers.CallerStatement | undefined;
+    /** Version of the configuration by which the caller was identified. */
+    readonly configurationVersion: number;
+}
+
 /** Parses and formats the platform-specific HTTP headers. */
 export interface HttpDialect {
     parseRequestHead(headers: RawHeaders): RequestHead;
+    /**
+     * Strips keys of callers from the headers of a request.
+     *
+     * @param headers - the headers
+     * @param isStripped - whether the key with a digest is stripped
+     * @returns the other headers
+     */
+    stripKeys(headers: RawHeaders, isStripped: (key: types.KeyDigest) => boolean): string[];
     /** Formats the headers of an attempt, without Content-Length and Host. */
-    formatAttemptHeaders(
-        headers: RawHeaders,
-        attempt: { readonly target: types.TargetId; readonly remainingMs: number },
-    ): string[];
+    formatAttemptHeaders(headers: RawHeaders, attempt: AttemptHeaders): string[];
     /** Formats the headers of a request that is passed on to another VM, without Content-Length. */
-    formatRelayHeaders(
-        headers: RawHeaders,
-        relayed: { readonly maxTargets: number; readonly remainingMs: number },
-    ): string[];
+    formatRelayHeaders(headers: RawHeaders, relayed: RelayHeaders): string[];
     parseResponseHead(statusCode: number, headers: RawHeaders): ResponseHead;
     /** Formats the headers of a response that the load balancer generates itself. */
     formatOwnResponseHeaders(requestId: string | undefined): string[];
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -50,6 +50,7 @@
         route: route.name,
         service,
         configuration: request.configurationVersion,
+        organisation: request.organisation,
     });
     const triedTargets = new Set<shared.TargetId>();
     const startedAtMs = scheduler.now();
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -13,6 +13,8 @@
     readonly service: shared.ServiceName;
     /** Version of the configuration by which the request was routed. */
     readonly configuration: number;
+    /** Organisation of the caller; undefined if the caller needs no key. */
+    readonly organisation: shared.OrganisationName | undefined;
 }
 
 export type AttemptEnd = "answered" | "failed" | "refused" | "unreachable" | "silent" | "stopped";
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -37,6 +37,8 @@
     start(): void;
     /** Whether a hub is connected. */
     isConnected(): boolean;
+    /** Whether a hub with an up-to-date view of the store is connected. */
+    hasFreshHub(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
     /** VMs that hubs which were lost a short time ago were connected to. */
@@ -309,6 +311,7 @@
             search();
         },
         isConnected: () => hub !== undefined,
+        hasFreshHub: () => hub?.isHub === true && isAlive(hub) && hasFreshView(hub),
         listPeers: () => [...(hub?.peers.values() ?? [])],
         listFormerPeers: former.list,
         countCandidates: () => candidates.size,
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -90,6 +90,22 @@
     vms.forEach(vm => vm.member.dispose());
 });
 
+// Guards against VMs that refuse keys for good which were added while they could not know.
+test("VMs are in touch while they or their hub know the store's newest state", async t => {
+    const { store, vms } = await startVms(3);
+    const areInTouch = (): boolean => vms.every(vm => vm.member.isInTouch());
+    t.true(await waitUntil(areInTouch));
+    const [hub, ...others] = vms;
+    store.unreachable.add(hub?.vm ?? ids.toVmId("none"));
+    t.true(await waitUntil(() => hub?.member.isInTouch() === false), "it follows no other VM, as it is the first one");
+    t.true(await waitUntil(() => others.every(vm => vm.member.isInTouch())), "another VM has become their hub");
+    vms.forEach(vm => store.unreachable.add(vm.vm));
+    t.true(await waitUntil(() => vms.every(vm => !vm.member.isInTouch())));
+    store.unreachable.clear();
+    t.true(await waitUntil(areInTouch));
+    vms.forEach(vm => vm.member.dispose());
+});
+
 test("a VM whose seeds are unreachable finds the hub through the store", async t => {
     const { store, vms } = await startVms(2);
     const hub = vms[0];
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -28,6 +28,8 @@
     start(): Promise<void>;
     /** Whether this VM is connected to a hub or has followers. */
     isConnected(): boolean;
+    /** Whether this VM would know of a change in the store by now: it, or its hub, has an up-to-date view. */
+    isInTouch(): boolean;
     /** Age of this VM's own view of the store; infinite if it does not follow it. */
     computeStoreAgeMs(): number;
     /**
@@ -107,6 +109,8 @@
     const computeOverdueMs = (): number =>
         ownStoreFollower.isRunning() ? ownStoreFollower.computeOverdueMs() : Infinity;
 
+    const isStoreFresh = (): boolean => computeOverdueMs() < hubLink.maxOverdueMs;
+
     const hub =
         settings.peerAddress === undefined
             ? undefined
@@ -154,7 +158,7 @@
             );
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
-        isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
+        isStoreFresh,
         handleConnected: () => {
             link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
@@ -241,6 +245,7 @@
             scheduleLookup(firstStoreLookupDelayMs);
         },
         isConnected: hasPeers,
+        isInTouch: () => link.hasFreshHub() || isStoreFresh(),
         computeStoreAgeMs,
         listPeers,
         countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -2,6 +2,7 @@
  * Counters and latency histograms of the daemon, as text in the Prometheus format.
  */
 import * as promClient from "prom-client";
+import * as callers from "../../common/routes/callers.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
@@ -13,7 +14,7 @@
 const namePrefix = "tarragonpath_";
 
 /** How a request ended for the client. */
-export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route";
+export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route" | "unidentified";
 
 /** Whether a target that was lost under a request has ended; without a way to the targets this cannot be confirmed. */
 export type CrashEnd = "counted" | "alive" | "unconfirmed";
@@ -56,6 +57,8 @@
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
     recordRelay(outcome: RelayOutcome): void;
+    /** Counts a request that was refused as its caller is not known. */
+    recordKeyFault(fault: callers.KeyFault): void;
     /** Counts a target that has ended under a request, or seems to have. */
     recordCrash(end: CrashEnd): void;
     /** Counts a value of a configuration that this version of the daemon does not know. */
@@ -176,6 +179,12 @@
         labelNames: ["end"],
         registers,
     });
+    const keyFaults = new promClient.Counter({
+        name: `${namePrefix}key_refusals_total`,
+        help: "Requests that were refused because of their key, by what is wrong with it.",
+        labelNames: ["reason"],
+        registers,
+    });
     const unknownValues = new promClient.Counter({
         name: `${namePrefix}unknown_values_total`,
         help: "Values in applied configurations that this version does not know, by field.",
@@ -254,6 +263,7 @@
         recordAttempt: end => attempts.inc({ end }),
         recordHedge: () => hedges.inc(),
         recordRelay: outcome => relays.inc({ end: outcome }),
+        recordKeyFault: fault => keyFaults.inc({ reason: fault }),
         recordCrash: end => crashes.inc({ end }),
         recordLimited: () => limitedAttempts.inc(),
         recordStreamedBody: end => {
--- a/src/node/routes/peerRelay.test.ts
+++ b/src/node/routes/peerRelay.test.ts
@@ -123,6 +123,13 @@
     t.like(getEnd(), { kind: "failed", statusCode: 502 });
 });
 
+// Guards against requests that clients never repeat, although another VM has only refused their key after they may have run.
+test("a key that the other VM refuses does not tell that a request has not run if it may have run before", async t => {
+    const refusal: targetSender.AttemptResult = { kind: "response", response: { ...response, statusCode: 401 } };
+    t.like((await run([near], [refusal], true)).getEnd(), { kind: "failed", statusCode: 502 });
+    t.like((await run([near], [refusal])).getEnd(), { kind: "relayed", response: { statusCode: 401 } });
+});
+
 // Guards against a VM of an earlier version that passes on a target's status that tells the client that its request has not run.
 test("a target's status from another VM does not tell that a request has not run that may run only once", async t => {
     for (const statusCode of [408, 421, 429, 503]) {
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -54,9 +54,12 @@
     listActiveVms(): readonly routes.Peer[];
 }
 
+/** Status of a VM's own response to a request whose caller it does not know. */
+const unidentifiedStatus = 401;
+
 /** Whether the other VM states that the request has not run, which it knows of its own attempts only. */
 const isOwnRefusal = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
-    !head.isSigned && notRun.isNotRunStatus(statusCode);
+    !head.isSigned && (notRun.isNotRunStatus(statusCode) || statusCode === unidentifiedStatus);
 
 /** Whether a target's status tells the client that its request has not run, which the target does not state. */
 const isUnfoundedRefusal = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
@@ -108,6 +111,7 @@
             address: peer.frontAddress,
             request: outgoing,
             maxTargets,
+            configurationVersion: request.configurationVersion,
             takeTimeoutMs,
             getRemainingMs: () => deadlineAtMs - scheduler.now(),
             isIdempotent: routeKind.isIdempotent(route.kind),
@@ -163,6 +167,7 @@
                     request: request.outgoing.id,
                     route: request.route.name,
                     service: request.service,
+                    organisation: request.organisation,
                     vm: peer.vm,
                     end: outcome,
                     status: end?.kind === "relayed" ? end.response.statusCode : undefined,
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -30,9 +30,11 @@
         exchange: exchange as exchangeOptions.ExchangeOptions,
         relay: { run: () => Promise.resolve(undefined) },
         isCutOff: () => false,
+        isInTouch: () => true,
         getTable: () => table,
         recordRequest: () => undefined,
         recordNotRun: () => undefined,
+        recordKeyFault: () => undefined,
     });
     const table = routeTable.createRouteTable(configuration);
     for (let count = 0; count < 30; count++) {
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -2,6 +2,7 @@
  * Handles a client request: picks its route and service, computes its deadline and runs the exchange.
  */
 import * as fingerprints from "../../common/crashes/fingerprint.js";
+import * as callers from "../../common/routes/callers.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -24,11 +25,15 @@
     readonly relay: peerRelay.PeerRelay;
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
+    /** Whether this VM would know of a change of the configuration by now. */
+    isInTouch(): boolean;
     getTable(): routeTable.RouteTable | undefined;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
     /** Called for each response whose status promises that the request has not run. */
     recordNotRun(source: notRun.NotRunSource): void;
+    /** Called for each request that is refused as its caller is not known. */
+    recordKeyFault(fault: callers.KeyFault): void;
 }
 
 export interface RequestHandler {
@@ -40,6 +45,10 @@
 interface RoutedRequest {
     readonly request: frontendServer.ClientRequest;
     readonly id: string;
+    /** Headers without keys that an organisation holds. */
+    readonly headers: types.RawHeaders;
+    /** Undefined if the caller needs no key. */
+    readonly caller: callers.Caller | undefined;
     readonly clientTimeoutMs: number | undefined;
     readonly relayedMaxTargets: number | undefined;
     readonly host: string;
@@ -138,12 +147,18 @@
     };
 
     const runRoute = async (routed: RoutedRequest): Promise<RequestResult> => {
-        const { request, id, service, relayedMaxTargets = Infinity } = routed;
-        const route = { ...routed.route, maxTargets: Math.min(routed.route.maxTargets, relayedMaxTargets) };
-        const { method, url, headers, body, signal } = request;
+        const { request, id, headers, caller, service, relayedMaxTargets = Infinity } = routed;
+        const organisation = caller?.organisation.name;
+        const route = {
+            ...routed.route,
+            priority: caller?.organisation.priority ?? routed.route.priority,
+            maxTargets: Math.min(routed.route.maxTargets, relayedMaxTargets),
+        };
+        const { method, url, body, signal } = request;
         const { path, query } = splitUrl(url);
         const fingerprint = fingerprints.computeFingerprint({
             addressee: routed.host,
+            organisation,
             method,
             path,
             query,
@@ -151,16 +166,17 @@
             bodyStart: body,
         });
         if (options.exchange.crashes.isBlocked(fingerprint)) {
-            logger.warn("crash: request refused", { request: id, fingerprint, service });
+            logger.warn("crash: request refused", { request: id, fingerprint, service, organisation });
             return { kind: "failed", reason: "request crashes targets", statusCode: 502 };
         }
         const allowedMs = Math.min(route.timeoutMs, routed.clientTimeoutMs ?? Infinity);
         const exchanged: exchangeRequest.ExchangeRequest = {
-            outgoing: { id, method, url, headers, body },
+            outgoing: { id, method, url, headers, body, caller },
             route,
             service,
             deadlineAtMs: request.receivedAtMs + allowedMs,
             fingerprint,
+            ...(organisation !== undefined && { organisation }),
             configurationVersion: routed.configurationVersion,
             signal,
         };
@@ -176,6 +192,7 @@
             route: routed.route.name,
             service: routed.service,
             configuration: routed.configurationVersion,
+            organisation: routed.caller?.organisation.name,
             kind: response.kind,
             reason: response.kind === "abandoned" ? "client left" : response.reason,
             latencyMs: Math.round(latencyMs),
@@ -183,10 +200,40 @@
         });
     };
 
+    /** Strips the keys that targets must not see: all of an identified caller, otherwise those that an organisation holds. */
+    const stripKeys = (
+        { headers }: frontendServer.ClientRequest,
+        { keys }: types.RequestHead,
+        isIdentified: boolean,
+        table: callers.CallerTable,
+    ): types.RawHeaders => {
+        const isStripped = (key: shared.KeyDigest): boolean => isIdentified || table.isHeld(key);
+        return keys.some(isStripped) ? dialect.stripKeys(headers, isStripped) : headers;
+    };
+
+    /** Refuses a request whose caller is not known; it runs nowhere. */
+    const refuseCaller = (
+        id: string,
+        { relayedConfiguration }: types.RequestHead,
+        table: routeTable.RouteTable,
+        fields: { readonly route: string; readonly fault: callers.KeyFault; readonly receivedAtMs: number },
+    ): frontendServer.ClientResponse => {
+        const { route, fault, receivedAtMs } = fields;
+        const isInTouch = options.isInTouch();
+        const isOutdated = relayedConfiguration !== undefined && relayedConfiguration > table.version;
+        const status = callers.pickRefusalStatus(fault, { isInTouch, isOutdated });
+        options.recordKeyFault(fault);
+        options.recordRequest("unidentified", scheduler.now() - receivedAtMs);
+        const inputs = { configuration: table.version, relayedConfiguration, isInTouch };
+        logger.warn("identity: request refused", { request: id, route, status, fault, ...inputs });
+        return formatOwnResponse(id, status, `key ${fault}`, status === 503 ? unavailableRetryAfterMs : undefined);
+    };
+
     const handle = async (
         request: frontendServer.ClientRequest,
     ): Promise<frontendServer.ClientResponse | undefined> => {
-        const { id, clientTimeoutMs, relayedMaxTargets, ...head } = dialect.parseRequestHead(request.headers);
+        const head = dialect.parseRequestHead(request.headers);
+        const { id, clientTimeoutMs, relayedMaxTargets } = head;
         const host = stripPort(head.host);
         const table = options.getTable();
         if (table === undefined) {
@@ -196,13 +243,36 @@
             return refuseRequest(undefined, 400, "no request id", { host, url: request.url });
         }
         const route = table.find(host, splitUrl(request.url).path);
-        const service = route === undefined ? undefined : table.pickService(route);
-        if (route === undefined || service === undefined) {
+        const refuseUnrouted = (): frontendServer.ClientResponse => {
             options.recordRequest("no-route", scheduler.now() - request.receivedAtMs);
             return refuseRequest(id, 404, "no route", { host, url: request.url, configuration: table.version });
+        };
+        if (route === undefined || !table.hasService(route)) {
+            return refuseUnrouted();
+        }
+        const claim = { requestId: id, keys: head.keys, statement: head.relayedStatement };
+        const identification = table.callers.identify(route, claim);
+        if (identification.kind === "refused") {
+            const { receivedAtMs } = request;
+            return refuseCaller(id, head, table, { route: route.name, fault: identification.fault, receivedAtMs });
+        }
+        // Requests that are refused must not move the split over the services.
+        const service = table.pickService(route);
+        if (service === undefined) {
+            return refuseUnrouted();
         }
-        const configurationVersion = table.version;
-        const routed = { request, id, clientTimeoutMs, relayedMaxTargets, host, route, service, configurationVersion };
+        const routed: RoutedRequest = {
+            request,
+            id,
+            headers: stripKeys(request, head, identification.kind === "identified", table.callers),
+            caller: identification.kind === "identified" ? identification.caller : undefined,
+            clientTimeoutMs,
+            relayedMaxTargets,
+            host,
+            route,
+            service,
+            configurationVersion: table.version,
+        };
         const response = await runRoute(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
         logEnd(routed, response, latencyMs);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -16,6 +16,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as configurationLog from "./configurationLog.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
@@ -234,6 +235,7 @@
         },
         relay,
         isCutOff: reach.isCutOff,
+        isInTouch: members.isInTouch,
         getTable: () => table,
         recordRequest: (end, latencyMs) => {
             // The VM that a request is passed on to counts it.
@@ -243,6 +245,7 @@
             routeMetrics.recordRequest(end, latencyMs);
         },
         recordNotRun: source => routeMetrics.recordNotRun(source),
+        recordKeyFault: fault => routeMetrics.recordKeyFault(fault),
     });
 
     const frontend =
@@ -259,11 +262,7 @@
               });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
-        logger.info("config: applied", { version: configuration.version, routes: configuration.routes.length });
-        configuration.unknownValues.forEach(unknown => {
-            logger.warn("config: unknown value", { version: configuration.version, ...unknown });
-            routeMetrics.recordUnknownValue(unknown.field);
-        });
+        configurationLog.logConfiguration({ logger, metrics: routeMetrics }, configuration);
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -1,6 +1,7 @@
 /**
  * Sends attempts of requests, and probes, to targets.
  */
+import * as callers from "../../common/routes/callers.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as connectionInfo from "./connectionInfo.js";
@@ -22,6 +23,8 @@
     readonly url: string;
     readonly headers: types.RawHeaders;
     readonly body: Buffer;
+    /** Undefined if the caller needs no key. */
+    readonly caller?: callers.Caller | undefined;
 }
 
 export type AttemptResult =
@@ -55,6 +58,8 @@
     /** Address for clients of the other VM. */
     readonly address: shared.Address;
     readonly maxTargets: number;
+    /** Version of the configuration by which the request was routed. */
+    readonly configurationVersion: number;
     /** Time that the other VM has to ask for the body, in milliseconds. */
     readonly takeTimeoutMs: number;
 }
@@ -231,12 +236,18 @@
                 const headers = dialect.formatAttemptHeaders(request.headers, {
                     target: registration.id,
                     remainingMs: computeRemainingMs(attempt),
+                    organisation: request.caller?.organisation.name,
                 });
                 return sendToTarget(connection, registration, { ...sent, ...formatRequest(request, headers) });
             },
         });
     };
 
+    const formatStatement = ({ id, caller }: OutgoingRequest): callers.CallerStatement | undefined =>
+        caller === undefined
+            ? undefined
+            : { organisation: caller.organisation.name, proof: callers.computeProof(id, caller.key) };
+
     const sendToPeer = async (
         connection: targetConnection.TargetConnection,
         relayed: RelayOptions,
@@ -245,6 +256,8 @@
         const headers = dialect.formatRelayHeaders(relayed.request.headers, {
             maxTargets: relayed.maxTargets,
             remainingMs: computeRemainingMs(relayed),
+            statement: formatStatement(relayed.request),
+            configurationVersion: relayed.configurationVersion,
         });
         const { bytes, heldBytes } = formatHeldRequest(relayed.request, headers);
         let isTaken = false;
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -2,6 +2,7 @@
  * Test data for routing by host and path.
  */
 import * as ids from "../../common/ids.js";
+import * as callers from "../../common/routes/callers.js";
 import * as ownedRates from "../../common/routes/ownedRates.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
@@ -157,6 +158,11 @@
 /** Of a response that says nothing about its target. */
 export const noNotice: routes.TargetNotice = { limit: { kind: "none" }, pause: { kind: "none" }, isLeaving: false };
 
+const parseTestStatement = (text: string | undefined): callers.CallerStatement | undefined => {
+    const [name = "", proof = ""] = text?.split(";") ?? [];
+    return text === undefined ? undefined : { organisation: ids.toOrganisationName(name), proof };
+};
+
 /** A dialect with its own headers, so that tests of the platform-independent code need no platform's dialect. */
 export const testDialect: nodeRoutes.HttpDialect = {
     parseRequestHead: headers => {
@@ -167,10 +173,21 @@
             host: map.get("host") ?? "",
             clientTimeoutMs: timeoutText === undefined ? undefined : Number(timeoutText),
             relayedMaxTargets: map.has("x-relayed") ? Number(map.get("x-relayed")) : undefined,
+            keys: map.has("x-key") ? [ids.toKeyDigest(map.get("x-key") ?? "")] : [],
+            relayedStatement: map.has("x-relayed") ? parseTestStatement(map.get("x-statement")) : undefined,
+            relayedConfiguration: map.has("x-configuration") ? Number(map.get("x-configuration")) : undefined,
         };
     },
+    // The digest of a key is sent in place of the key.
+    stripKeys: (headers, isStripped) =>
+        headers.filter(
+            (_, index) =>
+                headers[index - (index % 2)] !== "x-key" ||
+                !isStripped(ids.toKeyDigest(headers[index - (index % 2) + 1] ?? "")),
+        ),
     formatAttemptHeaders: (headers, attempt) => [
         ...headers,
+        ...(attempt.organisation === undefined ? [] : ["x-organisation", attempt.organisation]),
         "x-left",
         String(attempt.remainingMs),
         "x-target",
@@ -179,6 +196,10 @@
     formatRelayHeaders: (headers, relayed) => [
         ...headers,
         ...["x-left", String(relayed.remainingMs), "x-relayed", String(relayed.maxTargets)],
+        ...["x-configuration", String(relayed.configurationVersion)],
+        ...(relayed.statement === undefined
+            ? []
+            : ["x-statement", `${relayed.statement.organisation};${relayed.statement.proof}`]),
     ],
     parseResponseHead: (statusCode, headers) => {
         const map = toHeaderMap(headers);
