Tell the admission queue what its order depends on, and log and count refusals

The queue knew only the priority of a request, and a refusal named neither organisation nor cause.

Each attempt gives the organisation, objective, time left and the work that past responses lead to expect; repeats keep their usual wait, as they may have run. The priority of an organisation precedes that of the route, and quotas are the weights. A refusal's log line has organisation, priority, wait, expected work, time left, reason and what was observed; tarragonpath_slot_wait_seconds counts waits by priority and end.

--- a/src/common/routes/latencyEstimates.ts
+++ b/src/common/routes/latencyEstimates.ts
@@ -16,6 +16,11 @@
     getMeanSlowdown(service: shared.ServiceName): slowdowns.MeanSlowdown;
     /** Latency at a target of average speed without slowdown, in milliseconds. */
     getTypicalMs(route: types.Route): number;
+    /** Latency of a route at a target of average speed, in milliseconds, without slowdown and at the service's mean one. */
+    computeWork(
+        service: shared.ServiceName,
+        route: types.Route,
+    ): { readonly typicalMs: number; readonly slowMs: number };
     /** Mean size of a route's responses; 0 before the first. */
     getMeanResponseBytes(route: types.Route): number;
     recordResponse(entry: targetEntry.TargetEntry, route: types.Route, latencyMs: number, bytes: number): void;
@@ -43,6 +48,10 @@
     return {
         getMeanSlowdown,
         getTypicalMs,
+        computeWork: (service, route) => {
+            const ms = getTypicalMs(route);
+            return { typicalMs: ms, slowMs: ms * Math.max(1, getMeanSlowdown(service).get()) };
+        },
         getMeanResponseBytes: route => responseBytes.get(route.name) ?? 0,
         recordResponse: (entry, route, latencyMs, bytes) => {
             const meanBytes = responseBytes.get(route.name) ?? bytes;
--- a/src/common/routes/targetPool.ts
+++ b/src/common/routes/targetPool.ts
@@ -80,13 +80,14 @@
     isZoneOut(zone: shared.ZoneName): boolean;
     getService(name: shared.ServiceName): types.RoutedService | undefined;
     getRateView(): ownedRates.RateView;
-    /** Number of active VMs, which share the rate limit of cold targets. */
 }
 
 export interface TargetPool {
     /** Replaces the set of targets. */
     setTargets(registrations: Iterable<types.Registration>): void;
     pick(request: PickRequest): PickResult;
+    /** Estimates the work of a request at a target of average speed, at its usual speed and at its mean slowdown. */
+    computeWork: latencyEstimates.LatencyEstimates["computeWork"];
     /** Records that a target's response broke off after its head had been accepted. */
     recordBrokenBody(id: shared.TargetId): void;
     /** Applies a report that was received by a probe or from a peer. */
@@ -289,11 +290,10 @@
             set.setTargets(registrations);
             limits.retainTargets((id, startedAtMs) => set.findRun(id, startedAtMs) !== undefined);
             cold.retainTargets(id => set.find(id) !== undefined);
-            for (const service of set.listServices()) {
-                freeSlotEmitter.fire(service);
-            }
+            [...set.listServices()].forEach(freeSlotEmitter.fire);
         },
         pick,
+        computeWork: estimates.computeWork,
         recordBrokenBody: id => {
             const entry = set.find(id);
             if (entry !== undefined) {
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -7,6 +7,7 @@
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as bodyOutcome from "./bodyOutcome.js";
+import * as exchangeAdmission from "./exchangeAdmission.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as exchangeOptions from "./exchangeOptions.js";
 import * as exchangeRequest from "./exchangeRequest.js";
@@ -18,7 +19,6 @@
 import * as runningAttempts from "./runningAttempts.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
-import * as targetWait from "./targetWait.js";
 
 /** Retry-After of refusals; a slot becomes free about that often. */
 const retryAfterMs = 100;
@@ -282,15 +282,13 @@
     };
 
     const pickAndSend = async (reason: string): Promise<void> => {
-        const queuedAtMs = scheduler.now();
-        const pick = await targetWait.waitForTarget({
-            queue: options.queue,
-            scheduler,
-            service,
-            priority: route.priority,
-            maxWaitMs: timing.computeMaxWaitMs(),
+        const { pick, retryAfterMs, fields } = await exchangeAdmission.waitForSlot({
+            options,
+            request,
+            timing,
+            isFirstAttempt: runs === 0 && refusals.count() === 0,
             signal: queueAbort.signal,
-            pick: isLast => pickTarget(isLast ? Infinity : timing.computeRemainingObjectiveMs()),
+            pick: pickTarget,
         });
         if (isDone || isBlocked()) {
             if (pick?.kind === "target") {
@@ -303,8 +301,8 @@
             log.logLimited({ reason, runs, retryAfterMs: Math.round(pick.retryAfterMs) });
             giveUp("targets limited", pick.retryAfterMs);
         } else {
-            log.logNoSlot({ reason, runs, waitedMs: Math.round(scheduler.now() - queuedAtMs) });
-            giveUp("no free slot");
+            log.logNoSlot({ reason, runs, ...fields });
+            giveUp("no free slot", retryAfterMs);
         }
     };
 
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -2,6 +2,7 @@
  * Logs and counts the attempts of one request, each with the inputs by which its target was picked.
  */
 import * as bodyForwarding from "./bodyForwarding.js";
+import * as admissionDecision from "../../common/routes/admissionDecision.js";
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as shared from "../../common/Types.js";
 import * as targetSender from "./targetSender.js";
@@ -17,11 +18,16 @@
 
 export type AttemptEnd = "answered" | "failed" | "refused" | "unreachable" | "silent" | "stopped";
 
+/** How a wait for a slot ended; "left" if the client left or no time was left to wait. */
+export type WaitEnd = admissionDecision.RefusalReason | "slot" | "limited" | "left";
+
 export interface ExchangeMetrics {
     recordAttempt(end: AttemptEnd): void;
     recordHedge(): void;
     /** Counts an attempt that was not made because of the targets' limits. */
     recordLimited(): void;
+    /** Counts a wait for a slot. */
+    recordWait(priority: number, end: WaitEnd, waitedMs: number): void;
     /** Counts a body that was passed on while it was received. */
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
 }
--- a/src/node/routes/exchangeTiming.ts
+++ b/src/node/routes/exchangeTiming.ts
@@ -3,7 +3,10 @@
  */
 import * as shared from "../../common/Types.js";
 
-/** Longest wait for a slot, as a share of the objective: a later refusal would cost the client its next attempt. */
+/**
+ * Usual longest wait for a slot, as a share of the objective: a later refusal would cost the client its next attempt. The
+ * admission queue may end the wait earlier or extend it.
+ */
 const maxQueueWaitShare = 0.25;
 /** An idempotent request is hedged after this share of its objective. */
 const hedgeDelayShare = 0.45;
@@ -17,7 +20,9 @@
     computeRemainingMs(): number;
     /** Time left of the objective; infinite once it is missed, so that the request takes any target. */
     computeRemainingObjectiveMs(): number;
-    /** Longest time that the next attempt may wait for a slot. */
+    /** Time left of the objective; negative once it is missed. */
+    computeObjectiveLeftMs(): number;
+    /** Usual longest time that the next attempt may wait for a slot. */
     computeMaxWaitMs(): number;
     /** Whether enough time is left for another attempt. */
     hasTimeForAttempt(): boolean;
@@ -37,11 +42,13 @@
     const { clock, objectiveMs, deadlineAtMs } = options;
     const startedAtMs = clock.now();
     const computeRemainingMs = (): number => deadlineAtMs - clock.now();
+    const computeObjectiveLeftMs = (): number => startedAtMs + objectiveMs - clock.now();
     return {
         hedgeDelayMs: objectiveMs * hedgeDelayShare,
         computeRemainingMs,
+        computeObjectiveLeftMs,
         computeRemainingObjectiveMs: () => {
-            const remainingMs = startedAtMs + objectiveMs - clock.now();
+            const remainingMs = computeObjectiveLeftMs();
             return remainingMs > 0 ? remainingMs : Infinity;
         },
         computeMaxWaitMs: () => Math.min(computeRemainingMs(), objectiveMs * maxQueueWaitShare),
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -10,7 +10,11 @@
 
 /** Cover the latency objectives, 100 ms to 1 s; the last buckets are for the longest deadlines. */
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
+/** Waits are shares of an objective. */
+const waitBucketsSeconds = [0.001, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8];
 const namePrefix = "tarragonpath_";
+/** Priorities that have a label of their own; a configuration may contain any number. */
+const labelledPriorities = 4;
 
 /** How a request ended for the client. */
 export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route";
@@ -53,6 +57,7 @@
     recordAttempt(end: exchangeLog.AttemptEnd): void;
     recordHedge(): void;
     recordLimited(): void;
+    recordWait(priority: number, end: exchangeLog.WaitEnd, waitedMs: number): void;
     recordStreamedBody(end: bodyForwarding.BodyEnd): void;
     recordProbe(hasResponse: boolean): void;
     recordRelay(outcome: RelayOutcome): void;
@@ -193,6 +198,13 @@
         help: "Attempts that were not made because of the targets' limits.",
         registers,
     });
+    const slotWaits = new promClient.Histogram({
+        name: `${namePrefix}slot_wait_seconds`,
+        help: "Time for which requests waited for a slot, by priority and how the wait ended.",
+        labelNames: ["priority", "end"],
+        buckets: waitBucketsSeconds,
+        registers,
+    });
     const malformedHeaders = new promClient.Counter({
         name: `${namePrefix}malformed_headers_total`,
         help: "Headers of targets whose value was ignored as malformed, by header.",
@@ -256,6 +268,10 @@
         recordRelay: outcome => relays.inc({ end: outcome }),
         recordCrash: end => crashes.inc({ end }),
         recordLimited: () => limitedAttempts.inc(),
+        recordWait: (priority, end, waitedMs) => {
+            const label = priority >= 0 && priority < labelledPriorities ? String(Math.floor(priority)) : "other";
+            slotWaits.observe({ priority: label, end }, waitedMs / 1_000);
+        },
         recordStreamedBody: end => {
             streamedBodies.observe({ end: end.kind }, end.durationMs / 1_000);
             streamedBytes.inc(end.bytes);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -142,7 +142,8 @@
         getService: name => services.get(name),
         getRateView: role.getRateView,
     });
-    const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
+    const queueRandom = random.createRandom(crypto.randomInt(2 ** 31));
+    const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler, queueRandom);
     const budget = retryBudget.createRetryBudget({
         scheduler,
         getPolicy: () => {
@@ -267,6 +268,7 @@
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
+        queue.setOrganisations(configuration.organisations ?? []);
     };
 
     const handleTargets = (): void => {
--- a/src/node/routes/targetWait.ts
+++ b/src/node/routes/targetWait.ts
@@ -5,7 +5,7 @@
 import * as targetPool from "../../common/routes/targetPool.js";
 import * as shared from "../../common/Types.js";
 
-export interface TargetWaitOptions extends Omit<admissionQueue.QueueEntry<targetPool.PickResult>, "take"> {
+export interface TargetWaitOptions extends Omit<admissionQueue.QueueEntry<targetPool.PickResult>, "take" | "isSlot"> {
     readonly queue: admissionQueue.AdmissionQueue<targetPool.PickResult>;
     readonly scheduler: shared.Scheduler;
     /**
@@ -36,6 +36,7 @@
 
     const picked = await queue.wait({
         ...entry,
+        isSlot: result => result.kind === "target",
         take: isLast => {
             const result = pick(isLast);
             switch (result.kind) {
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -160,6 +160,7 @@
                     recordAttempt: end => void ends.push(end),
                     recordHedge: () => void hedges++,
                     recordLimited: () => undefined,
+                    recordWait: () => undefined,
                     recordStreamedBody: () => undefined,
                 },
                 onDidLoseTargets: lostTargetsEmitter.event,
