Read the store at once and hold requests when a VM starts without a configuration

After a restart of all VMs, a VM that followed a hub without data or lost it again waited 0.2 s before it read the store, and clients that came in that time got 503 and lost one of their one or two retries. The drain of client connections moves to a module of its own.

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -58,6 +58,8 @@
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
     isStoreFresh(): boolean;
+    /** Whether this VM has a configuration, so that it can serve while it looks for a hub. */
+    hasConfiguration(): boolean;
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
@@ -229,9 +231,16 @@
         lastHelloText = "";
         logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(connection.overdueMs) });
         options.handleConnected();
+        if (!options.hasConfiguration()) {
+            // After a restart of all VMs, the first hubs have read nothing from the store yet.
+            options.handleStoreNeed(!hasFreshView(connection));
+        }
         return true;
     };
 
+    /** A VM that can serve spares the calls to the store if it finds another hub soon. */
+    const computeStoreFallbackDelayMs = (): number => (options.hasConfiguration() ? storeFallbackDelayMs : 0);
+
     const dropHub = (reason: LossReason): void => {
         const dropped = hub;
         hub = undefined;
@@ -241,7 +250,7 @@
             keepFormerPeers(dropped, reason);
             dropped.channel.dispose();
             storeFallbackTimer?.dispose();
-            storeFallbackTimer = scheduler.schedule(storeFallbackDelayMs, () => {
+            storeFallbackTimer = scheduler.schedule(computeStoreFallbackDelayMs(), () => {
                 if (hub === undefined && !isDisposed) {
                     options.handleStoreNeed(true);
                 }
--- a/src/node/routes/lookupServer.test.ts
+++ b/src/node/routes/lookupServer.test.ts
@@ -41,3 +41,10 @@
     await client.close();
     server.dispose();
 });
+
+// Guards against clients that stay with a VM which did not know the others yet, for the lifetime of its first responses.
+test("lookup responses of a VM that has just started live for a short time", t => {
+    t.is(lookupServer.computeLifetimeMs(100, 5_000), 500);
+    t.is(lookupServer.computeLifetimeMs(2_000, 5_000), 3_000);
+    t.is(lookupServer.computeLifetimeMs(2_000, 1_000), 1_000);
+});
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -10,6 +10,9 @@
  * Clients repeat the lookup after this time, which delays a request by a round trip (docs/platform.md, "Active VMs").
  */
 export const lookupLifetimeMs = 3_000;
+/** A VM that has just started may know no other VM yet, and would direct clients to itself for the whole lifetime. */
+const startupLifetimeMs = 500;
+const startupMs = 2_000;
 
 export interface LookupServerOptions {
     readonly address: shared.Address;
@@ -21,6 +24,16 @@
     recordError(error: unknown): void;
 }
 
+/**
+ * Computes how long clients may keep a lookup response.
+ *
+ * @param uptimeMs - time since the start of this process, in milliseconds
+ * @param longestMs - longest lifetime that the platform allows, in milliseconds
+ * @returns the lifetime in milliseconds
+ */
+export const computeLifetimeMs = (uptimeMs: number, longestMs: number): number =>
+    Math.min(uptimeMs < startupMs ? startupLifetimeMs : lookupLifetimeMs, longestMs);
+
 /**
  * Creates the server.
  *
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -155,6 +155,7 @@
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
         isStoreFresh: () => computeOverdueMs() < hubLink.maxOverdueMs,
+        hasConfiguration: () => state.getConfiguration() !== undefined,
         handleConnected: () => {
             link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -31,6 +31,7 @@
         relay: { run: () => Promise.resolve(undefined) },
         isCutOff: () => false,
         getTable: () => table,
+        waitForTable: () => Promise.resolve(),
         recordRequest: () => undefined,
         recordNotRun: () => undefined,
     });
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -25,6 +25,8 @@
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
     getTable(): routeTable.RouteTable | undefined;
+    /** Waits for a short time until there is a configuration; resolves at once if there is one. */
+    waitForTable(signal: AbortSignal): Promise<void>;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
     /** Called for each response whose status promises that the request has not run. */
@@ -188,6 +190,9 @@
     ): Promise<frontendServer.ClientResponse | undefined> => {
         const { id, clientTimeoutMs, relayedMaxTargets, ...head } = dialect.parseRequestHead(request.headers);
         const host = stripPort(head.host);
+        if (options.getTable() === undefined) {
+            await options.waitForTable(request.signal);
+        }
         const table = options.getTable();
         if (table === undefined) {
             return refuseRequest(id, 503, "no configuration yet");
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -16,6 +16,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as clientDrain from "./clientDrain.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
@@ -27,6 +28,7 @@
 import * as metrics from "./metrics.js";
 import * as metricsServer from "./metricsServer.js";
 import * as requestHandler from "./requestHandler.js";
+import * as startupWait from "./startupWait.js";
 import * as targetProber from "./targetProber.js";
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
@@ -35,11 +37,6 @@
 
 /** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
 const retryBoundShare = 0.7;
-/** Clients keep a lookup response for up to this many times its lifetime. */
-const lookupRetentionFactor = 3;
-/** The process exits this long before the end of the grace period. */
-const graceMarginMs = 500;
-const drainCheckIntervalMs = 100;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -77,6 +74,7 @@
     const services = new Map<shared.ServiceName, routes.RoutedService>();
     let table: routeTable.RouteTable | undefined;
     let isLeaving = false;
+    const createdAtMs = scheduler.now();
 
     const requestRate = rate.createRateMeter(scheduler);
 
@@ -217,6 +215,7 @@
         mayProbe: role.mayProbe,
     });
 
+    const startup = startupWait.createStartupWait(scheduler);
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
@@ -235,6 +234,7 @@
         relay,
         isCutOff: reach.isCutOff,
         getTable: () => table,
+        waitForTable: startup.wait,
         recordRequest: (end, latencyMs) => {
             // The VM that a request is passed on to counts it.
             if (end !== "relayed") {
@@ -267,6 +267,7 @@
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
+        startup.finish();
     };
 
     const handleTargets = (): void => {
@@ -285,7 +286,8 @@
         return picked.map(peer => peer.frontAddress);
     };
 
-    const getLookupLifetimeMs = (): number => Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
+    const getLookupLifetimeMs = (): number =>
+        lookupServer.computeLifetimeMs(scheduler.now() - createdAtMs, bounds.longestLookupMs);
 
     const listenForLookups = async (): Promise<void> => {
         const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
@@ -303,8 +305,6 @@
         }
     };
 
-    const wait = (delayMs: number): Promise<void> => new Promise(resolve => void scheduler.schedule(delayMs, resolve));
-
     return {
         start: async () => {
             state.onDidChangeConfiguration(handleConfiguration);
@@ -331,15 +331,15 @@
         recordError: error => recordError("process", error),
         stop: async () => {
             isLeaving = true;
-            const endsAtMs = scheduler.now() + bounds.graceMs - graceMarginMs;
             logger.info("life: leaving", { connections: frontend?.countConnections() });
             members.sendHello();
-            frontend?.startDraining();
-            await wait(Math.min(getLookupLifetimeMs() * lookupRetentionFactor, bounds.graceMs / 2));
-            frontend?.closeIdle();
-            while ((frontend?.countConnections() ?? 0) > 0 && scheduler.now() < endsAtMs) {
-                await wait(drainCheckIntervalMs);
-                frontend?.closeIdle();
+            if (frontend !== undefined) {
+                await clientDrain.drainClients({
+                    frontend,
+                    scheduler,
+                    graceMs: bounds.graceMs,
+                    lookupLifetimeMs: getLookupLifetimeMs(),
+                });
             }
             logger.info("life: stopped", { connections: frontend?.countConnections() });
         },
