Drain for as long as other VMs' lookup responses may name this one

A VM that was stopped within two seconds of its start closed its port after three lifetimes of its own first lookup responses, 1.5 s, although responses of other VMs that name it live for 3 s. A VM without an address for clients no longer kept its lookups open while it left. The drain now takes the longest lifetime, and waits with and without clients.

--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -333,14 +333,7 @@
             isLeaving = true;
             logger.info("life: leaving", { connections: frontend?.countConnections() });
             members.sendHello();
-            if (frontend !== undefined) {
-                await clientDrain.drainClients({
-                    frontend,
-                    scheduler,
-                    graceMs: bounds.graceMs,
-                    lookupLifetimeMs: getLookupLifetimeMs(),
-                });
-            }
+            await clientDrain.drainClients({ frontend, scheduler, ...bounds });
             logger.info("life: stopped", { connections: frontend?.countConnections() });
         },
     };
