Read the store once a seed is silent, if a VM starts without a configuration

Seeds are tried one by one, and each one that does not respond takes 250 to 300 ms. With the seeds of a lost zone, a VM that had just started read the store only after all of them. The opening of connections to peers moves to a module of its own.

Tests of membership: the new one fails without the change (the second seed was given up before the configuration came).

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -4,7 +4,6 @@
  * unavailable to all VMs, the hub still reports which VMs are alive.
  */
 import * as net from "node:net";
-import * as ids from "../../common/ids.js";
 import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
@@ -12,8 +11,8 @@
 import * as shared from "../../common/Types.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as peerSocket from "./peerSocket.js";
 
-const connectTimeoutMs = 250;
 /** A VM that has not sent its first heartbeat by then is skipped. */
 const firstHeartbeatTimeoutMs = 300;
 /**
@@ -28,7 +27,7 @@
 const checkIntervalMs = 100;
 /** Interval at which a VM without a hub looks for one. */
 const searchIntervalMs = 1_000;
-/** An unreachable VM is skipped for this time, as each attempt to connect takes up to `connectTimeoutMs`. */
+/** An unreachable VM is skipped for this time, as each attempt to connect takes up to 250 ms. */
 const retryDelayMs = 5_000;
 /** A machine that refuses a connection is up, and its daemon starts or restarts within about a second. */
 const refusedRetryDelayMs = 500;
@@ -77,13 +76,6 @@
     "not useful": 0,
 };
 
-type ConnectResult =
-    | { readonly kind: "open"; readonly socket: net.Socket }
-    /** The machine did not respond. */
-    | { readonly kind: "silent" }
-    /** The machine is up, but nothing listens on the port. */
-    | { readonly kind: "refused" };
-
 interface HubConnection {
     readonly channel: peerChannel.PeerChannel;
     readonly address: shared.Address;
@@ -137,24 +129,6 @@
         return [...preferred, ...seeds].find(address => !tried.has(address) && (retryAtMs.get(address) ?? 0) <= nowMs);
     };
 
-    const openSocket = (address: shared.Address): Promise<ConnectResult> =>
-        new Promise(resolve => {
-            const { host, port } = ids.splitAddress(address);
-            const socket = net.connect({ host, port });
-            const timeout = scheduler.schedule(connectTimeoutMs, () => {
-                resolve({ kind: "silent" });
-                socket.destroy(new Error("timeout"));
-            });
-            socket.once("connect", () => {
-                timeout.dispose();
-                resolve({ kind: "open", socket });
-            });
-            socket.once("error", () => {
-                timeout.dispose();
-                resolve({ kind: "refused" });
-            });
-        });
-
     const setRetryDelay = (address: shared.Address, delayMs: number): void =>
         void retryAtMs.set(address, scheduler.now() + delayMs);
 
@@ -211,10 +185,22 @@
             channel.send("peer.hello", { peer: options.getOwnPeer() });
         });
 
+    /** A machine is silent, and a search may meet more of them: a VM without a configuration does not wait for its end. */
+    const handleSilence = (address: shared.Address): void => {
+        setRetryDelay(address, retryDelayMs);
+        if (!options.hasConfiguration() && !isDisposed) {
+            options.handleStoreNeed(true);
+        }
+    };
+
     const joinAddress = async (address: shared.Address): Promise<boolean> => {
-        const result = await openSocket(address);
-        if (result.kind !== "open") {
-            setRetryDelay(address, result.kind === "refused" ? refusedRetryDelayMs : retryDelayMs);
+        const result = await peerSocket.openSocket(scheduler, address);
+        if (result.kind === "silent") {
+            handleSilence(address);
+            return false;
+        }
+        if (result.kind === "refused") {
+            setRetryDelay(address, refusedRetryDelayMs);
             return false;
         }
         const connection = await waitForHeartbeat(result.socket, address);
@@ -223,7 +209,7 @@
         if (!isHub || isDisposed) {
             result.socket.destroy();
             if (connection === undefined) {
-                setRetryDelay(address, retryDelayMs);
+                handleSilence(address);
             }
             return false;
         }
--- a/src/node/routes/membership.test.ts
+++ b/src/node/routes/membership.test.ts
@@ -1,3 +1,4 @@
+import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import test from "ava";
 import * as ids from "../../common/ids.js";
@@ -112,6 +113,30 @@
     [late, early].forEach(vm => vm.member.dispose());
 });
 
+// Guards against a start that takes up to 300 ms for each seed of a zone that is lost: seeds are tried one by one.
+test("a VM without a configuration reads the store once a seed is silent, before it has tried all of them", async t => {
+    const store = createStore();
+    const [own = 0, ...seeds] = await acquirePorts(4);
+    let givenUpSeeds = 0;
+    const servers = seeds.map(port =>
+        net
+            .createServer(socket =>
+                socket
+                    .resume()
+                    .on("error", () => undefined)
+                    .once("close", () => givenUpSeeds++),
+            )
+            .listen(port),
+    );
+    const vm = await startVm("vm", { store, port: own, seeds });
+    let givenUpBefore = Infinity;
+    vm.state.onDidChangeConfiguration(() => (givenUpBefore = givenUpSeeds));
+    t.true(await waitUntil(() => vm.getVersion() === 1));
+    t.true(givenUpBefore < 2);
+    vm.member.dispose();
+    servers.forEach(server => server.close());
+});
+
 test("a hub that cannot reach the store at first is followed soon after it can", async t => {
     const store = createStore();
     const [first = 0, second = 0, third = 0] = await acquirePorts(3);
