Count a request's deadline and body in the wait for the first configuration

A request that waited for the configuration beyond its client's deadline was still sent to a target, with 1 ms left. The waits were bounded by number, not by the memory of their bodies, and left no log line; a request whose client had left was logged and counted as refused. Requests were also released with the configuration, before the first targets were known, and then refused after a quarter of their objective, 38 ms on one route.

A request whose deadline has passed is refused before it is sent.

--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -12,6 +12,7 @@
 import * as metrics from "./metrics.js";
 import * as notRun from "./notRun.js";
 import * as peerRelay from "./peerRelay.js";
+import * as startupWait from "./startupWait.js";
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
@@ -25,8 +26,8 @@
     /** Whether this VM reaches no target. */
     isCutOff(): boolean;
     getTable(): routeTable.RouteTable | undefined;
-    /** Waits for a short time until there is a configuration; resolves at once if there is one. */
-    waitForTable(signal: AbortSignal): Promise<void>;
+    /** Waits for a short time until this VM can route requests; resolves at once if it can. */
+    waitForStart(request: startupWait.StartingRequest): Promise<startupWait.WaitEnd>;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
     /** Called for each response whose status promises that the request has not run. */
@@ -121,6 +122,14 @@
 
     /** Runs a request here, or at another VM if this one reaches no target. */
     const runOrRelay = async (request: exchangeRequest.ExchangeRequest, mayRelay: boolean): Promise<RequestResult> => {
+        if (request.deadlineAtMs <= scheduler.now()) {
+            // A target would still run it, for a client that has given up.
+            return {
+                kind: "refused",
+                reason: "deadline passed before it was sent",
+                retryAfterMs: unavailableRetryAfterMs,
+            };
+        }
         const relay = async (history: peerRelay.RequestHistory): Promise<RequestResult | undefined> =>
             mayRelay ? options.relay.run(request, history) : undefined;
         const { maxTargets } = request.route;
@@ -190,8 +199,8 @@
     ): Promise<frontendServer.ClientResponse | undefined> => {
         const { id, clientTimeoutMs, relayedMaxTargets, ...head } = dialect.parseRequestHead(request.headers);
         const host = stripPort(head.host);
-        if (options.getTable() === undefined) {
-            await options.waitForTable(request.signal);
+        if ((await options.waitForStart({ id, clientTimeoutMs, request })) === "left") {
+            return undefined;
         }
         const table = options.getTable();
         if (table === undefined) {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -215,7 +215,7 @@
         mayProbe: role.mayProbe,
     });
 
-    const startup = startupWait.createStartupWait(scheduler);
+    const startup = startupWait.createStartupWait({ scheduler, logger });
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
@@ -234,7 +234,7 @@
         relay,
         isCutOff: reach.isCutOff,
         getTable: () => table,
-        waitForTable: startup.wait,
+        waitForStart: startup.wait,
         recordRequest: (end, latencyMs) => {
             // The VM that a request is passed on to counts it.
             if (end !== "relayed") {
@@ -267,7 +267,7 @@
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
-        startup.finish();
+        startup.recordConfiguration();
     };
 
     const handleTargets = (): void => {
@@ -279,6 +279,9 @@
         }
         zoneSlots = slots;
         targets.setTargets(state.listTargets());
+        if (slots.size > 0) {
+            startup.recordTargets();
+        }
     };
 
     const pickActiveAddresses = (lookup: types.LookupRequest): readonly shared.Address[] => {
