--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -4,7 +4,6 @@
  * unavailable to all VMs, the hub still reports which VMs are alive.
  */
 import * as net from "node:net";
-import * as ids from "../../common/ids.js";
 import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
@@ -14,8 +13,8 @@
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
 import * as peerMessages from "./peerMessages.js";
+import * as peerSocket from "./peerSocket.js";
 
-const connectTimeoutMs = 250;
 /** A VM that has not sent its first heartbeat by then is skipped. */
 const firstHeartbeatTimeoutMs = 300;
 /**
@@ -30,7 +29,7 @@
 const checkIntervalMs = 100;
 /** Interval at which a VM without a hub looks for one. */
 const searchIntervalMs = 1_000;
-/** An unreachable VM is skipped for this time, as each attempt to connect takes up to `connectTimeoutMs`. */
+/** An unreachable VM is skipped for this time, as each attempt to connect takes up to 250 ms. */
 const retryDelayMs = 5_000;
 /** A machine that refuses a connection is up, and its daemon starts or restarts within about a second. */
 const refusedRetryDelayMs = 500;
@@ -63,6 +62,8 @@
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
     isStoreFresh(): boolean;
+    /** Whether this VM has a configuration, so that it can serve while it looks for a hub. */
+    hasConfiguration(): boolean;
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
@@ -80,13 +81,6 @@
     "not useful": 0,
 };
 
-type ConnectResult =
-    | { readonly kind: "open"; readonly socket: net.Socket }
-    /** The machine did not respond. */
-    | { readonly kind: "silent" }
-    /** The machine is up, but nothing listens on the port. */
-    | { readonly kind: "refused" };
-
 interface HubConnection {
     readonly channel: peerChannel.PeerChannel;
     readonly address: shared.Address;
@@ -141,24 +135,6 @@
         return [...preferred, ...seeds].find(address => !tried.has(address) && (retryAtMs.get(address) ?? 0) <= nowMs);
     };
 
-    const openSocket = (address: shared.Address): Promise<ConnectResult> =>
-        new Promise(resolve => {
-            const { host, port } = ids.splitAddress(address);
-            const socket = net.connect({ host, port });
-            const timeout = scheduler.schedule(connectTimeoutMs, () => {
-                resolve({ kind: "silent" });
-                socket.destroy(new Error("timeout"));
-            });
-            socket.once("connect", () => {
-                timeout.dispose();
-                resolve({ kind: "open", socket });
-            });
-            socket.once("error", () => {
-                timeout.dispose();
-                resolve({ kind: "refused" });
-            });
-        });
-
     const setRetryDelay = (address: shared.Address, delayMs: number): void =>
         void retryAtMs.set(address, scheduler.now() + delayMs);
 
@@ -219,10 +195,22 @@
             channel.send("peer.hello", { peer: own, accepts: peerMessages.ownFeatures });
         });
 
+    /** A machine is silent, and a search may meet more of them: a VM without a configuration does not wait for its end. */
+    const handleSilence = (address: shared.Address): void => {
+        setRetryDelay(address, retryDelayMs);
+        if (!options.hasConfiguration() && !isDisposed) {
+            options.handleStoreNeed(true);
+        }
+    };
+
     const joinAddress = async (address: shared.Address): Promise<boolean> => {
-        const result = await openSocket(address);
-        if (result.kind !== "open") {
-            setRetryDelay(address, result.kind === "refused" ? refusedRetryDelayMs : retryDelayMs);
+        const result = await peerSocket.openSocket(scheduler, address);
+        if (result.kind === "silent") {
+            handleSilence(address);
+            return false;
+        }
+        if (result.kind === "refused") {
+            setRetryDelay(address, refusedRetryDelayMs);
             return false;
         }
         options.traffic?.watch(result.socket, "vm", () => findPeer(address)?.zone);
@@ -232,16 +220,23 @@
         if (!isHub || isDisposed) {
             result.socket.destroy();
             if (connection === undefined) {
-                setRetryDelay(address, retryDelayMs);
+                handleSilence(address);
             }
             return false;
         }
         hub = connection;
         logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(connection.overdueMs) });
         options.handleConnected();
+        if (!options.hasConfiguration()) {
+            // After a restart of all VMs, the first hubs have read nothing from the store yet.
+            options.handleStoreNeed(!hasFreshView(connection));
+        }
         return true;
     };
 
+    /** A VM that can serve spares the calls to the store if it finds another hub soon. */
+    const computeStoreFallbackDelayMs = (): number => (options.hasConfiguration() ? storeFallbackDelayMs : 0);
+
     const dropHub = (reason: LossReason): void => {
         const dropped = hub;
         hub = undefined;
@@ -251,7 +246,7 @@
             keepFormerPeers(dropped, reason);
             dropped.channel.dispose();
             storeFallbackTimer?.dispose();
-            storeFallbackTimer = scheduler.schedule(storeFallbackDelayMs, () => {
+            storeFallbackTimer = scheduler.schedule(computeStoreFallbackDelayMs(), () => {
                 if (hub === undefined && !isDisposed) {
                     options.handleStoreNeed(true);
                 }
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -13,6 +13,7 @@
 import * as metrics from "./metrics.js";
 import * as notRun from "./notRun.js";
 import * as peerRelay from "./peerRelay.js";
+import * as startupWait from "./startupWait.js";
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
@@ -28,6 +29,8 @@
     /** Whether this VM would know of a change of the configuration by now. */
     isInTouch(): boolean;
     getTable(): routeTable.RouteTable | undefined;
+    /** Waits for a short time until this VM can route requests; resolves at once if it can. */
+    waitForStart(request: startupWait.StartingRequest): Promise<startupWait.WaitEnd>;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
     /** Called for each response whose status promises that the request has not run. */
@@ -128,6 +131,14 @@
 
     /** Runs a request here, or at another VM if this one reaches no target. */
     const runOrRelay = async (request: exchangeRequest.ExchangeRequest, mayRelay: boolean): Promise<RequestResult> => {
+        if (request.deadlineAtMs <= scheduler.now()) {
+            // A target would still run it, for a client that has given up.
+            return {
+                kind: "refused",
+                reason: "deadline passed before it was sent",
+                retryAfterMs: unavailableRetryAfterMs,
+            };
+        }
         const relay = async (history: peerRelay.RequestHistory): Promise<RequestResult | undefined> =>
             mayRelay ? options.relay.run(request, history) : undefined;
         const { maxTargets } = request.route;
@@ -235,6 +246,9 @@
         const head = dialect.parseRequestHead(request.headers);
         const { id, clientTimeoutMs, relayedMaxTargets } = head;
         const host = stripPort(head.host);
+        if ((await options.waitForStart({ id, clientTimeoutMs, request })) === "left") {
+            return undefined;
+        }
         const table = options.getTable();
         if (table === undefined) {
             return refuseRequest(id, 503, "no configuration yet");
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -18,6 +18,7 @@
 import * as shared from "../../common/Types.js";
 import * as byteMeter from "./byteMeter.js";
 import * as configurationLog from "./configurationLog.js";
+import * as clientDrain from "./clientDrain.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
@@ -29,6 +30,7 @@
 import * as metrics from "./metrics.js";
 import * as metricsServer from "./metricsServer.js";
 import * as requestHandler from "./requestHandler.js";
+import * as startupWait from "./startupWait.js";
 import * as targetProber from "./targetProber.js";
 import * as targetSender from "./targetSender.js";
 import * as types from "./Types.js";
@@ -37,11 +39,6 @@
 
 /** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
 const retryBoundShare = 0.7;
-/** Clients keep a lookup response for up to this many times its lifetime. */
-const lookupRetentionFactor = 3;
-/** The process exits this long before the end of the grace period. */
-const graceMarginMs = 500;
-const drainCheckIntervalMs = 100;
 
 export interface RouteDaemon {
     start(): Promise<void>;
@@ -80,6 +77,7 @@
     const services = new Map<shared.ServiceName, routes.RoutedService>();
     let table: routeTable.RouteTable | undefined;
     let isLeaving = false;
+    const createdAtMs = scheduler.now();
 
     const requestRate = rate.createRateMeter(scheduler);
 
@@ -224,6 +222,7 @@
         mayProbe: role.mayProbe,
     });
 
+    const startup = startupWait.createStartupWait({ scheduler, logger });
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
         exchange: {
@@ -243,6 +242,7 @@
         isCutOff: reach.isCutOff,
         isInTouch: members.isInTouch,
         getTable: () => table,
+        waitForStart: startup.wait,
         recordRequest: (end, latencyMs) => {
             // The VM that a request is passed on to counts it.
             if (end !== "relayed") {
@@ -274,11 +274,15 @@
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
         queue.setOrganisations(configuration.organisations ?? []);
+        startup.recordConfiguration();
     };
 
     const handleTargets = (): void => {
         zoneSlots = activeVmSelection.countZoneSlots(state.listTargets(), state.isZoneOut);
         targets.setTargets(state.listTargets());
+        if (zoneSlots.size > 0) {
+            startup.recordTargets();
+        }
     };
 
     const pickActiveAddresses = (lookup: types.LookupRequest): readonly shared.Address[] => {
@@ -286,7 +290,8 @@
         return picked.map(peer => peer.frontAddress);
     };
 
-    const getLookupLifetimeMs = (): number => Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
+    const getLookupLifetimeMs = (): number =>
+        lookupServer.computeLifetimeMs(scheduler.now() - createdAtMs, bounds.longestLookupMs);
 
     const listenForLookups = async (): Promise<void> => {
         const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
@@ -305,8 +310,6 @@
         }
     };
 
-    const wait = (delayMs: number): Promise<void> => new Promise(resolve => void scheduler.schedule(delayMs, resolve));
-
     return {
         start: async () => {
             state.onDidChangeConfiguration(handleConfiguration);
@@ -333,16 +336,9 @@
         recordError: error => recordError("process", error),
         stop: async () => {
             isLeaving = true;
-            const endsAtMs = scheduler.now() + bounds.graceMs - graceMarginMs;
             logger.info("life: leaving", { connections: frontend?.countConnections() });
             members.sendHello();
-            frontend?.startDraining();
-            await wait(Math.min(getLookupLifetimeMs() * lookupRetentionFactor, bounds.graceMs / 2));
-            frontend?.closeIdle();
-            while ((frontend?.countConnections() ?? 0) > 0 && scheduler.now() < endsAtMs) {
-                await wait(drainCheckIntervalMs);
-                frontend?.closeIdle();
-            }
+            await clientDrain.drainClients({ frontend, scheduler, ...bounds });
             logger.info("life: stopped", { connections: frontend?.countConnections() });
         },
     };
