Plan active VMs by zone where bytes and links are worth it

Active VMs were selected by cores alone, so that clients of two of three zones sent all bytes across, and downloads went over links of 10 Mbit/s.

The hub now plans from demand by service (peer.hello), the clients' zones by the lookups of all VMs (peer.beat), usable slots and targets, cores and links (Limits.LinkMbps): sets of zones with slots against the selection by cores, by the cost of crossing zones and a cost of inexact counts, which grows with the square of active VMs per target. A plan has to be 15 % cheaper for 2 s; one that cannot be kept is replaced at once. Without reports of all VMs the selection by cores stays, so that VMs of the previous version and these agree. The plan goes to followers in hub.beat when it changes.

Tests of activeVmPlan, clientDemand, vmRole, peerCompatibility, membership, settings and lookupServer pass.

--- a/src/common/routes/Types.ts
+++ b/src/common/routes/Types.ts
@@ -193,6 +193,16 @@
     /** The client disconnected, or another attempt completed first. */
     | { readonly kind: "cancelled" };
 
+/** Demand for a service at one VM, in coarse steps. */
+export interface ServiceDemand {
+    readonly service: types.ServiceName;
+    readonly perSecond: number;
+    /** Mean size of the responses. */
+    readonly bytes: number;
+    /** Mean time of a request at a target. */
+    readonly workMs: number;
+}
+
 /** An entry VM, as it describes itself to its peers. */
 export interface Peer {
     readonly vm: types.VmId;
@@ -214,4 +224,8 @@
     readonly isCutOff?: boolean;
     /** Rate of requests that the VM receives from clients. */
     readonly requestsPerSecond: number;
+    /** Demand by service; VMs of earlier versions do not report it and do not follow plans of active VMs. */
+    readonly demand?: readonly ServiceDemand[];
+    /** Capacity of the VM's link; undefined if the settings do not tell it. */
+    readonly linkMbps?: number | undefined;
 }
--- a/src/common/routes/activeVmSelection.ts
+++ b/src/common/routes/activeVmSelection.ts
@@ -11,7 +11,13 @@
 /** Share of a VM's capacity used for planning; the rest absorbs bursts until another VM becomes active. */
 const plannedUtilization = 0.4;
 
-const computeCapacity = (peer: types.Peer): number => peer.cores * requestsPerSecondPerCore * plannedUtilization;
+/**
+ * Computes how many requests a VM is planned to handle by its cores.
+ *
+ * @param peer - the VM
+ * @returns requests per second
+ */
+export const computeCapacity = (peer: types.Peer): number => peer.cores * requestsPerSecondPerCore * plannedUtilization;
 
 /** Total slots of the targets in use, by zone. */
 export type SlotsByZone = ReadonlyMap<shared.ZoneName, number>;
--- a/src/common/routes/rate.ts
+++ b/src/common/routes/rate.ts
@@ -17,19 +17,20 @@
 /** Lower rates are published as 0: they do not affect the selection of active VMs and would change constantly. */
 const minPublishedRate = 5;
 
-const computeStep = (perSecond: number): number => Math.log(perSecond) / Math.log(roundingFactor);
+const computeStep = (value: number, factor: number): number => Math.log(value) / Math.log(factor);
 
 /** Three digits, as every digit is sent to all VMs. */
-const roundStep = (step: number): number => Number((roundingFactor ** step).toPrecision(3));
+const roundStep = (step: number, factor: number): number => Number((factor ** step).toPrecision(3));
 
 /**
  * Rounds a rate to a power of the rounding factor.
  *
  * @param perSecond - events per second
+ * @param factor - the rounding factor
  * @returns the rounded rate, or 0 for a low one
  */
-export const roundRate = (perSecond: number): number =>
-    perSecond < minPublishedRate ? 0 : roundStep(Math.round(computeStep(perSecond)));
+export const roundRate = (perSecond: number, factor = roundingFactor): number =>
+    perSecond < minPublishedRate ? 0 : roundStep(Math.round(computeStep(perSecond, factor)), factor);
 
 /** Steps by which a rate has to differ from the published one; with half a step, it would change to and fro between two. */
 const publishedSteps = 0.8;
@@ -37,14 +38,16 @@
 /**
  * Creates a rounding that keeps its last result while the rate is near it, as each change is sent to all VMs.
  *
+ * @param factor - the rounding factor
  * @returns the rounding
  */
-export const createSteadyRounding = (): ((perSecond: number) => number) => {
+export const createSteadyRounding = (factor = roundingFactor): ((perSecond: number) => number) => {
     let published = 0;
     return perSecond => {
         const isNear =
-            published > 0 && Math.abs(computeStep(Math.max(perSecond, 1)) - computeStep(published)) < publishedSteps;
-        published = isNear ? published : roundRate(perSecond);
+            published > 0 &&
+            Math.abs(computeStep(Math.max(perSecond, 1), factor) - computeStep(published, factor)) < publishedSteps;
+        published = isNear ? published : roundRate(perSecond, factor);
         return published;
     };
 };
--- a/src/common/routes/targetCosts.ts
+++ b/src/common/routes/targetCosts.ts
@@ -20,6 +20,14 @@
 /** Random share added to each cost, so that VMs with the same view do not all pick the same target. */
 const jitterShare = 0.05;
 
+/**
+ * Computes the cost of a request that crosses zones, which grows with its bytes.
+ *
+ * @param bytes - bytes of the request and its response
+ * @returns the cost in milliseconds
+ */
+export const computeCrossingMs = (bytes: number): number => crossZoneMs + (bytes / 1_000) * crossZoneMsPerKilobyte;
+
 export interface CostRequest {
     readonly route: types.Route;
     readonly bodyBytes: number;
@@ -92,8 +100,8 @@
     ): number => {
         const { route } = request;
         const isSameZone = entry.registration.zone === options.zone;
-        const kilobytes = (request.bodyBytes + estimates.getMeanResponseBytes(route)) / 1_000;
-        const zoneCostMs = isSameZone ? 0 : crossZoneMs + kilobytes * crossZoneMsPerKilobyte;
+        const bytes = request.bodyBytes + estimates.getMeanResponseBytes(route);
+        const zoneCostMs = isSameZone ? 0 : computeCrossingMs(bytes);
         const failureCostMs = targetEntry.computeFailureRate(entry, nowMs) * failureCostFactor * route.objectiveMs;
         return (expectedMs + zoneCostMs + failureCostMs) * (1 + jitterShare * random.nextFloat());
     };
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -116,6 +116,8 @@
     readonly zone: types.ZoneName;
     readonly region: types.RegionName;
     readonly cores: number;
+    /** Capacity of the link; undefined if the settings do not tell it. */
+    readonly linkMbps?: number | undefined;
     readonly frontAddress: types.Address | undefined;
     readonly readinessAddress: types.Address | undefined;
     readonly lookupAddress: types.Address | undefined;
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -7,6 +7,7 @@
 import * as ids from "../../common/ids.js";
 import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -41,6 +42,8 @@
     isConnected(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
+    /** The hub's plan of active VMs; undefined without a hub. */
+    getPlan(): readonly shared.VmId[] | undefined;
     /** VMs that hubs which were lost a short time ago were connected to. */
     listFormerPeers(): readonly routes.Peer[];
     /** Number of VMs that have been reported to this VM and not reported as left since. */
@@ -61,6 +64,8 @@
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
     isStoreFresh(): boolean;
+    /** Returns the lookups that this VM has answered since the last call. */
+    takeLookups(): clientZones.LookupCounts;
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
@@ -92,6 +97,7 @@
     isHub: boolean;
     overdueMs: number;
     heartbeatAtMs: number;
+    plan: readonly shared.VmId[];
     /** The own record that was sent last. */
     helloText: string;
 }
@@ -164,6 +170,7 @@
         connection.isHub = heartbeat.isHub;
         connection.overdueMs = heartbeat.overdueMs;
         connection.heartbeatAtMs = scheduler.now();
+        connection.plan = heartbeat.plan ?? connection.plan;
         for (const peer of heartbeat.changed ?? []) {
             connection.peers.set(peer.vm, peer);
             candidates.set(peer.vm, peer);
@@ -202,6 +209,7 @@
                 isHub: false,
                 overdueMs: Infinity,
                 heartbeatAtMs: scheduler.now(),
+                plan: [],
                 helloText: "",
             };
             const timeout = scheduler.schedule(firstHeartbeatTimeoutMs, () => resolve(undefined));
@@ -284,7 +292,8 @@
         const own = options.getOwnPeer();
         const text = JSON.stringify(own);
         if (text === connection.helloText) {
-            connection.channel.send("peer.beat", {});
+            const lookups = options.takeLookups();
+            connection.channel.send("peer.beat", lookups.length > 0 ? { lookups } : {});
             return;
         }
         connection.helloText = text;
@@ -318,6 +327,7 @@
         },
         isConnected: () => hub !== undefined,
         listPeers: () => [...(hub?.peers.values() ?? [])],
+        getPlan: () => hub?.plan,
         listFormerPeers: former.list,
         countCandidates: () => candidates.size,
         addCandidate: peer => {
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -81,3 +81,20 @@
         );
     });
 };
+
+/**
+ * Listens on several addresses.
+ *
+ * @param addresses - the addresses, which may be equal; undefined ones are left out
+ * @param options - the source of the responses
+ */
+export const listenOnAddresses = async (
+    addresses: readonly (shared.Address | undefined)[],
+    options: Omit<LookupServerOptions, "address">,
+): Promise<void> => {
+    for (const address of new Set(addresses)) {
+        if (address !== undefined) {
+            await listenForLookups({ ...options, address });
+        }
+    }
+};
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,9 +1,11 @@
 /**
  * Membership of this VM: registers it, follows a hub or the store, and forwards changes to its followers.
  */
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -15,6 +17,7 @@
 import * as hubLink from "./hubLink.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as planning from "./planning.js";
 import * as storeFollower from "./storeFollower.js";
 import * as types from "./Types.js";
 
@@ -37,6 +40,8 @@
      * those that it had reported are included while no other one that is known can serve.
      */
     listPeers(): readonly routes.Peer[];
+    /** The plan of active VMs in force; empty if they are selected by their cores. */
+    getPlan(): readonly shared.VmId[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
     /** Sends this VM's changed readiness or connectivity to the hub at once. */
@@ -60,6 +65,10 @@
     /** Whether this VM reaches no target, as far as it knows. */
     isCutOff(): boolean;
     computeRequestRate(): number;
+    listDemand(): readonly routes.ServiceDemand[];
+    countServiceTargets(): activeVmPlan.TargetsByService;
+    /** Returns the lookups that this VM has answered since the last call, by the clients' zone. */
+    takeLookups(): clientZones.LookupCounts;
     /** Applies reports about targets; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
     listTargetReports(): peerChannel.TargetReports;
@@ -95,6 +104,8 @@
         isReady: options.isReady() && settings.frontAddress !== undefined,
         isCutOff: options.isCutOff(),
         requestsPerSecond: roundRate(options.computeRequestRate()),
+        demand: options.listDemand(),
+        linkMbps: settings.linkMbps,
     });
 
     const ownStoreFollower = storeFollower.createStoreFollower({
@@ -111,6 +122,13 @@
     const computeOverdueMs = (): number =>
         ownStoreFollower.isRunning() ? ownStoreFollower.computeOverdueMs() : Infinity;
 
+    const plans = planning.createPlanning({
+        ...{ scheduler, logger, takeLookups: options.takeLookups },
+        countServiceTargets: options.countServiceTargets,
+        getHubPlan: () => link.getPlan(),
+        listPeers: () => listConnectedPeers(),
+    });
+
     const hub =
         settings.peerAddress === undefined
             ? undefined
@@ -128,6 +146,7 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
+                  ...plans,
                   getStateRevision: state.getRevision,
                   toDifference: configurationPush.createConfigurationPush(state).toDifference,
                   listTargetReports: options.listTargetReports,
@@ -147,6 +166,7 @@
         logger,
         traffic,
         seeds: settings.seeds,
+        takeLookups: options.takeLookups,
         getOwnPeer,
         addMessageHandlers: channel => {
             let hasSnapshots = false;
@@ -263,6 +283,7 @@
         isConnected: hasPeers,
         computeStoreAgeMs,
         listPeers,
+        getPlan: plans.getPlan,
         countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
         sendLimit: report => {
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -5,6 +5,7 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
@@ -27,6 +28,8 @@
     readonly isHub: boolean;
     /** How long the store's response to the hub is overdue. */
     readonly overdueMs: number;
+    /** The hub's plan of active VMs, in the first heartbeat and when it has changed; VMs of earlier versions have none. */
+    readonly plan?: readonly shared.VmId[];
 }
 
 export interface TargetReports {
@@ -51,8 +54,8 @@
     readonly "peer.hello": Introduction & { readonly peer: routes.Peer };
     /** A follower reports to its hub a VM that has connected to it, as that VM may precede the hub in the order. */
     readonly "peer.met": { readonly peer: routes.Peer };
-    /** Heartbeat of a follower. */
-    readonly "peer.beat": Readonly<Record<string, never>>;
+    /** Heartbeat of a follower, with the lookups since the last one; VMs of earlier versions do not count them. */
+    readonly "peer.beat": { readonly lookups?: clientZones.LookupCounts };
     /** Heartbeat of a hub: how outdated its view of the store is, and which VMs have joined, changed or left. */
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
--- a/src/node/routes/peerCompatibility.test.ts
+++ b/src/node/routes/peerCompatibility.test.ts
@@ -1,6 +1,7 @@
 import * as net from "node:net";
 import test from "ava";
 import * as ids from "../../common/ids.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as routes from "../../common/routes/Types.js";
 import * as fixture from "../../testing/routes/fixture.js";
 import * as membershipFixture from "../../testing/routes/membershipFixture.js";
@@ -98,7 +99,7 @@
 });
 
 /** Starts a hub of the previous version or of this one, which the test drives. */
-const startHub = async (accepts: readonly string[] | undefined) => {
+const startHub = async (accepts: readonly string[] | undefined, lookups: clientZones.LookupCounts = []) => {
     const [port = 0, followerPort = 0] = await acquirePorts(2);
     const sockets: net.Socket[] = [];
     const lines: Line[] = [];
@@ -118,7 +119,7 @@
     await new Promise<void>(resolve => server.listen({ host: "127.0.0.1", port }, resolve));
     const store = createStore();
     store.unreachable.add(ids.toVmId("follower"));
-    const follower = await startVm("follower", { store, port: followerPort, seeds: [port] });
+    const follower = await startVm("follower", { store, port: followerPort, seeds: [port], lookups });
     const close = (): void => {
         follower.member.dispose();
         sockets.forEach(socket => socket.destroy());
@@ -174,3 +175,19 @@
     t.true(await waitUntil(() => follower.getVersion() === 4));
     close();
 });
+
+test("a follower adopts the plan of its hub and reports the lookups that it has answered", async t => {
+    const { follower, lines, send, close } = await startHub(peerMessages.ownFeatures, [[fixture.zone, 3]]);
+    t.true(await waitUntil(() => follower.member.listPeers().length === 2));
+    const beat = { isHub: true, overdueMs: 0 };
+    send("hub.beat", { ...beat, plan: ["vm-x", "vm-y"] });
+    t.true(await waitUntil(() => follower.member.getPlan().length === 2));
+    // A heartbeat without a plan leaves it as it is.
+    send("hub.beat", beat);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    t.is(follower.member.getPlan().length, 2);
+    send("hub.beat", { ...beat, plan: [] });
+    t.true(await waitUntil(() => follower.member.getPlan().length === 0));
+    t.true(lines.some(({ method, params }) => method === "peer.beat" && Array.isArray(params["lookups"])));
+    close();
+});
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -5,6 +5,7 @@
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
 import * as repeat from "../../common/repeat.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -44,6 +45,11 @@
     listSnapshots(): readonly routes.StateSnapshot[];
     /** Rises with each change of the snapshots; undefined while they change with time. */
     getStateRevision(): number | undefined;
+    /** VMs of the plan in force. */
+    getPlan(): readonly shared.VmId[];
+    /** Plans the active VMs anew. */
+    updatePlan(): readonly shared.VmId[];
+    recordLookups(lookups: clientZones.LookupCounts | undefined): void;
     /** Describes an update by a difference; undefined if it has to be sent whole. */
     toDifference(update: routes.StateUpdate): configurationPush.StateDifference | undefined;
     listTargetReports(): peerChannel.TargetReports;
@@ -76,6 +82,7 @@
     const followers = new Set<Follower>();
     /** Peers at the last heartbeat, which is what followers know. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
+    let lastPlan: readonly shared.VmId[] = [];
     let joinTimer: shared.Disposable | undefined;
     let introduction: { readonly text: string; readonly message: peerMessages.PeerMessage } | undefined;
     /** The last message with all snapshots, for followers that join before they change. */
@@ -156,14 +163,16 @@
 
     const createIntroduction = (changed: readonly routes.Peer[]): peerMessages.PeerMessage => {
         const { ownFeatures } = peerMessages;
-        return peerChannel.createMessage("hub.beat", { ...getHeartbeat(), accepts: ownFeatures, changed, left: [] });
+        const plan = options.getPlan();
+        const beat = { ...getHeartbeat(), accepts: ownFeatures, plan, changed, left: [] };
+        return peerChannel.createMessage("hub.beat", beat);
     };
 
     /** Sends the first heartbeat, with the VMs that the next one does not report. */
     const sendIntroduction = (follower: Follower): void => {
         follower.hasPeerList = true;
         const peers = listAnnouncedPeers();
-        const text = JSON.stringify([getHeartbeat(), peers]);
+        const text = JSON.stringify([getHeartbeat(), options.getPlan(), peers]);
         if (introduction?.text !== text) {
             introduction = { text, message: createIntroduction(peers) };
         }
@@ -183,7 +192,10 @@
         const peers = listPeers();
         const changes = peerOrder.comparePeerLists(lastPeers, peers);
         lastPeers = new Map(peers.map(peer => [peer.vm, peer]));
-        const heartbeat = getHeartbeat();
+        const plan = options.isHub() ? options.updatePlan() : options.getPlan();
+        const isPlanNew = plan.join(" ") !== lastPlan.join(" ");
+        lastPlan = plan;
+        const heartbeat = { ...getHeartbeat(), ...(isPlanNew ? { plan } : {}) };
         const whole = peerChannel.createMessage("hub.beat", { ...heartbeat, ...changes });
         const hasChanges = changes.changed.length + changes.left.length > 0;
         const brief = hasChanges ? whole : peerChannel.createMessage("hub.beat", heartbeat);
@@ -243,8 +255,8 @@
         });
         follower.channel.on("state.request", () => sendConfiguration(follower));
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
-        // A heartbeat only shows that the VM is alive, which the channel has recorded.
-        follower.channel.on("peer.beat", () => undefined);
+        // That the VM is alive has been recorded by the channel.
+        follower.channel.on("peer.beat", ({ lookups }) => options.recordLookups(lookups));
         follower.channel.on("target.reports", params => {
             const reports = options.handleTargetReports(params);
             if (!peerChannel.isEmpty(reports)) {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -5,7 +5,10 @@
 import * as ids from "../../common/ids.js";
 import * as retryBudget from "../../common/limits/retryBudget.js";
 import * as random from "../../common/random.js";
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
+import * as clientZones from "../../common/routes/clientZones.js";
+import * as demandMeter from "../../common/routes/demandMeter.js";
 import * as rate from "../../common/routes/rate.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -81,6 +84,8 @@
     let isLeaving = false;
 
     const requestRate = rate.createRateMeter(scheduler);
+    const demand = demandMeter.createDemandMeter(scheduler);
+    const lookups = clientZones.createLookupCounter();
 
     const isReady = (): boolean => table !== undefined && !isLeaving;
 
@@ -96,6 +101,7 @@
         isReady,
         isCutOff: () => !reach.isConfirmed(),
         computeRequestRate: requestRate.compute,
+        ...{ listDemand: demand.list, countServiceTargets: () => serviceTargets, takeLookups: lookups.take },
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
             leaving: notices.applyLeaving(reports.leaving),
@@ -107,6 +113,7 @@
             crashes: crashes.listReports(),
         }),
     });
+    let serviceTargets: activeVmPlan.TargetsByService = new Map();
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
     const role = vmRole.createVmRole({
         logger,
@@ -115,6 +122,7 @@
         isConnected: members.isConnected,
         listPeers: members.listPeers,
         countKnownPeers: members.countKnownPeers,
+        getPlan: members.getPlan,
         getZoneSlots: () => zoneSlots,
         computeRequestRate: requestRate.compute,
     });
@@ -226,7 +234,7 @@
         dialect: options.http,
         exchange: {
             scheduler,
-            targets,
+            targets: { ...targets, pick: demandMeter.watchPicks(targets.pick, demand) },
             queue,
             sender,
             budget,
@@ -277,32 +285,26 @@
 
     const handleTargets = (): void => {
         zoneSlots = activeVmSelection.countZoneSlots(state.listTargets(), state.isZoneOut);
+        serviceTargets = activeVmPlan.countTargets(state.listTargets(), state.isZoneOut);
         targets.setTargets(state.listTargets());
     };
 
-    const pickActiveAddresses = (lookup: types.LookupRequest): readonly shared.Address[] => {
-        const picked = activeVmSelection.pickActiveVms(role.listActiveVms(), lookup.zone);
-        return picked.map(peer => peer.frontAddress);
-    };
-
     const getLookupLifetimeMs = (): number => Math.min(lookupServer.lookupLifetimeMs, bounds.longestLookupMs);
 
-    const listenForLookups = async (): Promise<void> => {
-        const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
-        for (const address of addresses) {
-            if (address !== undefined) {
-                await lookupServer.listenForLookups({
-                    address,
-                    dialect: options.lookup,
-                    getLifetimeMs: getLookupLifetimeMs,
-                    isReady,
-                    pickActiveAddresses,
-                    recordError: error => recordError("lookup", error),
-                    watchSocket: socket => traffic.watch(socket, "lookup", () => undefined),
-                });
-            }
-        }
-    };
+    const listenForLookups = (): Promise<void> =>
+        lookupServer.listenOnAddresses([settings.lookupAddress, settings.readinessAddress], {
+            dialect: options.lookup,
+            getLifetimeMs: getLookupLifetimeMs,
+            isReady,
+            pickActiveAddresses: lookup => {
+                lookups.record(lookup.zone);
+                return activeVmSelection
+                    .pickActiveVms(role.listActiveVms(), lookup.zone)
+                    .map(peer => peer.frontAddress);
+            },
+            recordError: error => recordError("lookup", error),
+            watchSocket: socket => traffic.watch(socket, "lookup", () => undefined),
+        });
 
     const wait = (delayMs: number): Promise<void> => new Promise(resolve => void scheduler.schedule(delayMs, resolve));
 
--- a/src/node/routes/vmRole.test.ts
+++ b/src/node/routes/vmRole.test.ts
@@ -23,6 +23,7 @@
             return peers;
         },
         countKnownPeers: () => 3,
+        getPlan: () => [],
         getZoneSlots: () => new Map(),
         computeRequestRate: () => 50,
         ...fields,
@@ -53,3 +54,15 @@
     role.listActiveVms();
     t.is(countLists(), 2);
 });
+
+test("planned VMs are active; without one that serves, VMs are selected by cores", t => {
+    const peers = ["hub", "strong", "planned"].map((vm, index) =>
+        fixture.createPeer(vm, { startedAtMs: index, cores: index === 1 ? 2 : 1, demand: [] }),
+    );
+    const listActive = (plan: readonly string[]): readonly string[] =>
+        createRole("hub", { listPeers: () => peers, getPlan: () => plan.map(ids.toVmId) })
+            .role.listActiveVms()
+            .map(({ vm }) => vm);
+    t.deepEqual(listActive(["planned"]), ["planned"]);
+    t.deepEqual(listActive(["gone"]), listActive([]));
+});
--- a/src/node/routes/vmRole.ts
+++ b/src/node/routes/vmRole.ts
@@ -2,6 +2,7 @@
  * The role of this VM among the entry VMs: whether it is active (lookups direct clients to it) or on standby, which
  * targets it probes, and its share of the common retry budget.
  */
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
 import * as ownedRates from "../../common/routes/ownedRates.js";
 import * as routes from "../../common/routes/Types.js";
@@ -34,6 +35,8 @@
     /** Whether this VM is connected to any peer. */
     isConnected(): boolean;
     listPeers(): readonly routes.Peer[];
+    /** The plan of active VMs in force; empty if they are selected by their cores. */
+    getPlan(): readonly shared.VmId[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
     getZoneSlots(): activeVmSelection.SlotsByZone;
@@ -67,7 +70,8 @@
             refreshedAtMs = options.clock.now();
             const peers = options.listPeers();
             visibleVmCount = peers.length;
-            setActiveVms(activeVmSelection.selectActiveVms(peers, options.getZoneSlots()));
+            const planned = activeVmPlan.selectPlannedVms(peers, options.getPlan());
+            setActiveVms(planned ?? activeVmSelection.selectActiveVms(peers, options.getZoneSlots()));
         }
         return activeVms;
     };
--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -4,6 +4,7 @@
 import * as events from "../../common/events.js";
 import * as ids from "../../common/ids.js";
 import * as requestCrashes from "../../common/crashes/requestCrashes.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -112,6 +113,8 @@
         readonly seeds: readonly number[];
         readonly cores?: number;
         readonly isCutOff?: boolean;
+        /** Lookups by zone that the VM reports with each heartbeat. */
+        readonly lookups?: clientZones.LookupCounts;
         /** False for a VM whose start time is now, but which does not listen yet. */
         readonly isStarted?: boolean;
     },
@@ -151,6 +154,9 @@
         isReady: () => true,
         isCutOff: () => options.isCutOff ?? false,
         computeRequestRate: () => 0,
+        listDemand: () => [],
+        countServiceTargets: () => new Map(),
+        takeLookups: () => options.lookups ?? [],
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
             leaving: reports.leaving.filter(({ target }) => !leaving.has(target) && leaving.add(target)),
