Test that VMs agree on a plan, also under the next hub

The rule and the messages were tested apart. Five VMs in two zones now adopt the plan of their hub, keep it when the hub is lost, and leave a zone that is evacuated.

--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -4,6 +4,7 @@
 import * as events from "../../common/events.js";
 import * as ids from "../../common/ids.js";
 import * as requestCrashes from "../../common/crashes/requestCrashes.js";
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as clientZones from "../../common/routes/clientZones.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
@@ -115,6 +116,10 @@
         readonly isCutOff?: boolean;
         /** Lookups by zone that the VM reports with each heartbeat. */
         readonly lookups?: clientZones.LookupCounts;
+        readonly zone?: shared.ZoneName;
+        readonly demand?: readonly routes.ServiceDemand[];
+        /** Targets in use, as this VM knows them. */
+        readonly countServiceTargets?: () => activeVmPlan.TargetsByService;
         /** False for a VM whose start time is now, but which does not listen yet. */
         readonly isStarted?: boolean;
     },
@@ -133,7 +138,7 @@
     const member = membership.createMembership({
         settings: {
             vm,
-            zone: fixture.zone,
+            zone: options.zone ?? fixture.zone,
             region: ids.toRegionName("west"),
             cores: options.cores ?? 1,
             frontAddress: toAddress(1),
@@ -154,8 +159,8 @@
         isReady: () => true,
         isCutOff: () => options.isCutOff ?? false,
         computeRequestRate: () => 0,
-        listDemand: () => [],
-        countServiceTargets: () => new Map(),
+        listDemand: () => options.demand ?? [],
+        countServiceTargets: options.countServiceTargets ?? (() => new Map()),
         takeLookups: () => options.lookups ?? [],
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
