Count streamed responses without a length in the cost of a crossing

A response that is streamed without a declared length counted with no bytes, so that downloads in chunks were taken for the cheapest requests to send to another zone. Only responses beyond 64 KB are streamed; they count with 64 KB now.

Tests of bodyForwarding, targetConnection and exchange pass (51).

--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -214,3 +214,11 @@
     await waitMs(100);
     t.is(ends[0]?.kind, "abandoned");
 });
+
+// Guards against downloads in chunks that count as empty, so that they are sent to other zones like small responses.
+test("a stream without a length counts with the bytes that made it a stream", t => {
+    const body = { kind: "stream", stream: new stream.Readable(), isReceived: () => false } as const;
+    t.is(bodyForwarding.getBodyBytes({ ...body, bodyBytes: undefined }), 64 * 1024);
+    t.is(bodyForwarding.getBodyBytes({ ...body, bodyBytes: 90_000 }), 90_000);
+    t.is(bodyForwarding.getBodyBytes({ kind: "whole", bytes: Buffer.alloc(5) }), 5);
+});
--- a/src/node/routes/bodyForwarding.ts
+++ b/src/node/routes/bodyForwarding.ts
@@ -2,6 +2,7 @@
  * Watches a response body that is passed on while it is received, and ends it at the deadline or when the client leaves.
  */
 import * as shared from "../../common/Types.js";
+import * as streamedBody from "./streamedBody.js";
 import * as types from "./Types.js";
 
 /** What ends a body before it is whole. */
@@ -27,13 +28,14 @@
 );
 
 /**
- * Returns the size of a body as far as it is known when its head has arrived.
+ * Returns the size of a body as far as it is known when it is passed on. Downloads without a length would otherwise count as
+ * empty, and crossing zones with them as cheap.
  *
  * @param body - the body
- * @returns bytes; of a stream, its declared length or 0
+ * @returns bytes; of a stream without a declared length, those that were received before it was passed on
  */
 export const getBodyBytes = (body: types.ResponseBody): number =>
-    body.kind === "whole" ? body.bytes.length : (body.bodyBytes ?? 0);
+    body.kind === "whole" ? body.bytes.length : (body.bodyBytes ?? streamedBody.maxHeldBytes);
 
 /**
  * Watches a body that is streamed until it has ended. A body that the target has sent whole is delivered even after the
--- a/src/node/routes/streamedBody.ts
+++ b/src/node/routes/streamedBody.ts
@@ -4,6 +4,12 @@
 import * as stream from "node:stream";
 import * as types from "./Types.js";
 
+/**
+ * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
+ * is passed on while it is received, and a break is passed on as such.
+ */
+export const maxHeldBytes = 64 * 1024;
+
 export interface StreamedBody {
     readonly body: Extract<types.ResponseBody, { kind: "stream" }>;
     /** Resolves when no more of the body is received. */
--- a/src/node/routes/targetConnection.ts
+++ b/src/node/routes/targetConnection.ts
@@ -14,11 +14,6 @@
 import * as types from "./Types.js";
 import * as unexpectedResponses from "./unexpectedResponses.js";
 
-/**
- * A response is held up to this size, so that the request can be repeated if the connection breaks meanwhile. A larger one
- * is passed on while it is received, and a break is passed on as such.
- */
-const maxHeldBytes = 64 * 1024;
 /** Idle connections are closed this long before the target's timeout, so that no request is sent while it closes. */
 const idleTimeoutMarginMs = 1_000;
 /** Bytes of responses to other requests that are skipped while the response to the pending request is awaited. */
@@ -232,7 +227,7 @@
             return;
         }
         response.held.add(chunk);
-        if (response.streamed !== undefined || response.held.count() <= maxHeldBytes) {
+        if (response.streamed !== undefined || response.held.count() <= streamedBody.maxHeldBytes) {
             return;
         }
         if (partialResponses.isStreamable(response)) {
