Bound the zones that lookups name

A client can name any zone in a lookup. Names beyond 64 characters do not count, and zones whose count has decayed are forgotten, so that made-up names cannot keep the real zones out of the 16 that are counted.

--- a/src/common/routes/clientDemand.test.ts
+++ b/src/common/routes/clientDemand.test.ts
@@ -33,14 +33,21 @@
 });
 
 // Guards against messages of a peer that fill memory or make the shares meaningless.
-test("malformed counts and very many zones do not count", t => {
-    const zones = clientZones.createClientZones(virtualScheduler.createVirtualScheduler());
+test("malformed counts and very many zones do not count, and zones that are made up give way", async t => {
+    const scheduler = virtualScheduler.createVirtualScheduler();
+    const zones = clientZones.createClientZones(scheduler);
+    const counter = clientZones.createLookupCounter();
+    counter.record(ids.toZoneName("z".repeat(10_000)));
+    t.deepEqual(counter.take(), []);
     [NaN, Infinity, -5, 0].forEach(count => zones.record(fixture.zone, count));
     t.is(zones.computeShares(), undefined);
     for (let index = 0; index < 1_000; index++) {
         zones.record(ids.toZoneName(`zone-${index}`), 10);
     }
     t.true((zones.computeShares()?.size ?? 0) <= 16);
+    await scheduler.advance(60_000);
+    zones.record(fixture.zone, 50);
+    t.deepEqual([...(zones.computeShares() ?? [])], [[fixture.zone, 1]]);
 });
 
 test("demand is reported by service, in steps that small changes do not leave", async t => {
--- a/src/common/routes/clientZones.ts
+++ b/src/common/routes/clientZones.ts
@@ -11,6 +11,10 @@
 const minLookups = 30;
 /** Bounds the zones that are counted; a deployment has three or so. */
 const maxZones = 16;
+/** Longer names of zones, which any client can send, do not count. */
+const maxNameLength = 64;
+/** A zone with a smaller count is forgotten, so that names that clients make up give way. */
+const minCount = 0.1;
 /** Shares are in steps of this size, so that they do not change all the time. */
 const shareStep = 0.05;
 
@@ -39,7 +43,10 @@
     let counts = new Map<shared.ZoneName, number>();
     return {
         record: zone => {
-            if (zone !== undefined && (counts.has(zone) || counts.size < maxZones)) {
+            if (zone === undefined || zone.length > maxNameLength) {
+                return;
+            }
+            if (counts.has(zone) || counts.size < maxZones) {
                 counts.set(zone, (counts.get(zone) ?? 0) + 1);
             }
         },
@@ -65,13 +72,19 @@
         const nowMs = clock.now();
         const factor = Math.exp((updatedAtMs - nowMs) / decayMs);
         updatedAtMs = nowMs;
-        counts.forEach((count, zone) => counts.set(zone, count * factor));
+        for (const [zone, count] of counts) {
+            if (count * factor < minCount) {
+                counts.delete(zone);
+            } else {
+                counts.set(zone, count * factor);
+            }
+        }
     };
 
     return {
         record: (zone, count) => {
+            advance();
             if (Number.isFinite(count) && count > 0 && (counts.has(zone) || counts.size < maxZones)) {
-                advance();
                 counts.set(zone, (counts.get(zone) ?? 0) + count);
             }
         },
