--- a/src/common/routes/activeVmPlan.test.ts
+++ b/src/common/routes/activeVmPlan.test.ts
@@ -95,15 +95,15 @@
     ...fields,
 });
 
-const plan = (input: activeVmPlan.PlanInput) => {
-    const result = activeVmPlan.planActiveVms(input);
+const computeResult = (input: activeVmPlan.PlanInput) => {
+    const result = activeVmPlan.computePlan(input);
     const vms = result.kind === "planned" ? result.vms : [];
     const peers = input.peers.filter(({ vm }) => vms.includes(vm));
     return { result, vms, peers, zones: [...new Set(peers.map(({ zone }) => zone))].sort() };
 };
 
 test("the ordering gateway gets an active VM in each calm zone, on links that carry its downloads", t => {
-    const planned = plan(createInput(ordering));
+    const planned = computeResult(createInput(ordering));
     t.deepEqual(planned.zones, zones);
     t.is(planned.peers.length, 3);
     t.true(planned.peers.every(({ linkMbps = 0 }) => linkMbps >= 60));
@@ -112,14 +112,14 @@
 // Guards against the result of the trial with an active VM in every zone, 0.338 instead of 0.46: all that a VM in an
 // evacuated zone does crosses zones.
 test("an evacuated zone gets no active VM, and one again when it returns", t => {
-    const calm = plan(createInput(ordering));
-    const one = plan(createInput(ordering, { out: [zoneB], current: calm.vms }));
+    const calm = computeResult(createInput(ordering));
+    const one = computeResult(createInput(ordering, { out: [zoneB], current: calm.vms }));
     t.deepEqual(one.zones, [zoneA, zoneC]);
-    const two = plan(createInput(ordering, { out: [zoneB, zoneC], current: one.vms }));
+    const two = computeResult(createInput(ordering, { out: [zoneB, zoneC], current: one.vms }));
     t.deepEqual(two.zones, [zoneA]);
     // Without a plan before, the selection by cores would put downloads on a link of 9.8 Mbit/s.
-    t.deepEqual(plan(createInput(ordering, { out: [zoneB, zoneC] })).zones, [zoneA]);
-    t.deepEqual(plan(createInput(ordering, { current: two.vms })).zones, zones);
+    t.deepEqual(computeResult(createInput(ordering, { out: [zoneB, zoneC] })).zones, [zoneA]);
+    t.deepEqual(computeResult(createInput(ordering, { current: two.vms })).zones, zones);
 });
 
 // Guards against a loss on the deployments in service, where the counts of one VM are worth more than the bytes.
@@ -134,7 +134,7 @@
                 createSmall(13, [10, 10, 6], 4, bytes, workMs),
                 createSmall(18, [20, 12, 6], 2, bytes, workMs),
             ]) {
-                t.like(plan(createInput(deployment)).result, { kind: "planned", vms: [] });
+                t.like(computeResult(createInput(deployment)).result, { kind: "planned", vms: [] });
             }
         }
     }
@@ -145,10 +145,10 @@
     const input = createInput(ordering);
     const [old, ...others] = input.peers;
     const withoutDemand = fixture.createPeer("old", { zone: old?.zone ?? zoneA });
-    t.is(plan({ ...input, peers: [withoutDemand, ...others] }).result.kind, "unknown");
-    t.is(plan({ ...input, clientShares: undefined }).result.kind, "unknown");
-    t.is(plan({ ...input, peers: input.peers.map(peer => ({ ...peer, demand: [] })) }).result.kind, "unknown");
-    const { vms } = plan(input);
+    t.is(computeResult({ ...input, peers: [withoutDemand, ...others] }).result.kind, "unknown");
+    t.is(computeResult({ ...input, clientShares: undefined }).result.kind, "unknown");
+    t.is(computeResult({ ...input, peers: input.peers.map(peer => ({ ...peer, demand: [] })) }).result.kind, "unknown");
+    const { vms } = computeResult(input);
     t.is(activeVmPlan.selectPlannedVms(input.peers, vms)?.length, 3);
     t.is(activeVmPlan.selectPlannedVms([withoutDemand, ...others], vms), undefined);
 });
@@ -160,33 +160,33 @@
         peer.zone === zoneB ? { ...peer, cores: 4, linkMbps: 10 } : { ...peer, linkMbps: 140 },
     );
     // Several slow links would do by their sum, but the exactness of their VMs is worth more.
-    const planned = plan({ ...input, peers });
+    const planned = computeResult({ ...input, peers });
     t.true(planned.vms.length > 0);
     t.true(planned.peers.every(({ linkMbps }) => linkMbps === 140));
     const slow = input.peers.map(peer => ({ ...peer, linkMbps: 10 }));
-    const onSlowLinks = plan({ ...input, peers: slow.slice(0, 6) });
+    const onSlowLinks = computeResult({ ...input, peers: slow.slice(0, 6) });
     t.deepEqual(onSlowLinks.vms, []);
 });
 
 // Guards against clients that are moved to and fro.
 test("a plan stays while demand swings by half between zones, and while a VM of equal capacity joins", t => {
-    const calm = plan(createInput(ordering));
+    const calm = computeResult(createInput(ordering));
     for (const swing of [-0.5, -0.2, 0.2, 0.5]) {
         const shares = new Map([
             [zoneA, (1 + swing) / 3],
             [zoneB, (1 - swing) / 3],
             [zoneC, 1 / 3],
         ]);
-        t.deepEqual(plan(createInput(ordering, { clientShares: shares, current: calm.vms })).vms, calm.vms);
+        t.deepEqual(computeResult(createInput(ordering, { clientShares: shares, current: calm.vms })).vms, calm.vms);
     }
     const input = createInput(ordering, { current: calm.vms });
     const first = calm.peers[0] ?? fixture.createPeer("none");
     const joined = { ...first, vm: ids.toVmId("joined"), startedAtMs: 0, demand: [] };
-    t.deepEqual(plan({ ...input, peers: [joined, ...input.peers] }).vms, calm.vms);
+    t.deepEqual(computeResult({ ...input, peers: [joined, ...input.peers] }).vms, calm.vms);
 });
 
 test("a planned VM that is lost, leaves or reaches no target is replaced in its zone", t => {
-    const calm = plan(createInput(ordering));
+    const calm = computeResult(createInput(ordering));
     const [lost] = calm.vms;
     const input = createInput(ordering, { current: calm.vms });
     const replaced: readonly types.Peer[][] = [
@@ -195,7 +195,7 @@
         input.peers.map(peer => (peer.vm === lost ? { ...peer, isCutOff: true } : peer)),
     ];
     for (const peers of replaced) {
-        const planned = plan({ ...input, peers });
+        const planned = computeResult({ ...input, peers });
         t.false(planned.vms.includes(lost ?? ids.toVmId("none")));
         t.deepEqual(planned.zones, zones);
         t.is(activeVmPlan.selectPlannedVms(peers, calm.vms)?.length, 2);
--- a/src/common/routes/activeVmPlan.ts
+++ b/src/common/routes/activeVmPlan.ts
@@ -98,22 +98,22 @@
  * @param peers - live VMs
  * @returns true if all do
  */
-export const haveReports = (peers: readonly types.Peer[]): boolean =>
+export const hasAllReports = (peers: readonly types.Peer[]): boolean =>
     peers.every(peer => !peer.isReady || peer.demand !== undefined);
 
 /** Adds up the demand of all VMs; bytes and times are means, weighted by requests. */
-const sumDemand = (peers: readonly types.Peer[], targets: TargetsByService): readonly ServiceLoad[] => {
+const computeDemand = (peers: readonly types.Peer[], targets: TargetsByService): readonly ServiceLoad[] => {
     const sums = new Map<shared.ServiceName, types.ServiceDemand>();
     for (const demand of peers.flatMap(peer => peer.demand ?? [])) {
         const known = sums.get(demand.service) ?? { ...demand, perSecond: 0 };
         const perSecond = known.perSecond + demand.perSecond;
-        const weigh = (left: number, right: number): number =>
+        const computeMean = (left: number, right: number): number =>
             (left * known.perSecond + right * demand.perSecond) / perSecond;
         sums.set(demand.service, {
             service: demand.service,
             perSecond,
-            bytes: weigh(known.bytes, demand.bytes),
-            workMs: weigh(known.workMs, demand.workMs),
+            bytes: computeMean(known.bytes, demand.bytes),
+            workMs: computeMean(known.workMs, demand.workMs),
         });
     }
     return [...sums.values()].flatMap(sum => {
@@ -123,7 +123,7 @@
     });
 };
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0);
+const computeSum = (numbers: readonly number[]): number => numbers.reduce((total, number) => total + number, 0);
 
 /** Share of all requests that arrives at each zone's active VMs. */
 const computeZoneShares = (vms: readonly types.Peer[], clients: ClientShares): Map<shared.ZoneName, number> => {
@@ -139,7 +139,7 @@
 
 /** Share of the clients whose requests go to an active VM in another zone. */
 const computeCrossingShare = (vms: readonly types.Peer[], clients: ClientShares): number =>
-    sum(
+    computeSum(
         [...clients].map(([zone, share]) => {
             const picked = activeVmSelection.pickActiveVms(vms, zone);
             return (share * picked.filter(vm => vm.zone !== zone).length) / Math.max(1, picked.length);
@@ -156,9 +156,9 @@
 const computeCost = (vms: readonly types.Peer[], loads: readonly ServiceLoad[], clients: ClientShares): number => {
     const zoneShares = computeZoneShares(vms, clients);
     const clientCrossing = computeCrossingShare(vms, clients);
-    return sum(
+    return computeSum(
         loads.map(load => {
-            const targetCrossing = sum(
+            const targetCrossing = computeSum(
                 [...zoneShares].map(([zone, share]) => share * (1 - computeLocalShare(load, zone, share))),
             );
             const crossingMs = (clientCrossing + targetCrossing) * targetCosts.computeCrossingMs(load.bytes);
@@ -192,7 +192,7 @@
 }
 
 /** Lists the VMs of a zone, the best first: the hub last, then by capacity as far as it is needed, then those in use. */
-const sortZoneVms = (context: PlanContext, zone: shared.ZoneName, perSecond: number): readonly types.Peer[] => {
+const listZoneVms = (context: PlanContext, zone: shared.ZoneName, perSecond: number): readonly types.Peer[] => {
     const getCapacity = (peer: types.Peer): number => Math.min(computeCapacity(peer, context.meanBytes), perSecond * 2);
     return context.usable
         .filter(peer => peer.zone === zone)
@@ -211,7 +211,7 @@
     zone: shared.ZoneName,
     perSecond: number,
 ): readonly types.Peer[] | undefined => {
-    const vms = sortZoneVms(context, zone, perSecond);
+    const vms = listZoneVms(context, zone, perSecond);
     const count = vms.findIndex((vm, index) => computeCapacity(vm, context.meanBytes) * (index + 1) >= perSecond);
     return count < 0 ? undefined : vms.slice(0, count + 1);
 };
@@ -271,18 +271,18 @@
  * @param input - VMs with their reports, targets, and the clients' zones
  * @returns the plan
  */
-export const planActiveVms = (input: PlanInput): PlanResult => {
+export const computePlan = (input: PlanInput): PlanResult => {
     const { peers, clientShares: clients } = input;
-    const loads = sumDemand(peers, input.targets);
-    const perSecond = sum(loads.map(load => load.perSecond));
+    const loads = computeDemand(peers, input.targets);
+    const perSecond = computeSum(loads.map(load => load.perSecond));
     const usable = peers.filter(activeVmSelection.canServe);
-    if (clients === undefined || !haveReports(peers) || perSecond <= 0 || usable.length === 0) {
+    if (clients === undefined || !hasAllReports(peers) || perSecond <= 0 || usable.length === 0) {
         return { kind: "unknown" };
     }
     const context: PlanContext = {
         ...{ usable, clients, perSecond, current: new Set(input.current) },
         hub: [...peers].sort(peerOrder.comparePeers)[0],
-        meanBytes: sum(loads.map(load => load.perSecond * load.bytes)) / perSecond,
+        meanBytes: computeSum(loads.map(load => load.perSecond * load.bytes)) / perSecond,
     };
     const getCost = (vms: readonly types.Peer[]): number => computeCost(vms, loads, clients);
 
@@ -333,5 +333,5 @@
 ): readonly types.Peer[] | undefined => {
     const vms =
         plan.length === 0 ? [] : peers.filter(peer => plan.includes(peer.vm) && activeVmSelection.canServe(peer));
-    return vms.length > 0 && haveReports(peers) ? vms : undefined;
+    return vms.length > 0 && hasAllReports(peers) ? vms : undefined;
 };
--- a/src/common/routes/activeVmPlanner.ts
+++ b/src/common/routes/activeVmPlanner.ts
@@ -63,7 +63,7 @@
             knownAtMs = clock.now();
         },
         update: input => {
-            const result = activeVmPlan.planActiveVms({ ...input, current: plan });
+            const result = activeVmPlan.computePlan({ ...input, current: plan });
             switch (result.kind) {
                 case "unknown":
                     betterSinceMs = undefined;
--- a/src/common/routes/configurationDifference.test.ts
+++ b/src/common/routes/configurationDifference.test.ts
@@ -26,7 +26,7 @@
 const base = createConfiguration(1);
 const [first, ...others] = base.organisations ?? [];
 
-const passOn = (next: types.RouteConfiguration, known: types.RouteConfiguration | undefined = base) => {
+const sendDifference = (next: types.RouteConfiguration, known: types.RouteConfiguration | undefined = base) => {
     const difference = configurationDifference.computeDifference(base, next, computeDigest);
     if (difference === undefined) {
         return "whole";
@@ -47,16 +47,16 @@
     ];
     for (const change of changes) {
         const next = createConfiguration(2, change);
-        t.deepEqual(passOn(next), next);
+        t.deepEqual(sendDifference(next), next);
     }
     const withoutOrganisations = fixture.createConfiguration(2);
-    t.deepEqual(passOn(withoutOrganisations), withoutOrganisations);
+    t.deepEqual(sendDifference(withoutOrganisations), withoutOrganisations);
 });
 
 // Guards against a VM that has another configuration than its hub believes and ends up with a mixture of both.
 test("a difference is applied to the configuration that it is based on only", t => {
     const next = createConfiguration(3, { organisations: [...others] });
-    t.is(passOn(next, createConfiguration(2)), undefined);
+    t.is(sendDifference(next, createConfiguration(2)), undefined);
     const difference = configurationDifference.computeDifference(base, next, computeDigest);
     t.truthy(difference);
     if (difference !== undefined) {
@@ -69,9 +69,9 @@
 });
 
 test("rows in another order, or of the same name, are sent whole", t => {
-    t.is(passOn(createConfiguration(2, { organisations: [...others, ...(first ? [first] : [])] })), "whole");
+    t.is(sendDifference(createConfiguration(2, { organisations: [...others, ...(first ? [first] : [])] })), "whole");
     const twice = [...(base.organisations ?? []), createOrganisation("org-3", 2)];
-    t.is(passOn(createConfiguration(2, { organisations: twice })), "whole");
+    t.is(sendDifference(createConfiguration(2, { organisations: twice })), "whole");
 });
 
 test("one changed row of seventy takes a small part of the configuration", t => {
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -76,7 +76,8 @@
     sendMessage(message: peerMessages.PeerMessage): void;
     /** Records what the other side accepts; undefined if a message does not say so. */
     setFeatures(features: readonly peerMessages.PeerFeature[] | undefined): void;
-    accepts(feature: peerMessages.PeerFeature): boolean;
+    /** Whether the other side accepts something. */
+    hasFeature(feature: peerMessages.PeerFeature): boolean;
     on<M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void): void;
     /** Local monotonic time of the last message. */
     getLastSeenAtMs(): number;
@@ -173,7 +174,7 @@
         setFeatures: features => {
             accepted = features ?? accepted;
         },
-        accepts: feature => accepted.includes(feature),
+        hasFeature: feature => accepted.includes(feature),
         // Peers run the same program, so messages are not validated against their type.
         on: <M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void) =>
             server.addMethod(method, (params: unknown) => handler(params as PeerMessages[M])),
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -122,7 +122,7 @@
         const brief = difference === undefined ? whole : peerChannel.createMessage("state.difference", difference);
         for (const { peer, channel } of followers) {
             if (peer !== undefined) {
-                channel.sendMessage(channel.accepts("differences") ? brief : whole);
+                channel.sendMessage(channel.hasFeature("differences") ? brief : whole);
             }
         }
     };
@@ -205,7 +205,7 @@
                 channel.dispose();
             } else if (follower.peer !== undefined) {
                 sendSnapshots(follower);
-                channel.sendMessage(channel.accepts("differences") ? brief : whole);
+                channel.sendMessage(channel.hasFeature("differences") ? brief : whole);
             }
         }
     };
--- a/src/node/routes/peerMessages.ts
+++ b/src/node/routes/peerMessages.ts
@@ -35,7 +35,7 @@
     let deflatedText: string | undefined;
     const getText = (): string => (text ??= JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)));
 
-    const deflate = (plain: string): string => {
+    const encodeDeflated = (plain: string): string => {
         const data = zlib.deflateRawSync(plain, { level: deflateLevel }).toString("base64");
         const deflated = JSON.stringify(jsonRpc.createJSONRPCNotification(deflatedMethod, { data }));
         return deflated.length < plain.length ? deflated : plain;
@@ -43,7 +43,8 @@
 
     return {
         getText,
-        getDeflatedText: () => (deflatedText ??= getText().length < minDeflatedBytes ? getText() : deflate(getText())),
+        getDeflatedText: () =>
+            (deflatedText ??= getText().length < minDeflatedBytes ? getText() : encodeDeflated(getText())),
     };
 };
 
