--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -5,6 +5,7 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
@@ -27,6 +28,8 @@
     readonly isHub: boolean;
     /** How long the store's response to the hub is overdue. */
     readonly overdueMs: number;
+    /** The hub's plan of active VMs, in the first heartbeat and when it has changed; VMs of earlier versions have none. */
+    readonly plan?: readonly shared.VmId[];
 }
 
 export interface TargetReports {
@@ -51,8 +54,8 @@
     readonly "peer.hello": Introduction & { readonly peer: routes.Peer };
     /** A follower reports to its hub a VM that has connected to it, as that VM may precede the hub in the order. */
     readonly "peer.met": { readonly peer: routes.Peer };
-    /** Heartbeat of a follower. */
-    readonly "peer.beat": Readonly<Record<string, never>>;
+    /** Heartbeat of a follower, with the lookups since the last one; VMs of earlier versions do not count them. */
+    readonly "peer.beat": { readonly lookups?: clientZones.LookupCounts };
     /** Heartbeat of a hub: how outdated its view of the store is, and which VMs have joined, changed or left. */
     readonly "hub.beat": HubHeartbeat;
     readonly "state.snapshots": { readonly snapshots: readonly routes.StateSnapshot[] };
@@ -73,7 +76,8 @@
     sendMessage(message: peerMessages.PeerMessage): void;
     /** Records what the other side accepts; undefined if a message does not say so. */
     setFeatures(features: readonly peerMessages.PeerFeature[] | undefined): void;
-    accepts(feature: peerMessages.PeerFeature): boolean;
+    /** Whether the other side accepts something. */
+    hasFeature(feature: peerMessages.PeerFeature): boolean;
     on<M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void): void;
     /** Local monotonic time of the last message. */
     getLastSeenAtMs(): number;
@@ -170,7 +174,7 @@
         setFeatures: features => {
             accepted = features ?? accepted;
         },
-        accepts: feature => accepted.includes(feature),
+        hasFeature: feature => accepted.includes(feature),
         // Peers run the same program, so messages are not validated against their type.
         on: <M extends PeerMethod>(method: M, handler: (params: PeerMessages[M]) => void) =>
             server.addMethod(method, (params: unknown) => handler(params as PeerMessages[M])),
