Require keys in the soak test, and check for whom targets run requests

Cause: unit tests do not show what targets get while VMs, the store and configurations change.

Change: two routes of the soak require keys. Every 3 s a key is taken away, one is added and one moves to another organisation, beside malformed rows; callers also use keys that are gone, unknown or held twice, none, and state an organisation themselves. The rule identity finds runs with a key, for another organisation than the key's holder, or of requests that were refused with 401. A 401 still breaks the rule denied unless the key may be unknown to the VM; such requests do not count for recovery and partitions.

--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -123,6 +123,10 @@
     readonly method: string;
     readonly path: string;
     readonly bodyDigest: string;
+    /** The key that the request carries; undefined if it carries none. */
+    readonly key?: string | undefined;
+    /** Whether the request's route requires a key. */
+    readonly needsKey?: boolean | undefined;
     readonly vm: number;
     readonly sentAtMs: number;
     endedAtMs: number;
@@ -139,6 +143,10 @@
     readonly method: string;
     readonly path: string;
     readonly bodyDigest: string;
+    /** Organisation that the request names; undefined if it names none. */
+    readonly organisation?: string | undefined;
+    /** Whether the request carries a key. */
+    readonly hasKey?: boolean | undefined;
     /** Body of the target's response if it succeeds. */
     readonly body: string;
     /** Status of the target's response; undefined if it sent none. */
@@ -176,6 +184,13 @@
 /** Change that the store has committed and the VMs must follow. */
 export type CommittedChange =
     | { readonly kind: "leaving"; readonly atMs: number; readonly target: string }
+    /** The organisation that holds a key from then on; undefined if none does. */
+    | {
+          readonly kind: "key";
+          readonly atMs: number;
+          readonly key: string;
+          readonly organisation: string | undefined;
+      }
     | { readonly kind: "route-moved"; readonly atMs: number; readonly path: string; readonly service: string }
     | { readonly kind: "zone-out"; readonly atMs: number; readonly zone: string; endsAtMs: number };
 
@@ -236,6 +251,7 @@
     | "drain"
     | "zone-out"
     | "denied"
+    | "identity"
     | "lost"
     | "unanswered"
     | "budget"
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -3,6 +3,7 @@
  */
 import * as routeKind from "../../common/routes/routeKind.js";
 import * as attempts from "./attempts.js";
+import * as callerChecks from "./callerChecks.js";
 import * as historyChecks from "./historyChecks.js";
 import * as targetChecks from "./targetChecks.js";
 import * as types from "./Types.js";
@@ -96,6 +97,9 @@
                     { atMs: change.atMs, boundMs: bounds.drainMs, endsAtMs: Infinity },
                     run => run.target === change.target,
                 ).map(run => ({ rule: "drain", message: `${run.id} ran at ${run.target}, which was draining` }));
+            case "key":
+                // See `callerChecks`.
+                return [];
             case "zone-out":
                 return findLateRuns(
                     history,
@@ -115,9 +119,15 @@
         }
     });
 
-const findDeniedRequests: historyChecks.Check = ({ calls }) =>
-    calls
+const findDeniedRequests: historyChecks.Check = (history, bounds) =>
+    history.calls
         .filter(({ outcome }) => outcome?.kind === "answered" && [400, 401, 403, 404].includes(outcome.status))
+        .filter(
+            call =>
+                call.outcome?.kind !== "answered" ||
+                call.outcome.status !== 401 ||
+                !callerChecks.mayBeDenied(history, bounds, call),
+        )
         .map(call => ({ rule: "denied", message: `${call.id} at VM ${call.vm}: ${JSON.stringify(call.outcome)}` }));
 
 /** A VM that is shutting down must still respond to forwarded requests. */
@@ -175,7 +185,11 @@
 };
 
 const findMissingRecovery: historyChecks.Check = (history, bounds) => {
-    const lateCalls = history.calls.filter(call => call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs);
+    const lateCalls = history.calls.filter(
+        call =>
+            call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs &&
+            !callerChecks.mayBeDenied(history, bounds, call),
+    );
     const served = lateCalls.filter(historyChecks.isServed);
     return lateCalls.length > 0 && served.length >= lateCalls.length * minRecoveredShare
         ? []
@@ -194,6 +208,8 @@
     findUnrequestedRuns,
     findIgnoredChanges,
     findDeniedRequests,
+    callerChecks.findForeignRuns,
+    callerChecks.findDeniedRuns,
     findLostResponses,
     findUnansweredRequests,
     findRetryExcess,
--- a/src/testing/soak/targetChecks.ts
+++ b/src/testing/soak/targetChecks.ts
@@ -1,6 +1,7 @@
 /**
  * Checks of what targets ask of all VMs, and of VMs that reach no target.
  */
+import * as callerChecks from "./callerChecks.js";
 import * as historyChecks from "./historyChecks.js";
 import * as types from "./Types.js";
 
@@ -115,11 +116,12 @@
             return [];
         }
         const calls = history.calls.filter(
-            ({ path, sentAtMs, endedAtMs, vm }) =>
-                !historyChecks.isCrashingPath(path) &&
-                sentAtMs > partition.fromMs + bounds.contactMs &&
-                sentAtMs < partition.toMs &&
-                !historyChecks.isDisturbed(history, partition.fromMs, endedAtMs, vm),
+            call =>
+                !historyChecks.isCrashingPath(call.path) &&
+                call.sentAtMs > partition.fromMs + bounds.contactMs &&
+                call.sentAtMs < partition.toMs &&
+                !historyChecks.isDisturbed(history, partition.fromMs, call.endedAtMs, call.vm) &&
+                !callerChecks.mayBeDenied(history, bounds, call),
         );
         const there = calls.filter(({ vm }) => partition.vms.includes(vm));
         const elsewhere = calls.filter(({ vm }) => !partition.vms.includes(vm));
