Answer 503 when two VMs disagree about a caller, and shorten digests

Cause: a request that is passed on while its key moves to another organisation got 401 by one of two configurations, after which clients do not come back. Configurations go whole to all VMs, and bytes between zones cost most. Keys were digested a second time when they were stripped.

Change: a VM that passed a request on turns the other one's 401 into 503, or 502 if it may have run. Digests are in base64url.

--- a/src/common/routes/callers.ts
+++ b/src/common/routes/callers.ts
@@ -58,11 +58,11 @@
  * Computes what shows another VM that the sender knows a key of the organisation that it names.
  *
  * @param requestId - the request that the statement is about
- * @param key - the digest of the key
+ * @param key - the digest of the key, in base64url
  * @returns HMAC-SHA256 of the request's id in lower-case hexadecimal
  */
 export const computeProof = (requestId: string, key: shared.KeyDigest): string =>
-    crypto.createHmac("sha256", Buffer.from(key, "hex")).update(requestId).digest("hex");
+    crypto.createHmac("sha256", Buffer.from(key, "base64url")).update(requestId).digest("hex");
 
 const isSameProof = (left: string, right: string): boolean =>
     left.length === right.length && crypto.timingSafeEqual(Buffer.from(left, "latin1"), Buffer.from(right, "latin1"));
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -86,10 +86,15 @@
      * Strips keys of callers from the headers of a request.
      *
      * @param headers - the headers
+     * @param keys - the digests that were read from them, so that no key is digested twice
      * @param isStripped - whether the key with a digest is stripped
      * @returns the other headers
      */
-    stripKeys(headers: RawHeaders, isStripped: (key: types.KeyDigest) => boolean): string[];
+    stripKeys(
+        headers: RawHeaders,
+        keys: readonly types.KeyDigest[],
+        isStripped: (key: types.KeyDigest) => boolean,
+    ): string[];
     /** Formats the headers of an attempt, without Content-Length and Host. */
     formatAttemptHeaders(headers: RawHeaders, attempt: AttemptHeaders): string[];
     /** Formats the headers of a request that is passed on to another VM, without Content-Length. */
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -20,7 +20,7 @@
 export type CrashEnd = "counted" | "alive" | "unconfirmed";
 
 /** What became of a request that was passed on to another VM; "not taken" if it has not run there. */
-export type RelayOutcome = "relayed" | "failed" | "abandoned" | "not taken";
+export type RelayOutcome = "relayed" | "refused" | "failed" | "abandoned" | "not taken";
 
 /** Values that are read on each scrape. */
 export interface MetricSources {
--- a/src/node/routes/peerRelay.ts
+++ b/src/node/routes/peerRelay.ts
@@ -26,7 +26,7 @@
 /** How a request has ended at another VM that has taken it. */
 export type RelayEnd =
     | { readonly kind: "relayed"; readonly response: targetConnection.TargetResponse }
-    | Extract<exchangeRequest.FinalResponse, { kind: "failed" | "abandoned" }>;
+    | Extract<exchangeRequest.FinalResponse, { kind: "refused" | "failed" | "abandoned" }>;
 
 export type RequestHistory = Omit<exchangeRequest.Unreached, "kind">;
 
@@ -56,10 +56,19 @@
 
 /** Status of a VM's own response to a request whose caller it does not know. */
 const unidentifiedStatus = 401;
+/** A VM gets the configuration of another one within about this time. */
+const unidentifiedRetryAfterMs = 500;
 
 /** Whether the other VM states that the request has not run, which it knows of its own attempts only. */
 const isOwnRefusal = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
-    !head.isSigned && (notRun.isNotRunStatus(statusCode) || statusCode === unidentifiedStatus);
+    !head.isSigned && notRun.isNotRunStatus(statusCode);
+
+/**
+ * Whether the other VM does not know the caller, who needs no key here or is identified. One of the two configurations is
+ * older, so that the client must come back to learn which, which it would not after 401.
+ */
+const isUnidentified = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
+    !head.isSigned && statusCode === unidentifiedStatus;
 
 /** Whether a target's status tells the client that its request has not run, which the target does not state. */
 const isUnfoundedRefusal = ({ statusCode, head }: targetConnection.TargetResponse): boolean =>
@@ -130,7 +139,11 @@
         }
         switch (result.kind) {
             case "response":
-                if (mayHaveRun && isOwnRefusal(result.response)) {
+                if (!mayHaveRun && isUnidentified(result.response)) {
+                    const retryAfterMs = unidentifiedRetryAfterMs;
+                    return { kind: "refused", reason: "caller not known to another VM", retryAfterMs };
+                }
+                if (mayHaveRun && (isOwnRefusal(result.response) || isUnidentified(result.response))) {
                     return { kind: "failed", reason: "refused after it may have run", statusCode: 502 };
                 }
                 if (!routeKind.isIdempotent(route.kind) && isUnfoundedRefusal(result.response)) {
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -208,7 +208,7 @@
         table: callers.CallerTable,
     ): types.RawHeaders => {
         const isStripped = (key: shared.KeyDigest): boolean => isIdentified || table.isHeld(key);
-        return keys.some(isStripped) ? dialect.stripKeys(headers, isStripped) : headers;
+        return keys.some(isStripped) ? dialect.stripKeys(headers, keys, isStripped) : headers;
     };
 
     /** Refuses a request whose caller is not known; it runs nowhere. */
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -179,7 +179,7 @@
         };
     },
     // The digest of a key is sent in place of the key.
-    stripKeys: (headers, isStripped) =>
+    stripKeys: (headers, _keys, isStripped) =>
         headers.filter(
             (_, index) =>
                 headers[index - (index % 2)] !== "x-key" ||
