Charge requests of organisations to their quotas

Cause: quotas were decoded but not enforced.

Change: a request of an organisation with a quota is charged before it is sent, and gets 429 with the time until there is room, or 503 if nobody in reach can charge it. The charge is taken back if the request has not run here. VMs report charges to the hub by quota.report and are answered by quota.acknowledge; a VM without a hub uses its own ledgers without messages. Without quotas nothing is sent and no timer runs.

--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -12,6 +12,7 @@
 import * as shared from "../../common/Types.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as quotaMessages from "./quotaMessages.js";
 
 const connectTimeoutMs = 250;
 /** A VM that has not sent its first heartbeat by then is skipped. */
@@ -43,14 +44,17 @@
     listPeers(): readonly routes.Peer[];
     /** VMs that hubs which were lost a short time ago were connected to. */
     listFormerPeers(): readonly routes.Peer[];
-    /** Number of VMs that have been reported to this VM and not reported as left since. */
-    countCandidates(): number;
+    /** VMs that have been reported to this VM and not reported as left since. */
+    listCandidates(): readonly shared.VmId[];
+    /** Whether a VM with this address has been reported at any time. */
+    hasReached(address: shared.Address): boolean;
     /** Adds a VM that may be a hub. */
     addCandidate(peer: routes.Peer): void;
     /** Reports to the hub a VM that may precede it in the order of peers. */
     sendPeerMet(peer: routes.Peer): void;
     sendHello(): void;
     sendTargetReports(reports: peerChannel.TargetReports): void;
+    sendQuotaReport(report: quotaMessages.ReportMessage): void;
 }
 
 export interface HubLinkOptions {
@@ -63,6 +67,8 @@
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
+    /** Called when this VM has lost its hub. */
+    handleLost(): void;
     /** Called regularly with whether this VM has to follow the store itself. */
     handleStoreNeed(needsStore: boolean): void;
 }
@@ -103,6 +109,7 @@
     const { scheduler, logger } = options;
     const retryAtMs = new Map<shared.Address, number>();
     const candidates = new Map<shared.VmId, routes.Peer>();
+    const reached = new Set<shared.Address>();
     const former = formerPeers.createFormerPeers(scheduler);
     let hub: HubConnection | undefined;
     let isDisposed = false;
@@ -165,6 +172,7 @@
         for (const peer of heartbeat.changed) {
             connection.peers.set(peer.vm, peer);
             candidates.set(peer.vm, peer);
+            reached.add(peer.peerAddress);
         }
         for (const vm of heartbeat.left) {
             connection.peers.delete(vm);
@@ -242,6 +250,7 @@
             setRetryDelay(dropped.address, lossRetryDelaysMs[reason]);
             keepFormerPeers(dropped, reason);
             dropped.channel.dispose();
+            options.handleLost();
             storeFallbackTimer?.dispose();
             storeFallbackTimer = scheduler.schedule(storeFallbackDelayMs, () => {
                 if (hub === undefined && !isDisposed) {
@@ -314,9 +323,11 @@
         hasFreshHub: () => hub?.isHub === true && isAlive(hub) && hasFreshView(hub),
         listPeers: () => [...(hub?.peers.values() ?? [])],
         listFormerPeers: former.list,
-        countCandidates: () => candidates.size,
+        listCandidates: () => [...candidates.keys()],
+        hasReached: address => reached.has(address),
         addCandidate: peer => {
             candidates.set(peer.vm, peer);
+            reached.add(peer.peerAddress);
             if (isPreferred(peer)) {
                 retryAtMs.delete(peer.peerAddress);
                 void findHub();
@@ -325,6 +336,7 @@
         sendPeerMet: peer => hub?.channel.send("peer.met", { peer }),
         sendHello: announceOwnPeer,
         sendTargetReports: reports => hub?.channel.send("target.reports", reports),
+        sendQuotaReport: report => hub?.channel.send("quota.report", report),
         dispose: () => {
             isDisposed = true;
             timers.forEach(timer => timer.dispose());
--- a/src/node/routes/identification.test.ts
+++ b/src/node/routes/identification.test.ts
@@ -54,6 +54,7 @@
                 return Promise.resolve({ kind: "failed", reason: "sent", statusCode: 502 });
             },
         },
+        quotas: { charge: () => Promise.resolve({ kind: "charged", charge: undefined }), takeBack: () => undefined },
         isCutOff: () => true,
         isInTouch: () => isInTouch,
         getTable: () => table,
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -14,6 +14,7 @@
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
 import * as storeFollower from "./storeFollower.js";
+import * as quotas from "./quotas.js";
 import * as types from "./Types.js";
 
 const storeTimeoutMs = 1_000;
@@ -39,6 +40,7 @@
     listPeers(): readonly routes.Peer[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
+    readonly quotas: quotas.Quotas;
     /** Sends this VM's changed readiness or connectivity to the hub at once. */
     sendHello(): void;
     /** Sends a changed limit of a target to all VMs, together with what else changes at about the same time. */
@@ -129,6 +131,8 @@
                   listSnapshots: () => state.listSnapshots(),
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
+                  handleQuotaReport: (id, report, send) => ownQuotas.ledgers.receiveReport(id, report, send),
+                  handleFollowerLeft: id => ownQuotas.ledgers.closeSession(id),
               });
 
     /** VMs of earlier versions know no eras and send plain numbers. */
@@ -157,15 +161,32 @@
                     : void state.applyChanges(toVersioned(update).changes),
             );
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
+            channel.on("quota.acknowledge", message => ownQuotas.receiveAcknowledgement(message));
         },
         isStoreFresh,
         handleConnected: () => {
             link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
+            ownQuotas.handleHubChange();
         },
+        handleLost: () => ownQuotas.handleHubChange(),
         handleStoreNeed: needsStore => (needsStore ? ownStoreFollower.start() : ownStoreFollower.stop()),
     });
 
+    const ownQuotas = quotas.createQuotas({
+        scheduler,
+        logger,
+        hasHub: link.isConnected,
+        sendReport: link.sendQuotaReport,
+        getShareView: () => ({
+            connected: listConnectedPeers().map(({ vm }) => vm),
+            reported: link.listCandidates(),
+            unreachedSeeds: settings.seeds.filter(seed => seed !== settings.peerAddress && !link.hasReached(seed))
+                .length,
+            isStoreFresh: isStoreFresh(),
+        }),
+    });
+
     const listConnectedPeers = (): readonly routes.Peer[] => {
         if (!link.isConnected()) {
             return hub?.listPeers() ?? [getOwnPeer()];
@@ -248,7 +269,8 @@
         isInTouch: () => link.hasFreshHub() || isStoreFresh(),
         computeStoreAgeMs,
         listPeers,
-        countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
+        countKnownPeers: () => Math.max(link.listCandidates().length, hub?.listPeers().length ?? 1),
+        quotas: ownQuotas,
         sendHello: link.sendHello,
         sendLimit: report => {
             pendingLimits.set(report.target, report);
@@ -265,6 +287,7 @@
         dispose: () => {
             timer?.dispose();
             reportTimer?.dispose();
+            ownQuotas.dispose();
             link.dispose();
             ownStoreFollower.dispose();
             hub?.dispose();
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -23,6 +23,7 @@
         countTargetConnectionsOpened: () => 9,
         countDroppedLogLines: () => 0,
         countIgnoredChanges: () => 5,
+        getQuotaCounts: () => ({ charged: 0, refused: 0, takenBack: 0 }),
         countMalformedRows: () => 6,
     });
 
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -6,6 +6,7 @@
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
+import * as quotas from "./quotas.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
 import * as unexpectedResponses from "./unexpectedResponses.js";
 
@@ -14,7 +15,8 @@
 const namePrefix = "tarragonpath_";
 
 /** How a request ended for the client. */
-export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route" | "unidentified";
+export type RequestEnd =
+    "served" | "relayed" | "refused" | "over-quota" | "failed" | "abandoned" | "no-route" | "unidentified";
 
 /** Whether a target that was lost under a request has ended; without a way to the targets this cannot be confirmed. */
 export type CrashEnd = "counted" | "alive" | "unconfirmed";
@@ -46,6 +48,7 @@
     countDroppedLogLines(): number;
     countIgnoredChanges(): number;
     countMalformedRows(): number;
+    getQuotaCounts(): quotas.QuotaCounts;
 }
 
 export interface RouteMetrics {
@@ -128,6 +131,22 @@
     });
 };
 
+const addQuotaCounter = (registry: promClient.Registry, getCounts: MetricSources["getQuotaCounts"]): void => {
+    new promClient.Counter({
+        name: `${namePrefix}quota_requests_total`,
+        help: "Requests of organisations with a quota: charged, refused because of the quota, and taken back as nothing ran.",
+        labelNames: ["end"],
+        registers: [registry],
+        collect() {
+            const { charged, refused, takenBack } = getCounts();
+            this.reset();
+            this.inc({ end: "charged" }, charged);
+            this.inc({ end: "refused" }, refused);
+            this.inc({ end: "taken back" }, takenBack);
+        },
+    });
+};
+
 /**
  * Creates the metrics.
  *
@@ -233,6 +252,7 @@
         registers,
     });
     addGauges(registry, sources);
+    addQuotaCounter(registry, sources.getQuotaCounts);
     addCounter(
         registry,
         "target_connections_opened_total",
--- a/src/node/routes/peerChannel.ts
+++ b/src/node/routes/peerChannel.ts
@@ -8,6 +8,7 @@
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as quotaMessages from "./quotaMessages.js";
 
 /** Limits the memory that a peer which does not read can take up; beyond this its connection is closed. */
 const maxSendBufferBytes = 4 * 1024 * 1024;
@@ -50,6 +51,9 @@
     readonly "state.update": routes.StateUpdate;
     /** What targets have said about themselves: changes, or all that is known to a VM that joins. */
     readonly "target.reports": TargetReports;
+    /** Charges of a follower; not sent without quotas. */
+    readonly "quota.report": quotaMessages.ReportMessage;
+    readonly "quota.acknowledge": quotaMessages.AcknowledgementMessage;
 }
 
 export type PeerMethod = keyof PeerMessages;
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -9,6 +9,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as peerChannel from "./peerChannel.js";
+import * as quotaMessages from "./quotaMessages.js";
 
 /** A VM that lost power is detected after `maxMissedHeartbeats` of these intervals. */
 export const heartbeatIntervalMs = 400;
@@ -41,6 +42,14 @@
     listTargetReports(): peerChannel.TargetReports;
     /** Applies reports of a follower; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
+    /** Handles the charges of a follower; `id` names its connection. */
+    handleQuotaReport(
+        id: string,
+        report: quotaMessages.ReportMessage,
+        send: (acknowledgement: quotaMessages.AcknowledgementMessage) => void,
+    ): void;
+    /** Called when the connection of a follower has closed. */
+    handleFollowerLeft(id: string): void;
 }
 
 /** Sent in place of infinity, which JSON cannot express. */
@@ -65,6 +74,7 @@
 export const createPeerHub = (options: PeerHubOptions): PeerHub => {
     const { scheduler, logger } = options;
     const followers = new Set<Follower>();
+    let connectionCount = 0;
     /** Peers at the last heartbeat. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
 
@@ -123,6 +133,8 @@
     };
 
     const handleConnection = (socket: net.Socket): void => {
+        connectionCount += 1;
+        const id = `follower ${String(connectionCount)}`;
         const follower: Follower = {
             channel: peerChannel.createPeerChannel({
                 socket,
@@ -130,6 +142,7 @@
                 logger,
                 onClose: () => {
                     followers.delete(follower);
+                    options.handleFollowerLeft(id);
                     if (follower.peer !== undefined) {
                         logger.info("peer: left", { vm: follower.peer.vm });
                     }
@@ -144,6 +157,11 @@
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // A heartbeat only shows that the VM is alive, which the channel has recorded.
         follower.channel.on("peer.beat", () => undefined);
+        follower.channel.on("quota.report", report =>
+            options.handleQuotaReport(id, report, acknowledgement =>
+                follower.channel.send("quota.acknowledge", acknowledgement),
+            ),
+        );
         follower.channel.on("target.reports", params => {
             const reports = options.handleTargetReports(params);
             if (!peerChannel.isEmpty(reports)) {
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -29,6 +29,7 @@
         // A request that is refused for its crashes uses nothing else.
         exchange: exchange as exchangeOptions.ExchangeOptions,
         relay: { run: () => Promise.resolve(undefined) },
+        quotas: { charge: () => Promise.resolve({ kind: "charged", charge: undefined }), takeBack: () => undefined },
         isCutOff: () => false,
         isInTouch: () => true,
         getTable: () => table,
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -13,6 +13,7 @@
 import * as metrics from "./metrics.js";
 import * as notRun from "./notRun.js";
 import * as peerRelay from "./peerRelay.js";
+import * as quotas from "./quotas.js";
 import * as types from "./Types.js";
 
 const retryAfterHeader = "Retry-After";
@@ -27,6 +28,7 @@
     isCutOff(): boolean;
     /** Whether this VM would know of a change of the configuration by now. */
     isInTouch(): boolean;
+    readonly quotas: Pick<quotas.Quotas, "charge" | "takeBack">;
     getTable(): routeTable.RouteTable | undefined;
     /** Called once for each request that was looked up in the routes, whether or not one matched. */
     recordRequest(end: metrics.RequestEnd, latencyMs: number): void;
@@ -59,6 +61,13 @@
 
 type RequestResult = exchangeRequest.FinalResponse | peerRelay.RelayEnd;
 
+/** Over the quota of the organisation; the request has not run. */
+interface OverQuota {
+    readonly kind: "over-quota";
+    readonly reason: string;
+    readonly retryAfterMs: number;
+}
+
 const splitUrl = (url: string): { readonly path: string; readonly query: string } => {
     const at = url.indexOf("?");
     return at < 0 ? { path: url, query: "" } : { path: url.slice(0, at), query: url.slice(at) };
@@ -95,7 +104,7 @@
 
     const formatFinalResponse = (
         requestId: string | undefined,
-        response: RequestResult,
+        response: RequestResult | OverQuota,
     ): frontendServer.ClientResponse | undefined => {
         switch (response.kind) {
             case "target":
@@ -108,6 +117,8 @@
             }
             case "refused":
                 return formatOwnResponse(requestId, 503, response.reason, response.retryAfterMs);
+            case "over-quota":
+                return formatOwnResponse(requestId, 429, response.reason, response.retryAfterMs);
             case "failed":
                 return formatOwnResponse(requestId, response.statusCode, response.reason);
             case "abandoned":
@@ -183,7 +194,30 @@
         return runOrRelay(exchanged, routed.relayedMaxTargets === undefined);
     };
 
-    const logEnd = (routed: RoutedRequest, response: RequestResult, latencyMs: number): void => {
+    /** Charges the request to its organisation, and takes the charge back if it has not run at a target of this VM. */
+    const runCharged = async (routed: RoutedRequest): Promise<RequestResult | OverQuota> => {
+        const { id, caller, request } = routed;
+        if (caller === undefined) {
+            return runRoute(routed);
+        }
+        const charged = await options.quotas.charge(caller.organisation.name, { id, signal: request.signal });
+        switch (charged.kind) {
+            case "exhausted":
+                return { kind: "over-quota", reason: "over the quota", retryAfterMs: charged.retryAfterMs };
+            case "unavailable":
+                return { kind: "refused", reason: "quota not available", retryAfterMs: charged.retryAfterMs };
+            case "charged": {
+                const response = await runRoute(routed);
+                const hasNotRun = response.kind === "refused" || response.kind === "relayed";
+                if (hasNotRun && charged.charge !== undefined) {
+                    options.quotas.takeBack(charged.charge);
+                }
+                return response;
+            }
+        }
+    };
+
+    const logEnd = (routed: RoutedRequest, response: RequestResult | OverQuota, latencyMs: number): void => {
         if (response.kind === "target" || response.kind === "relayed") {
             return;
         }
@@ -273,7 +307,7 @@
             service,
             configurationVersion: table.version,
         };
-        const response = await runRoute(routed);
+        const response = await runCharged(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
         logEnd(routed, response, latencyMs);
         options.recordRequest(response.kind === "target" ? "served" : response.kind, latencyMs);
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -201,6 +201,7 @@
         takeMaxLoopDelayMs: options.takeMaxLoopDelayMs,
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
+        getQuotaCounts: members.quotas.getCounts,
     });
     const recordError = unexpectedErrors.createErrorRecorder({ logger, countError: routeMetrics.recordError });
     const crashes = crashMonitor.createCrashMonitor({
@@ -236,6 +237,7 @@
         relay,
         isCutOff: reach.isCutOff,
         isInTouch: members.isInTouch,
+        quotas: members.quotas,
         getTable: () => table,
         recordRequest: (end, latencyMs) => {
             // The VM that a request is passed on to counts it.
@@ -266,6 +268,7 @@
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
+        members.quotas.setConfiguration(configuration.organisations ?? []);
     };
 
     const handleTargets = (): void => {
