Let quotas take effect at once after all VMs have started

Cause: after all VMs lost power, the share of a ledger took effect after 1.3 s, in which every request with a quota was refused. A VM that was lost for long came back into n by reports that do not end.

Change: where at least three VMs and most of those known have just started together, the share takes effect at once: buckets are empty, no credit is given, and the whole burst is unused. VMs that were forgotten are not counted again by reports. The view of the other VMs is cached for 50 ms.

--- a/src/common/routes/quotaShare.ts
+++ b/src/common/routes/quotaShare.ts
@@ -20,8 +20,36 @@
      * doesn't forget the VMs of the other side, however long it lasts.
      */
     readonly isStoreFresh: boolean;
+    /** Whether this VM and most VMs that may be alive have just started, so that no other ledger counts them. */
+    readonly isFirstStart: boolean;
 }
 
+/** Start of a VM, in Unix milliseconds of its own clock. */
+interface StartedVm {
+    readonly startedAtMs: number;
+}
+
+/** VMs that lost power together start within this time. */
+const maxStartDifferenceMs = 2_000;
+/** Longest time after the start in which a share takes effect at once. */
+const firstStartMs = 5_000;
+/** Fewer VMs can't be told from a part of them that has not found the others yet. */
+const minFirstStartVms = 3;
+
+/**
+ * Checks whether all VMs in touch have just started. Their ledgers have empty buckets and give no credit, so that VMs that
+ * count for two of them until all have found one hub exceed no quota: the whole burst is unused.
+ *
+ * @param own - this VM
+ * @param connected - VMs in touch with this VM's ledger, this VM included
+ * @param runsForMs - time since the start of this VM
+ * @returns true if a share may take effect at once
+ */
+export const isFirstStart = (own: StartedVm, connected: readonly StartedVm[], runsForMs: number): boolean =>
+    runsForMs < firstStartMs &&
+    connected.length >= minFirstStartVms &&
+    connected.every(vm => Math.abs(vm.startedAtMs - own.startedAtMs) <= maxStartDifferenceMs);
+
 export interface KnownVms {
     /** Records the view and computes k/n. */
     updateShare(view: ShareView): number;
@@ -35,14 +63,23 @@
  */
 export const createKnownVms = (clock: shared.Clock): KnownVms => {
     const seenAtMs = new Map<shared.VmId, number>();
+    /** VMs that may still be reported, though they were lost long ago. */
+    const forgotten = new Set<shared.VmId>();
     return {
         updateShare: ({ connected, reported, unreachedSeeds, isStoreFresh }) => {
             const nowMs = clock.now();
-            reported.filter(vm => !seenAtMs.has(vm)).forEach(vm => seenAtMs.set(vm, nowMs));
-            connected.forEach(vm => seenAtMs.set(vm, nowMs));
+            const isNew = (vm: shared.VmId): boolean => !seenAtMs.has(vm) && !forgotten.has(vm);
+            reported.filter(isNew).forEach(vm => seenAtMs.set(vm, nowMs));
+            for (const vm of connected) {
+                seenAtMs.set(vm, nowMs);
+                forgotten.delete(vm);
+            }
             if (isStoreFresh) {
                 const old = [...seenAtMs].filter(([, atMs]) => nowMs - atMs > forgetAfterMs);
-                old.forEach(([vm]) => seenAtMs.delete(vm));
+                for (const [vm] of old) {
+                    seenAtMs.delete(vm);
+                    forgotten.add(vm);
+                }
             }
             return connected.length / Math.max(1, seenAtMs.size + unreachedSeeds);
         },
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -5,6 +5,7 @@
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
+import * as quotaShare from "../../common/routes/quotaShare.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
@@ -75,6 +76,7 @@
 export const createMembership = (options: MembershipOptions): Membership => {
     const { settings, store, state, scheduler, logger } = options;
     const startedAtMs = Date.now();
+    const createdAtMs = scheduler.now();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
@@ -184,6 +186,7 @@
             unreachedSeeds: settings.seeds.filter(seed => seed !== settings.peerAddress && !link.hasReached(seed))
                 .length,
             isStoreFresh: isStoreFresh(),
+            isFirstStart: quotaShare.isFirstStart({ startedAtMs }, listConnectedPeers(), scheduler.now() - createdAtMs),
         }),
     });
 
--- a/src/node/routes/quotaLedgers.ts
+++ b/src/node/routes/quotaLedgers.ts
@@ -103,9 +103,11 @@
             beginAnew();
         }
         updatedAtMs = nowMs;
-        const raw = options.knownVms.updateShare(options.getShareView());
+        const view = options.getShareView();
+        const raw = options.knownVms.updateShare(view);
         history = quotaShare.addShare(history, raw, nowMs, settings.leaseMs + riseDelayMs);
-        const next = quotaShare.computeDelayedShare(history, riseDelayMs, nowMs);
+        const isAtOnce = view.isFirstStart && raw > 0.5;
+        const next = isAtOnce ? raw : quotaShare.computeDelayedShare(history, riseDelayMs, nowMs);
         if (next !== share) {
             refreshAll();
             logger.info("quota: share changed", { before: share, after: next });
--- a/src/node/routes/quotas.test.ts
+++ b/src/node/routes/quotas.test.ts
@@ -59,7 +59,14 @@
                 pending = undefined;
                 actions.forEach(action => action());
             },
-            view: { connected: [name], reported: [], unreachedSeeds: 0, isStoreFresh: true, ...view },
+            view: {
+                connected: [name],
+                reported: [],
+                unreachedSeeds: 0,
+                isStoreFresh: true,
+                isFirstStart: false,
+                ...view,
+            },
             own: quotas.createQuotas({
                 scheduler: ownScheduler,
                 logger: silentLogger.createSilentLogger(),
@@ -196,6 +203,32 @@
     t.true(countMostInWindow() <= largeBound, String(countMostInWindow()));
 });
 
+// Guards against seconds without service after all VMs have lost power, although nothing was charged before.
+test("after all VMs have started, requests are charged from the first second on", async t => {
+    const { scheduler, createVm, follow, sendRequests, countMostInWindow } = createCluster();
+    const [hub, ...followers] = ["hub", "first", "second"].map(name => createVm(name));
+    t.truthy(hub);
+    if (hub !== undefined) {
+        followers.forEach(vm => follow(vm, hub));
+        hub.view = { ...hub.view, isFirstStart: true };
+        await scheduler.advance(300);
+        t.true((await sendRequests(followers, large, 40, 1_000)) >= 38);
+        await sendRequests([hub, ...followers], large, 400, 6_000);
+        t.true(countMostInWindow() <= largeBound, String(countMostInWindow()));
+    }
+});
+
+// Guards against a follower that counts for two ledgers at once.
+test("a hub that has restarted alone has a share only after its followers may have left every other hub", async t => {
+    const { scheduler, createVm, follow } = createCluster();
+    const [hub, follower] = [createVm("hub"), createVm("follower")];
+    follow(follower, hub);
+    await scheduler.advance(1_200);
+    t.is(hub.own.ledgers.getShare(), 0);
+    await scheduler.advance(300);
+    t.is(hub.own.ledgers.getShare(), 1);
+});
+
 test("charges that are taken back leave room for others", async t => {
     const { scheduler, createVm } = createCluster();
     const vm = createVm("alone");
--- a/src/node/routes/quotas.ts
+++ b/src/node/routes/quotas.ts
@@ -18,6 +18,8 @@
 const maxWaitMs = 150;
 /** Without a ledger in reach a VM finds its next hub within about this time. */
 const unavailableRetryAfterMs = 500;
+/** How long the view of the other VMs is cached; it is used for each report and each refusal. */
+const viewCacheMs = 50;
 
 /** A request that was charged, or that needs no charge. */
 export interface Charge {
@@ -88,7 +90,16 @@
     const entries = new Map<shared.OrganisationName, AccountEntry>();
     const changed = new Set<shared.OrganisationName>();
     const knownVms = quotaShare.createKnownVms(scheduler);
-    const ledgers = quotaLedgers.createQuotaLedgers({ ...options, settings, knownVms });
+    let view: quotaShare.ShareView | undefined;
+    let viewAtMs = -Infinity;
+    const getShareView = (): quotaShare.ShareView => {
+        if (view === undefined || scheduler.now() - viewAtMs >= viewCacheMs) {
+            view = options.getShareView();
+            viewAtMs = scheduler.now();
+        }
+        return view;
+    };
+    const ledgers = quotaLedgers.createQuotaLedgers({ scheduler, logger, settings, knownVms, getShareView });
     const refusals = quotaRefusals.createQuotaRefusals({ scheduler, logger });
     let quotas: quotaLedgers.Quotas = new Map();
     let session = 0;
@@ -174,7 +185,7 @@
     ): ChargeResult => {
         counts = { ...counts, refused: counts.refused + 1 };
         const { account } = findEntry(organisation);
-        const { connected, reported, unreachedSeeds } = options.getShareView();
+        const { connected, reported, unreachedSeeds } = getShareView();
         refusals.record({
             organisation,
             request: id,
@@ -308,6 +319,7 @@
         },
         handleHubChange: () => {
             session += 1;
+            view = undefined;
             if (options.hasHub()) {
                 ledgers.stop();
             } else {
