--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -7,14 +7,15 @@
 import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
 import * as clientZones from "../../common/routes/clientZones.js";
-import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import type * as byteMeter from "./byteMeter.js";
+import * as hubCandidates from "./hubCandidates.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
 import * as peerMessages from "./peerMessages.js";
 import * as peerSocket from "./peerSocket.js";
+import * as quotaMessages from "./quotaMessages.js";
 
 /** A VM that has not sent its first heartbeat by then is skipped. */
 const firstHeartbeatTimeoutMs = 300;
@@ -47,14 +48,17 @@
     getPlan(): readonly shared.VmId[] | undefined;
     /** VMs that hubs which were lost a short time ago were connected to. */
     listFormerPeers(): readonly routes.Peer[];
-    /** Number of VMs that have been reported to this VM and not reported as left since. */
-    countCandidates(): number;
+    /** VMs that have been reported to this VM and not reported as left since. */
+    listCandidates(): readonly shared.VmId[];
+    /** Whether a VM with this address has been reported at any time. */
+    hasReached(address: shared.Address): boolean;
     /** Adds a VM that may be a hub. */
     addCandidate(peer: routes.Peer): void;
     /** Reports to the hub a VM that may precede it in the order of peers. */
     sendPeerMet(peer: routes.Peer): void;
     sendHello(): void;
     sendTargetReports(reports: peerChannel.TargetReports): void;
+    sendQuotaReport(report: quotaMessages.ReportMessage): void;
 }
 
 export interface HubLinkOptions {
@@ -72,6 +76,8 @@
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
+    /** Called when this VM has lost its hub. */
+    handleLost(): void;
     /** Called regularly with whether this VM has to follow the store itself. */
     handleStoreNeed(needsStore: boolean): void;
 }
@@ -106,8 +112,7 @@
  */
 export const createHubLink = (options: HubLinkOptions): HubLink => {
     const { scheduler, logger } = options;
-    const retryAtMs = new Map<shared.Address, number>();
-    const candidates = new Map<shared.VmId, routes.Peer>();
+    const candidates = hubCandidates.createHubCandidates({ ...options, clock: scheduler });
     const former = formerPeers.createFormerPeers(scheduler);
     let hub: HubConnection | undefined;
     let isDisposed = false;
@@ -123,27 +128,6 @@
     const isUseful = (connection: HubConnection): boolean =>
         connection.isHub && isAlive(connection) && (hasFreshView(connection) || !options.isStoreFresh());
 
-    const isPreferred = (peer: routes.Peer): boolean => peerOrder.comparePeers(peer, options.getOwnPeer()) < 0;
-
-    /** Finds the VM at an address; undefined for a seed of which only the address is known so far. */
-    const findPeer = (address: shared.Address): routes.Peer | undefined =>
-        [...candidates.values()].find(peer => peer.peerAddress === address);
-
-    /** Finds the next address to try: VMs in the order of peers, then seeds of which only the address is known. */
-    const findNextAddress = (tried: ReadonlySet<shared.Address>): shared.Address | undefined => {
-        const own = options.getOwnPeer();
-        const nowMs = scheduler.now();
-        const preferred = [...candidates.values()]
-            .filter(peer => peer.vm !== own.vm && isPreferred(peer))
-            .sort(peerOrder.comparePeers)
-            .map(peer => peer.peerAddress);
-        const seeds = options.seeds.filter(seed => seed !== own.peerAddress && findPeer(seed) === undefined);
-        return [...preferred, ...seeds].find(address => !tried.has(address) && (retryAtMs.get(address) ?? 0) <= nowMs);
-    };
-
-    const setRetryDelay = (address: shared.Address, delayMs: number): void =>
-        void retryAtMs.set(address, scheduler.now() + delayMs);
-
     const handleHeartbeat = (connection: HubConnection, heartbeat: peerChannel.HubHeartbeat): void => {
         connection.isHub = heartbeat.isHub;
         connection.overdueMs = heartbeat.overdueMs;
@@ -151,11 +135,11 @@
         connection.plan = heartbeat.plan ?? connection.plan;
         for (const peer of heartbeat.changed ?? []) {
             connection.peers.set(peer.vm, peer);
-            candidates.set(peer.vm, peer);
+            candidates.add(peer);
         }
         for (const vm of heartbeat.left ?? []) {
             connection.peers.delete(vm);
-            candidates.delete(vm);
+            candidates.remove(vm);
             former.remove(vm);
         }
     };
@@ -205,7 +189,7 @@
 
     /** A machine is silent, and a search may meet more of them: a VM without a configuration does not wait for its end. */
     const handleSilence = (address: shared.Address): void => {
-        setRetryDelay(address, retryDelayMs);
+        candidates.setRetryDelay(address, retryDelayMs);
         if (!options.hasConfiguration() && !isDisposed) {
             options.handleStoreNeed(true);
         }
@@ -218,13 +202,14 @@
             return false;
         }
         if (result.kind === "refused") {
-            setRetryDelay(address, refusedRetryDelayMs);
+            candidates.setRetryDelay(address, refusedRetryDelayMs);
             return false;
         }
-        options.traffic?.watch(result.socket, "vm", () => findPeer(address)?.zone);
+        options.traffic?.watch(result.socket, "vm", () => candidates.findPeer(address)?.zone);
         const connection = await waitForHeartbeat(result.socket, address);
-        const peer = findPeer(address);
-        const isHub = connection !== undefined && peer !== undefined && isPreferred(peer) && isUseful(connection);
+        const peer = candidates.findPeer(address);
+        const isHub =
+            connection !== undefined && peer !== undefined && candidates.isPreferred(peer) && isUseful(connection);
         if (!isHub || isDisposed) {
             result.socket.destroy();
             if (connection === undefined) {
@@ -250,9 +235,10 @@
         hub = undefined;
         if (dropped !== undefined) {
             logger.warn("peer: hub lost", { address: dropped.address, reason });
-            setRetryDelay(dropped.address, lossRetryDelaysMs[reason]);
+            candidates.setRetryDelay(dropped.address, lossRetryDelaysMs[reason]);
             keepFormerPeers(dropped, reason);
             dropped.channel.dispose();
+            options.handleLost();
             storeFallbackTimer?.dispose();
             storeFallbackTimer = scheduler.schedule(computeStoreFallbackDelayMs(), () => {
                 if (hub === undefined && !isDisposed) {
@@ -271,9 +257,9 @@
         const tried = new Set<shared.Address>();
         let isFound = false;
         for (
-            let address = findNextAddress(tried);
+            let address = candidates.findNextAddress(tried);
             address !== undefined && !isFound;
-            address = findNextAddress(tried)
+            address = candidates.findNextAddress(tried)
         ) {
             tried.add(address);
             isFound = await joinAddress(address);
@@ -327,17 +313,19 @@
         listPeers: () => [...(hub?.peers.values() ?? [])],
         getPlan: () => hub?.plan,
         listFormerPeers: former.list,
-        countCandidates: () => candidates.size,
+        listCandidates: candidates.listVms,
+        hasReached: candidates.hasReached,
         addCandidate: peer => {
-            candidates.set(peer.vm, peer);
-            if (isPreferred(peer)) {
-                retryAtMs.delete(peer.peerAddress);
+            candidates.add(peer);
+            if (candidates.isPreferred(peer)) {
+                candidates.resetRetryDelay(peer.peerAddress);
                 void findHub();
             }
         },
         sendPeerMet: peer => hub?.channel.send("peer.met", { peer }),
         sendHello: announceOwnPeer,
         sendTargetReports: reports => hub?.channel.send("target.reports", reports),
+        sendQuotaReport: report => hub?.channel.send("quota.report", report),
         dispose: () => {
             isDisposed = true;
             timers.forEach(timer => timer.dispose());
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -7,6 +7,7 @@
 import * as errorText from "../../common/errors/errorText.js";
 import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
+import * as quotaShare from "../../common/routes/quotaShare.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
@@ -19,6 +20,7 @@
 import * as peerHub from "./peerHub.js";
 import * as planning from "./planning.js";
 import * as storeFollower from "./storeFollower.js";
+import * as quotas from "./quotas.js";
 import * as types from "./Types.js";
 
 const storeTimeoutMs = 1_000;
@@ -46,6 +48,7 @@
     getPlan(): readonly shared.VmId[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
+    readonly quotas: quotas.Quotas;
     /** Sends this VM's changed readiness or connectivity to the hub at once. */
     sendHello(): void;
     /** Sends a changed limit of a target to all VMs, together with what else changes at about the same time. */
@@ -86,6 +89,7 @@
     const { settings, store, state, scheduler, logger, traffic } = options;
     const startedAtMs = Date.now();
     const roundRate = rate.createSteadyRounding();
+    const createdAtMs = scheduler.now();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
@@ -154,6 +158,8 @@
                   toDifference: configurationPush.createConfigurationPush(state).toDifference,
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
+                  handleQuotaReport: (id, report, send) => ownQuotas.ledgers.receiveReport(id, report, send),
+                  handleFollowerLeft: id => ownQuotas.ledgers.closeSession(id),
               });
 
     /** VMs of earlier versions know no eras and send plain numbers. */
@@ -196,16 +202,34 @@
                 }
             });
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
+            channel.on("quota.acknowledge", message => ownQuotas.receiveAcknowledgement(message));
         },
         isStoreFresh,
         hasConfiguration: () => state.getConfiguration() !== undefined,
         handleConnected: () => {
             link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
+            ownQuotas.handleHubChange();
         },
+        handleLost: () => ownQuotas.handleHubChange(),
         handleStoreNeed: needsStore => (needsStore ? ownStoreFollower.start() : ownStoreFollower.stop()),
     });
 
+    const ownQuotas = quotas.createQuotas({
+        scheduler,
+        logger,
+        hasHub: link.isConnected,
+        sendReport: link.sendQuotaReport,
+        getShareView: () => ({
+            connected: listConnectedPeers().map(({ vm }) => vm),
+            reported: link.listCandidates(),
+            unreachedSeeds: settings.seeds.filter(seed => seed !== settings.peerAddress && !link.hasReached(seed))
+                .length,
+            isStoreFresh: isStoreFresh(),
+            isFirstStart: quotaShare.isFirstStart({ startedAtMs }, listConnectedPeers(), scheduler.now() - createdAtMs),
+        }),
+    });
+
     const listConnectedPeers = (): readonly routes.Peer[] => {
         if (!link.isConnected()) {
             return hub?.listPeers() ?? [getOwnPeer()];
@@ -289,7 +313,8 @@
         computeStoreAgeMs,
         listPeers,
         getPlan: plans.getPlan,
-        countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
+        countKnownPeers: () => Math.max(link.listCandidates().length, hub?.listPeers().length ?? 1),
+        quotas: ownQuotas,
         sendHello: link.sendHello,
         sendLimit: report => {
             pendingLimits.set(report.target, report);
@@ -306,6 +331,7 @@
         dispose: () => {
             timer?.dispose();
             reportTimer?.dispose();
+            ownQuotas.dispose();
             link.dispose();
             ownStoreFollower.dispose();
             hub?.dispose();
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -7,6 +7,7 @@
 import * as byteMeter from "./byteMeter.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
+import * as quotas from "./quotas.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
 import * as unexpectedResponses from "./unexpectedResponses.js";
 
@@ -19,7 +20,8 @@
 const labelledPriorities = 4;
 
 /** How a request ended for the client. */
-export type RequestEnd = "served" | "relayed" | "refused" | "failed" | "abandoned" | "no-route" | "unidentified";
+export type RequestEnd =
+    "served" | "relayed" | "refused" | "over-quota" | "failed" | "abandoned" | "no-route" | "unidentified";
 
 /** Whether a target that was lost under a request has ended; without a way to the targets this cannot be confirmed. */
 export type CrashEnd = "counted" | "alive" | "unconfirmed";
@@ -53,6 +55,7 @@
     countMalformedRows(): number;
     /** Bytes since the start, by kind, direction and zones. */
     listTraffic(): readonly byteMeter.TrafficCount[];
+    getQuotaCounts(): quotas.QuotaCounts;
 }
 
 export interface RouteMetrics {
@@ -149,6 +152,22 @@
     });
 };
 
+const addQuotaCounter = (registry: promClient.Registry, getCounts: MetricSources["getQuotaCounts"]): void => {
+    new promClient.Counter({
+        name: `${namePrefix}quota_requests_total`,
+        help: "Requests of organisations with a quota: charged, refused because of the quota, and taken back as nothing ran.",
+        labelNames: ["end"],
+        registers: [registry],
+        collect() {
+            const { charged, refused, takenBack } = getCounts();
+            this.reset();
+            this.inc({ end: "charged" }, charged);
+            this.inc({ end: "refused" }, refused);
+            this.inc({ end: "taken back" }, takenBack);
+        },
+    });
+};
+
 /**
  * Creates the metrics.
  *
@@ -262,6 +281,7 @@
     });
     addGauges(registry, sources);
     addTraffic(registry, sources.listTraffic);
+    addQuotaCounter(registry, sources.getQuotaCounts);
     addCounter(
         registry,
         "target_connections_opened_total",
--- a/src/node/routes/peerHub.ts
+++ b/src/node/routes/peerHub.ts
@@ -13,6 +13,7 @@
 import * as configurationPush from "./configurationPush.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerMessages from "./peerMessages.js";
+import * as quotaMessages from "./quotaMessages.js";
 
 /** A VM that lost power is detected after `maxMissedHeartbeats` of these intervals. */
 export const heartbeatIntervalMs = 400;
@@ -55,6 +56,14 @@
     listTargetReports(): peerChannel.TargetReports;
     /** Applies reports of a follower; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
+    /** Handles the charges of a follower; `id` names its connection. */
+    handleQuotaReport(
+        id: string,
+        report: quotaMessages.ReportMessage,
+        send: (acknowledgement: quotaMessages.AcknowledgementMessage) => void,
+    ): void;
+    /** Called when the connection of a follower has closed. */
+    handleFollowerLeft(id: string): void;
 }
 
 /** Sent in place of infinity, which JSON cannot express. */
@@ -80,6 +89,7 @@
 export const createPeerHub = (options: PeerHubOptions): PeerHub => {
     const { scheduler, logger } = options;
     const followers = new Set<Follower>();
+    let connectionCount = 0;
     /** Peers at the last heartbeat, which is what followers know. */
     let lastPeers: ReadonlyMap<shared.VmId, routes.Peer> = new Map();
     let lastPlan: readonly shared.VmId[] = [];
@@ -231,6 +241,8 @@
     };
 
     const handleConnection = (socket: net.Socket): void => {
+        connectionCount += 1;
+        const id = `follower ${String(connectionCount)}`;
         const follower: Follower = {
             channel: peerChannel.createPeerChannel({
                 socket,
@@ -238,6 +250,7 @@
                 logger,
                 onClose: () => {
                     followers.delete(follower);
+                    options.handleFollowerLeft(id);
                     if (follower.peer !== undefined) {
                         logger.info("peer: left", { vm: follower.peer.vm });
                     }
@@ -257,6 +270,11 @@
         follower.channel.on("peer.met", ({ peer }) => options.handlePeer(peer));
         // That the VM is alive has been recorded by the channel.
         follower.channel.on("peer.beat", ({ lookups }) => options.recordLookups(lookups));
+        follower.channel.on("quota.report", report =>
+            options.handleQuotaReport(id, report, acknowledgement =>
+                follower.channel.send("quota.acknowledge", acknowledgement),
+            ),
+        );
         follower.channel.on("target.reports", params => {
             const reports = options.handleTargetReports(params);
             if (!peerChannel.isEmpty(reports)) {
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -31,6 +31,7 @@
         // A request that is refused for its crashes uses nothing else.
         exchange: exchange as exchangeOptions.ExchangeOptions,
         relay: { run: () => Promise.resolve(undefined) },
+        quotas: { charge: () => Promise.resolve({ kind: "charged", charge: undefined }), takeBack: () => undefined },
         isCutOff: () => false,
         isInTouch: () => true,
         getTable: () => table,
@@ -70,6 +71,7 @@
         relay: { run: () => Promise.resolve(undefined) },
         isCutOff: () => false,
         isInTouch: () => true,
+        quotas: { charge: () => Promise.resolve({ kind: "charged", charge: undefined }), takeBack: () => undefined },
         getTable: () =>
             wait.end === "started" ? routeTable.createRouteTable(fixture.createConfiguration(1)) : undefined,
         waitForStart: async () => {
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -213,6 +213,7 @@
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
         listTraffic: traffic.list,
+        getQuotaCounts: members.quotas.getCounts,
     });
     const recordError = unexpectedErrors.createErrorRecorder({ logger, countError: routeMetrics.recordError });
     const crashes = crashMonitor.createCrashMonitor({
@@ -249,6 +250,7 @@
         relay,
         isCutOff: reach.isCutOff,
         isInTouch: members.isInTouch,
+        quotas: members.quotas,
         getTable: () => table,
         waitForStart: startup.wait,
         recordRequest: (end, latencyMs) => {
@@ -283,6 +285,7 @@
         configuration.services.forEach(service => services.set(service.name, service));
         queue.setOrganisations(configuration.organisations ?? []);
         startup.recordConfiguration();
+        members.quotas.setConfiguration(configuration.organisations ?? []);
     };
 
     const handleTargets = (): void => {
