--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -32,10 +32,12 @@
         exchange: exchange as exchangeOptions.ExchangeOptions,
         relay: { run: () => Promise.resolve(undefined) },
         isCutOff: () => false,
+        isInTouch: () => true,
         getTable: () => table,
         waitForStart: () => Promise.resolve("started"),
         recordRequest: () => undefined,
         recordNotRun: () => undefined,
+        recordKeyFault: () => undefined,
     });
     const table = routeTable.createRouteTable(configuration);
     for (let count = 0; count < 30; count++) {
@@ -67,6 +69,7 @@
         exchange: exchange as exchangeOptions.ExchangeOptions,
         relay: { run: () => Promise.resolve(undefined) },
         isCutOff: () => false,
+        isInTouch: () => true,
         getTable: () =>
             wait.end === "started" ? routeTable.createRouteTable(fixture.createConfiguration(1)) : undefined,
         waitForStart: async () => {
@@ -75,6 +78,7 @@
         },
         recordRequest: () => undefined,
         recordNotRun: source => notRunSources.push(source),
+        recordKeyFault: () => undefined,
     });
     const response = await handler.handle({
         method: "GET",
