Let executables add commands to the command line

The command line is built inside runCommandLine, so that a program outside src could not add a command to it.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -79,7 +79,9 @@
 };
 
 /** Runs a command and records its exit code. */
-type RunCommand = (action: () => Promise<number>) => Promise<void>;
+export type RunCommand = (action: () => Promise<number>) => Promise<void>;
+/** Adds commands that are not part of every executable. */
+export type AddCommands = (program: commander.Command, context: cli.CliContext, run: RunCommand) => void;
 type ConnectedAction = (connections: cli.Connections) => Promise<number>;
 
 const runConnected = async (
@@ -195,7 +197,7 @@
         );
 };
 
-const createProgram = (context: cli.CliContext, run: RunCommand): commander.Command => {
+const createProgram = (context: cli.CliContext, run: RunCommand, addCommands: AddCommands): commander.Command => {
     const program = new commander.Command("tarragonpath")
         .description("load balancer for servers whose load changes within milliseconds")
         .version(context.version)
@@ -208,6 +210,7 @@
     addFileCommands(program, context, run);
     addInOutCommands(program, context, run);
     addReadCommands(program, context, run);
+    addCommands(program, context, run);
     return program;
 };
 
@@ -216,15 +219,20 @@
  *
  * @param args - command-line arguments, without the program name
  * @param context - environment of the command
+ * @param addCommands - adds further commands
  * @returns the exit code, as documented in `docs/operators.md`
  */
-export const runCommandLine = async (args: readonly string[], context: cli.CliContext): Promise<number> => {
+export const runCommandLine = async (
+    args: readonly string[],
+    context: cli.CliContext,
+    addCommands: AddCommands = () => undefined,
+): Promise<number> => {
     let exitCode = exitCodes.exitSuccess;
     const run: RunCommand = async action => {
         exitCode = await action();
     };
     try {
-        await createProgram(context, run).parseAsync(args, { from: "user" });
+        await createProgram(context, run, addCommands).parseAsync(args, { from: "user" });
         return exitCode;
     } catch (error) {
         if (error instanceof commander.CommanderError) {
