--- a/src/node/routes/quotas.test.ts
+++ b/src/node/routes/quotas.test.ts
@@ -229,6 +229,23 @@
     t.is(hub.own.ledgers.getShare(), 1);
 });
 
+// Guards against a VM whose part of the quota counts at two hubs.
+test("a VM that joins a second hub while the first one lives leaves the quota whole", async t => {
+    const { scheduler, createVm, follow, sendRequests, countMostInWindow } = createCluster();
+    const [former, next, follower] = [createVm("former"), createVm("next"), createVm("follower")];
+    follow(follower, former);
+    former.view = { ...former.view, reported: [next.name] };
+    next.view = { ...next.view, reported: [former.name, follower.name] };
+    await scheduler.advance(12_000);
+    await sendRequests([former, next, follower], large, 400, 3_000);
+    follow(follower, next);
+    await sendRequests([former, next, follower], large, 400, 1_200);
+    former.view = { ...former.view, connected: [former.name] };
+    former.own.ledgers.closeSession(follower.name);
+    await sendRequests([former, next, follower], large, 400, 12_000);
+    t.true(countMostInWindow() <= largeBound, String(countMostInWindow()));
+});
+
 test("charges that are taken back leave room for others", async t => {
     const { scheduler, createVm } = createCluster();
     const vm = createVm("alone");
