--- a/src/node/routes/quotaRequests.test.ts
+++ b/src/node/routes/quotaRequests.test.ts
@@ -85,7 +85,7 @@
     const mayHaveRun = await handleRequest({ kind: "charged", charge }, failed);
     t.deepEqual([mayHaveRun.requested, mayHaveRun.takenBack], [[organisation.name], []]);
     const refused = { kind: "refused", reason: "no free slot", retryAfterMs: 500 } as const;
-    const notRun = await handleRequest({ kind: "charged", charge }, refused as unknown as peerRelay.RelayEnd);
+    const notRun = await handleRequest({ kind: "charged", charge }, refused);
     t.deepEqual(notRun.takenBack, [charge]);
 });
 
