--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -46,12 +46,14 @@
     routeMetrics.recordRelay("not taken");
     routeMetrics.recordError("exchange");
     routeMetrics.recordNotRun("target");
+    routeMetrics.recordKeyFault("ambiguous");
     routeMetrics.recordUnreadable(true);
     routeMetrics.recordUnexpectedResponse("other-request");
     const text = await routeMetrics.format();
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.1",end="served"\} 0/);
     t.regex(text, /tarragonpath_request_duration_seconds_bucket\{le="0.15",end="served"\} 1/);
     t.regex(text, /tarragonpath_not_run_responses_total\{source="target"\} 1/);
+    t.regex(text, /tarragonpath_key_refusals_total\{reason="ambiguous"\} 1/);
     t.regex(text, /tarragonpath_unreadable_requests_total\{behind_request="true"\} 1/);
     t.regex(text, /tarragonpath_unexpected_responses_total\{kind="other-request"\} 1/);
     t.regex(text, /tarragonpath_request_duration_seconds_count\{end="refused"\} 1/);
