--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -6,11 +6,14 @@
 import * as net from "node:net";
 import * as repeat from "../../common/repeat.js";
 import * as formerPeers from "../../common/routes/formerPeers.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as peerMessages from "./peerMessages.js";
 import * as peerSocket from "./peerSocket.js";
 
 /** A VM that has not sent its first heartbeat by then is skipped. */
@@ -40,6 +43,8 @@
     hasFreshHub(): boolean;
     /** VMs that the hub is connected to; empty without a hub. */
     listPeers(): readonly routes.Peer[];
+    /** The hub's plan of active VMs; undefined without a hub. */
+    getPlan(): readonly shared.VmId[] | undefined;
     /** VMs that hubs which were lost a short time ago were connected to. */
     listFormerPeers(): readonly routes.Peer[];
     /** Number of VMs that have been reported to this VM and not reported as left since. */
@@ -55,12 +60,15 @@
 export interface HubLinkOptions {
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter | undefined;
     readonly seeds: readonly shared.Address[];
     getOwnPeer(): routes.Peer;
     /** Whether this VM follows the store itself and has an up-to-date view of it. */
     isStoreFresh(): boolean;
     /** Whether this VM has a configuration, so that it can serve while it looks for a hub. */
     hasConfiguration(): boolean;
+    /** Returns the lookups that this VM has answered since the last call. */
+    takeLookups(): clientZones.LookupCounts;
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
     /** Called when this VM has joined a hub. */
     handleConnected(): void;
@@ -85,6 +93,9 @@
     isHub: boolean;
     overdueMs: number;
     heartbeatAtMs: number;
+    plan: readonly shared.VmId[];
+    /** The own record that was sent last. */
+    helloText: string;
 }
 
 /**
@@ -101,7 +112,6 @@
     let hub: HubConnection | undefined;
     let isDisposed = false;
     let isSearching = false;
-    let lastHelloText = "";
     let storeFallbackTimer: shared.Disposable | undefined;
     let timers: shared.Disposable[] = [];
 
@@ -138,11 +148,12 @@
         connection.isHub = heartbeat.isHub;
         connection.overdueMs = heartbeat.overdueMs;
         connection.heartbeatAtMs = scheduler.now();
-        for (const peer of heartbeat.changed) {
+        connection.plan = heartbeat.plan ?? connection.plan;
+        for (const peer of heartbeat.changed ?? []) {
             connection.peers.set(peer.vm, peer);
             candidates.set(peer.vm, peer);
         }
-        for (const vm of heartbeat.left) {
+        for (const vm of heartbeat.left ?? []) {
             connection.peers.delete(vm);
             candidates.delete(vm);
             former.remove(vm);
@@ -176,15 +187,20 @@
                 isHub: false,
                 overdueMs: Infinity,
                 heartbeatAtMs: scheduler.now(),
+                plan: [],
+                helloText: "",
             };
             const timeout = scheduler.schedule(firstHeartbeatTimeoutMs, () => resolve(undefined));
             channel.on("hub.beat", heartbeat => {
+                channel.setFeatures(heartbeat.accepts);
                 handleHeartbeat(connection, heartbeat);
                 timeout.dispose();
                 resolve(connection);
             });
             options.addMessageHandlers(channel);
-            channel.send("peer.hello", { peer: options.getOwnPeer() });
+            const own = options.getOwnPeer();
+            connection.helloText = JSON.stringify(own);
+            channel.send("peer.hello", { peer: own, accepts: peerMessages.ownFeatures });
         });
 
     /** A machine is silent, and a search may meet more of them: a VM without a configuration does not wait for its end. */
@@ -205,6 +221,7 @@
             setRetryDelay(address, refusedRetryDelayMs);
             return false;
         }
+        options.traffic?.watch(result.socket, "vm", () => findPeer(address)?.zone);
         const connection = await waitForHeartbeat(result.socket, address);
         const peer = findPeer(address);
         const isHub = connection !== undefined && peer !== undefined && isPreferred(peer) && isUseful(connection);
@@ -216,7 +233,6 @@
             return false;
         }
         hub = connection;
-        lastHelloText = "";
         logger.info("peer: follows hub", { vm: peer.vm, address, overdueMs: Math.round(connection.overdueMs) });
         options.handleConnected();
         if (!options.hasConfiguration()) {
@@ -272,11 +288,12 @@
     const sendHelloOrHeartbeat = (connection: HubConnection): void => {
         const own = options.getOwnPeer();
         const text = JSON.stringify(own);
-        if (text === lastHelloText) {
-            connection.channel.send("peer.beat", {});
+        if (text === connection.helloText) {
+            const lookups = options.takeLookups();
+            connection.channel.send("peer.beat", lookups.length > 0 ? { lookups } : {});
             return;
         }
-        lastHelloText = text;
+        connection.helloText = text;
         connection.channel.send("peer.hello", { peer: own });
     };
 
@@ -308,6 +325,7 @@
         isConnected: () => hub !== undefined,
         hasFreshHub: () => hub?.isHub === true && isAlive(hub) && hasFreshView(hub),
         listPeers: () => [...(hub?.peers.values() ?? [])],
+        getPlan: () => hub?.plan,
         listFormerPeers: former.list,
         countCandidates: () => candidates.size,
         addCandidate: peer => {
--- a/src/node/routes/lookupServer.ts
+++ b/src/node/routes/lookupServer.ts
@@ -2,6 +2,7 @@
  * Serves the platform's readiness checks and the clients' lookups of active VMs.
  */
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as ids from "../../common/ids.js";
 import * as shared from "../../common/Types.js";
 import * as types from "./Types.js";
@@ -22,6 +23,7 @@
     pickActiveAddresses(lookup: types.LookupRequest): readonly shared.Address[];
     /** Called with an error that no other handler expects; it ends the request. */
     recordError(error: unknown): void;
+    watchSocket?(socket: net.Socket): void;
 }
 
 /**
@@ -78,6 +80,7 @@
             response.end();
         }
     });
+    server.on("connection", socket => options.watchSocket?.(socket));
     const { host, port } = ids.splitAddress(options.address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
@@ -91,3 +94,20 @@
         );
     });
 };
+
+/**
+ * Listens on several addresses.
+ *
+ * @param addresses - the addresses, which may be equal; undefined ones are left out
+ * @param options - the source of the responses
+ */
+export const listenOnAddresses = async (
+    addresses: readonly (shared.Address | undefined)[],
+    options: Omit<LookupServerOptions, "address">,
+): Promise<void> => {
+    for (const address of new Set(addresses)) {
+        if (address !== undefined) {
+            await listenForLookups({ ...options, address });
+        }
+    }
+};
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -1,18 +1,23 @@
 /**
  * Membership of this VM: registers it, follows a hub or the store, and forwards changes to its followers.
  */
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
 import * as crashTypes from "../../common/crashes/Types.js";
 import * as errorText from "../../common/errors/errorText.js";
+import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as targetLimits from "../../common/routes/targetLimits.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import type * as byteMeter from "./byteMeter.js";
+import * as configurationPush from "./configurationPush.js";
 import * as hubLink from "./hubLink.js";
 import * as peerChannel from "./peerChannel.js";
 import * as peerHub from "./peerHub.js";
+import * as planning from "./planning.js";
 import * as storeFollower from "./storeFollower.js";
 import * as types from "./Types.js";
 
@@ -37,6 +42,8 @@
      * those that it had reported are included while no other one that is known can serve.
      */
     listPeers(): readonly routes.Peer[];
+    /** The plan of active VMs in force; empty if they are selected by their cores. */
+    getPlan(): readonly shared.VmId[];
     /** Number of VMs that may be alive, reachable or not. */
     countKnownPeers(): number;
     /** Sends this VM's changed readiness or connectivity to the hub at once. */
@@ -54,11 +61,16 @@
     readonly state: sharedState.SharedState;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic?: byteMeter.ByteMeter;
     getBounds(): types.RouteBounds;
     isReady(): boolean;
     /** Whether this VM reaches no target, as far as it knows. */
     isCutOff(): boolean;
     computeRequestRate(): number;
+    listDemand(): readonly routes.ServiceDemand[];
+    countServiceTargets(): activeVmPlan.TargetsByService;
+    /** Returns the lookups that this VM has answered since the last call, by the clients' zone. */
+    takeLookups(): clientZones.LookupCounts;
     /** Applies reports about targets; returns those that were new. */
     handleTargetReports(reports: peerChannel.TargetReports): peerChannel.TargetReports;
     listTargetReports(): peerChannel.TargetReports;
@@ -71,8 +83,9 @@
  * @returns the membership, not started
  */
 export const createMembership = (options: MembershipOptions): Membership => {
-    const { settings, store, state, scheduler, logger } = options;
+    const { settings, store, state, scheduler, logger, traffic } = options;
     const startedAtMs = Date.now();
+    const roundRate = rate.createSteadyRounding();
     let isRegistered = false;
     let timer: shared.Disposable | undefined;
     const pendingLimits = new Map<shared.TargetId, targetLimits.LimitReport>();
@@ -92,7 +105,9 @@
         cores: settings.cores,
         isReady: options.isReady() && settings.frontAddress !== undefined,
         isCutOff: options.isCutOff(),
-        requestsPerSecond: rate.roundRate(options.computeRequestRate()),
+        requestsPerSecond: roundRate(options.computeRequestRate()),
+        demand: options.listDemand(),
+        linkMbps: settings.linkMbps,
     });
 
     const ownStoreFollower = storeFollower.createStoreFollower({
@@ -110,6 +125,12 @@
         ownStoreFollower.isRunning() ? ownStoreFollower.computeOverdueMs() : Infinity;
 
     const isStoreFresh = (): boolean => computeOverdueMs() < hubLink.maxOverdueMs;
+    const plans = planning.createPlanning({
+        ...{ scheduler, logger, takeLookups: options.takeLookups },
+        countServiceTargets: options.countServiceTargets,
+        getHubPlan: () => link.getPlan(),
+        listPeers: () => listConnectedPeers(),
+    });
 
     const hub =
         settings.peerAddress === undefined
@@ -118,6 +139,7 @@
                   address: settings.peerAddress,
                   scheduler,
                   logger,
+                  traffic,
                   getOwnPeer,
                   computeOverdueMs,
                   listKnownPeers: () => listConnectedPeers(),
@@ -127,6 +149,9 @@
                       link.sendPeerMet(peer);
                   },
                   listSnapshots: () => state.listSnapshots(),
+                  ...plans,
+                  getStateRevision: state.getRevision,
+                  toDifference: configurationPush.createConfigurationPush(state).toDifference,
                   listTargetReports: options.listTargetReports,
                   handleTargetReports: options.handleTargetReports,
               });
@@ -142,7 +167,9 @@
     const link = hubLink.createHubLink({
         scheduler,
         logger,
+        traffic,
         seeds: settings.seeds,
+        takeLookups: options.takeLookups,
         getOwnPeer,
         addMessageHandlers: channel => {
             let hasSnapshots = false;
@@ -151,11 +178,23 @@
                 snapshots.forEach(snapshot => state.applySnapshot(toVersioned(snapshot)));
             });
             // Without the snapshots before them, changes do not make a table complete.
-            channel.on("state.update", update =>
+            const applyUpdate = (update: routes.StateUpdate): void =>
                 hasSnapshots
                     ? void state.applyUpdate(toVersioned(update))
-                    : void state.applyChanges(toVersioned(update).changes),
-            );
+                    : void state.applyChanges(toVersioned(update).changes);
+            channel.on("state.update", applyUpdate);
+            channel.on("state.difference", received => {
+                const update = configurationPush.applyDifference(state.getConfiguration(), received);
+                if (update === undefined) {
+                    state.applyChanges(toVersioned(received.update).changes);
+                    logger.info("config: difference based on another configuration", {
+                        version: received.difference.fields.version,
+                    });
+                    channel.send("state.request", {});
+                } else {
+                    applyUpdate(update);
+                }
+            });
             channel.on("target.reports", reports => void options.handleTargetReports(reports));
         },
         isStoreFresh,
@@ -249,6 +288,7 @@
         isInTouch: () => link.hasFreshHub() || isStoreFresh(),
         computeStoreAgeMs,
         listPeers,
+        getPlan: plans.getPlan,
         countKnownPeers: () => Math.max(link.countCandidates(), hub?.listPeers().length ?? 1),
         sendHello: link.sendHello,
         sendLimit: report => {
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -77,8 +77,8 @@
             return wait.end;
         },
         recordRequest: () => undefined,
-        recordNotRun: source => notRunSources.push(source),
         recordKeyFault: () => undefined,
+        recordNotRun: source => notRunSources.push(source),
     });
     const response = await handler.handle({
         method: "GET",
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -5,7 +5,10 @@
 import * as ids from "../../common/ids.js";
 import * as retryBudget from "../../common/limits/retryBudget.js";
 import * as random from "../../common/random.js";
+import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as activeVmSelection from "../../common/routes/activeVmSelection.js";
+import * as clientZones from "../../common/routes/clientZones.js";
+import * as demandMeter from "../../common/routes/demandMeter.js";
 import * as rate from "../../common/routes/rate.js";
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -16,8 +19,9 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
-import * as clientDrain from "./clientDrain.js";
+import * as byteMeter from "./byteMeter.js";
 import * as configurationLog from "./configurationLog.js";
+import * as clientDrain from "./clientDrain.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
@@ -56,6 +60,7 @@
     readonly store: types.StateStore;
     readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
+    readonly traffic: byteMeter.ByteMeter;
     countDroppedLogLines(): number;
     /** Returns the longest delay of the event loop since the last call. */
     takeMaxLoopDelayMs(): number;
@@ -68,7 +73,7 @@
  * @returns the daemon, not started
  */
 export const createRouteDaemon = (options: RouteDaemonOptions): RouteDaemon => {
-    const { settings, scheduler, logger, store } = options;
+    const { settings, scheduler, logger, store, traffic } = options;
     let { bounds } = settings;
     const incarnation = ids.toIncarnationId(crypto.randomUUID());
     const state = sharedState.createSharedState({ scheduler, logger });
@@ -78,6 +83,8 @@
     const createdAtMs = scheduler.now();
 
     const requestRate = rate.createRateMeter(scheduler);
+    const demand = demandMeter.createDemandMeter(scheduler);
+    const lookups = clientZones.createLookupCounter();
 
     const isReady = (): boolean => table !== undefined && !isLeaving;
 
@@ -88,10 +95,12 @@
         state,
         scheduler,
         logger,
+        traffic,
         getBounds: () => bounds,
         isReady,
         isCutOff: () => !reach.isConfirmed(),
         computeRequestRate: requestRate.compute,
+        ...{ listDemand: demand.list, countServiceTargets: () => serviceTargets, takeLookups: lookups.take },
         handleTargetReports: reports => ({
             limits: limits.applyReports(reports.limits),
             leaving: notices.applyLeaving(reports.leaving),
@@ -103,6 +112,7 @@
             crashes: crashes.listReports(),
         }),
     });
+    let serviceTargets: activeVmPlan.TargetsByService = new Map();
     let zoneSlots: activeVmSelection.SlotsByZone = new Map();
     const role = vmRole.createVmRole({
         logger,
@@ -111,6 +121,7 @@
         isConnected: members.isConnected,
         listPeers: members.listPeers,
         countKnownPeers: members.countKnownPeers,
+        getPlan: members.getPlan,
         getZoneSlots: () => zoneSlots,
         computeRequestRate: requestRate.compute,
     });
@@ -141,7 +152,8 @@
         getService: name => services.get(name),
         getRateView: role.getRateView,
     });
-    const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler);
+    const queueRandom = random.createRandom(crypto.randomInt(2 ** 31));
+    const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler, queueRandom);
     const budget = retryBudget.createRetryBudget({
         scheduler,
         getPolicy: () => {
@@ -158,6 +170,7 @@
         scheduler,
         dialect: options.http,
         recordUnexpected: unexpectedResponses.createUnexpectedRecorder(logger, () => routeMetrics),
+        watchSocket: byteMeter.createAddressWatcher(traffic, { ...state, listPeers: members.listPeers }),
     });
     const sender = targetSender.createTargetSender({
         pool: connections,
@@ -199,6 +212,7 @@
         takeMaxLoopDelayMs: options.takeMaxLoopDelayMs,
         countIgnoredChanges: state.countIgnoredChanges,
         countMalformedRows: store.countMalformedRows,
+        listTraffic: traffic.list,
     });
     const recordError = unexpectedErrors.createErrorRecorder({ logger, countError: routeMetrics.recordError });
     const crashes = crashMonitor.createCrashMonitor({
@@ -221,7 +235,7 @@
         dialect: options.http,
         exchange: {
             scheduler,
-            targets,
+            targets: { ...targets, pick: demandMeter.watchPicks(targets.pick, demand) },
             queue,
             sender,
             budget,
@@ -259,6 +273,7 @@
                   formatRefusal: handler.formatRefusal,
                   recordError: error => recordError("frontend", error),
                   recordUnreadable: unreadableRequests.createUnreadableRecorder({ logger, metrics: routeMetrics }),
+                  watchSocket: socket => traffic.watch(socket, "client", () => undefined),
               });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
@@ -266,46 +281,36 @@
         table = routeTable.createRouteTable(configuration);
         services.clear();
         configuration.services.forEach(service => services.set(service.name, service));
+        queue.setOrganisations(configuration.organisations ?? []);
         startup.recordConfiguration();
     };
 
     const handleTargets = (): void => {
-        const slots = new Map<shared.ZoneName, number>();
-        for (const target of state.listTargets()) {
-            if (!state.isZoneOut(target.zone)) {
-                slots.set(target.zone, (slots.get(target.zone) ?? 0) + target.slots);
-            }
-        }
-        zoneSlots = slots;
+        zoneSlots = activeVmSelection.countZoneSlots(state.listTargets(), state.isZoneOut);
+        serviceTargets = activeVmPlan.countTargets(state.listTargets(), state.isZoneOut);
         targets.setTargets(state.listTargets());
-        if (slots.size > 0) {
+        if (zoneSlots.size > 0) {
             startup.recordTargets();
         }
     };
 
-    const pickActiveAddresses = (lookup: types.LookupRequest): readonly shared.Address[] => {
-        const picked = activeVmSelection.pickActiveVms(role.listActiveVms(), lookup.zone);
-        return picked.map(peer => peer.frontAddress);
-    };
-
     const getLookupLifetimeMs = (): number =>
         lookupServer.computeLifetimeMs(scheduler.now() - createdAtMs, bounds.longestLookupMs);
 
-    const listenForLookups = async (): Promise<void> => {
-        const addresses = new Set([settings.lookupAddress, settings.readinessAddress]);
-        for (const address of addresses) {
-            if (address !== undefined) {
-                await lookupServer.listenForLookups({
-                    address,
-                    dialect: options.lookup,
-                    getLifetimeMs: getLookupLifetimeMs,
-                    isReady,
-                    pickActiveAddresses,
-                    recordError: error => recordError("lookup", error),
-                });
-            }
-        }
-    };
+    const listenForLookups = (): Promise<void> =>
+        lookupServer.listenOnAddresses([settings.lookupAddress, settings.readinessAddress], {
+            dialect: options.lookup,
+            getLifetimeMs: getLookupLifetimeMs,
+            isReady,
+            pickActiveAddresses: lookup => {
+                lookups.record(lookup.zone);
+                return activeVmSelection
+                    .pickActiveVms(role.listActiveVms(), lookup.zone)
+                    .map(peer => peer.frontAddress);
+            },
+            recordError: error => recordError("lookup", error),
+            watchSocket: socket => traffic.watch(socket, "lookup", () => undefined),
+        });
 
     return {
         start: async () => {
