--- a/src/node/routes/identification.test.ts
+++ b/src/node/routes/identification.test.ts
@@ -56,7 +56,6 @@
         },
         quotas: { charge: () => Promise.resolve({ kind: "charged", charge: undefined }), takeBack: () => undefined },
         isCutOff: () => true,
-        waitForStart: () => Promise.resolve("started"),
         isInTouch: () => isInTouch,
         getTable: () => table,
         recordRequest: end => void ends.push(end),
