--- a/src/node/routes/identification.test.ts
+++ b/src/node/routes/identification.test.ts
@@ -58,6 +58,7 @@
         isCutOff: () => true,
         isInTouch: () => isInTouch,
         getTable: () => table,
+        waitForStart: () => Promise.resolve("started"),
         recordRequest: end => void ends.push(end),
         recordNotRun: () => undefined,
         recordKeyFault: fault => void faults.push(fault),
