--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-    files: ["out/**/*.test.js", "target/platform/**/*.test.js"],
+    files: ["out/**/*.test.js", "target/platform/**/*.test.js", "!**/*.crowd.test.js"],
     timeout: "120s",
     concurrency: 4,
 };
