Bound the bytes of the bodies of all connections, and the number of connections

Cause: bodies were held whole until their end and nothing bounded their sum, so that clients whose bodies stop short of their end or exceed the limit took a process over its memory; open connections took all descriptors.

Change: a budget derived from Limits.MemoryMb is taken by announced length or in steps as a body grows; a connection without room is not read. 413 before an announced body is read, 503 after 2 s without room, 408 for a body without progress while others wait or not whole within the longest time-out of a route. Three fifths of Limits.MaxFds are for clients. Bodies with a length are collected in one block. Counters and a log line tell what was refused.

--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -116,6 +116,10 @@
     readonly zone: types.ZoneName;
     readonly region: types.RegionName;
     readonly cores: number;
+    /** Memory that the process may take, bytes in its sockets included. */
+    readonly memoryBytes: number;
+    /** Descriptors that the process may have open. */
+    readonly maxDescriptors: number;
     readonly frontAddress: types.Address | undefined;
     readonly readinessAddress: types.Address | undefined;
     readonly lookupAddress: types.Address | undefined;
--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -3,6 +3,7 @@
 import test from "ava";
 import * as ids from "../../common/ids.js";
 import * as httpServer from "../../testing/http/httpServer.js";
+import * as frontendFixture from "../../testing/routes/frontendFixture.js";
 import * as fixture from "../../testing/routes/fixture.js";
 import * as ports from "../../testing/system/ports.js";
 import * as systemScheduler from "../systemScheduler.js";
@@ -77,6 +78,7 @@
     const server = frontendServer.createFrontendServer({
         address,
         clock: scheduler,
+        ...frontendFixture.createUnlimitedBodies(),
         getLimits: () => fixture.createConfiguration(1).limits,
         handle,
         recordError: () => undefined,
--- a/src/node/routes/clientReading.ts
+++ b/src/node/routes/clientReading.ts
@@ -24,6 +24,8 @@
     isHeld(): boolean;
     /** Resolves when the connection has had its turn, or has closed. */
     waitForTurn(): Promise<void>;
+    /** Reads nothing while the consumer of a body has no room for it. What was read before in one piece is still parsed. */
+    setBlocked(isBlocked: boolean): void;
     /** Does not parse what follows. It is still read, in turn, as its end tells that the client has left. */
     startDiscarding(): void;
     /** Reads nothing more, not even the end. */
@@ -48,6 +50,9 @@
     const parsers = socket.listeners("data") as ((bytes: Buffer) => void)[];
     let mode: "parse" | "discard" | "stop" = "parse";
     let isHeld = false;
+    let isBlocked = false;
+    /** Whether the HTTP server had paused the connection when it was blocked, and has not resumed it since. */
+    let isPausedBelow = false;
     let sliceBytes = minSliceBytes;
     /** Time for which the bytes were parsed in this turn, over all reads that follow each other. */
     let usedMs = 0;
@@ -60,7 +65,7 @@
     };
     const resume = (): void => {
         release();
-        if (mode !== "stop" && !socket.destroyed) {
+        if (mode !== "stop" && !isBlocked && !socket.destroyed) {
             socket.resume();
         }
     };
@@ -82,7 +87,7 @@
             const sliceMs = clock.now() - startedAtMs;
             sliceBytes = sliceMs < cheapSliceMs ? Math.min(maxSliceBytes, 2 * sliceBytes) : minSliceBytes;
             usedMs += sliceMs;
-        } while (parsedBytes < bytes.length && mode === "parse" && !socket.destroyed && usedMs < turnMs);
+        } while (parsedBytes < bytes.length && mode === "parse" && !isBlocked && !socket.destroyed && usedMs < turnMs);
         return parsedBytes;
     };
 
@@ -94,7 +99,7 @@
     };
 
     const handleData = (bytes: Buffer): void => {
-        if (isHeld) {
+        if (isHeld || isBlocked) {
             // The HTTP server has resumed the connection.
             putBack(bytes);
             return;
@@ -113,7 +118,20 @@
         } else if (mode === "parse" && usedMs < turnMs) {
             return;
         }
-        if (!isPausedByServer) {
+        if (!isPausedByServer && !isBlocked) {
+            hold();
+        }
+    };
+
+    const setBlocked = (blocks: boolean): void => {
+        if (blocks === isBlocked) {
+            return;
+        }
+        isBlocked = blocks;
+        if (blocks) {
+            isPausedBelow = !isHeld && socket.isPaused();
+            socket.pause();
+        } else if (!isHeld && !isPausedBelow) {
             hold();
         }
     };
@@ -122,7 +140,8 @@
     socket.on("data", handleData);
     // The HTTP server resumes the connection each time a body is read.
     socket.on("resume", () => {
-        if (isHeld || mode === "stop") {
+        isPausedBelow = false;
+        if (isHeld || isBlocked || mode === "stop") {
             socket.pause();
         }
     });
@@ -134,10 +153,12 @@
     return {
         isHeld: () => isHeld,
         waitForTurn: () => (isHeld ? new Promise(resolve => waiting.push(resolve)) : Promise.resolve()),
+        setBlocked,
         startDiscarding: () => {
             if (mode === "parse") {
                 mode = "discard";
             }
+            setBlocked(false);
         },
         stop: () => {
             mode = "stop";
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -5,8 +5,11 @@
 import * as net from "node:net";
 import * as stream from "node:stream";
 import * as ids from "../../common/ids.js";
+import * as bodyBudget from "../../common/routes/bodyBudget.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as bodyRefusals from "./bodyRefusals.js";
+import * as clientConnection from "./clientConnection.js";
 import * as clientReading from "./clientReading.js";
 import * as headSyntax from "./headSyntax.js";
 import * as readControl from "./readControl.js";
@@ -56,6 +59,10 @@
 export interface FrontendOptions {
     readonly address: shared.Address;
     readonly clock: shared.Clock;
+    /** Of the bodies of all connections. */
+    readonly budget: bodyBudget.BodyBudget;
+    /** Connections that may be open at the same time. */
+    readonly maxConnections: number;
     getLimits(): routes.RequestLimits | undefined;
     handle(request: ClientRequest): Promise<ClientResponse | undefined>;
     /** Formats the response to a request that is not handled, or whose handling has failed. */
@@ -63,24 +70,10 @@
     /** Called with an error that no other handler expects; it ends the request. */
     recordError(error: unknown): void;
     recordUnreadable(request: unreadableRequests.UnreadableRequest): void;
-}
-
-/** A connection of a client, on which several requests may be in progress (pipelining). */
-interface ClientConnection {
-    readonly reading: clientReading.ClientReading;
-    readonly activeRequests: Set<AbortController>;
-    /** Requests that have begun. */
-    requests: number;
-    /** The request that began last; its response is the last one. */
-    newestRequest: http.IncomingMessage | undefined;
-    /** Number of the first request whose body is too large. Those behind it may have begun, as bodies are passed on later. */
-    refusedRequest: number;
-    /** Set once a response announces that the connection closes after it; requests behind it count as not read. */
-    isClosing: boolean;
-    /** Set once bytes behind the newest request cannot be read; its response is the last one. */
-    isUnreadable: boolean;
-    /** The body that is being read, or was read last. */
-    bodyReader: requestBody.BodyReader | undefined;
+    /** Called for each body that is not read to its end, with the status that says so to the client. */
+    recordRefusedBody(refusal: bodyRefusals.RefusedBody): void;
+    /** Called when a connection is closed because there are too many. */
+    recordExcessConnection(): void;
 }
 
 const countHeaderBytes = (headers: types.RawHeaders): number =>
@@ -94,8 +87,9 @@
  */
 export const createFrontendServer = (options: FrontendOptions): FrontendServer => {
     const { clock } = options;
-    const openConnections = new Map<stream.Duplex, ClientConnection>();
+    const openConnections = new Map<stream.Duplex, clientConnection.ClientConnection>();
     const readTurns = readControl.createReadTurns();
+    const bodyStore = requestBody.createBodyStore(options.budget);
     let isDraining = false;
     let isAccepting = true;
 
@@ -181,6 +175,7 @@
         connection.activeRequests.add(clientAbort);
         connection.newestRequest = request;
         const index = ++connection.requests;
+        let bodyReader: requestBody.BodyReader | undefined;
         const limits = options.getLimits();
         const fail = (statusCode: number, reason: string): Promise<void> =>
             sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
@@ -202,14 +197,22 @@
                 await fail(503, "shutting down");
                 return;
             }
-            connection.bodyReader = requestBody.startReading(request, limits?.maxBodyBytes ?? Infinity, () => {
-                connection.isClosing = true;
-                connection.refusedRequest = Math.min(connection.refusedRequest, index);
-                connection.reading.startDiscarding();
+            bodyReader = requestBody.startReading(request, {
+                maxBytes: limits?.maxBodyBytes ?? Infinity,
+                store: bodyStore,
+                reading: connection.reading,
+                handleUnwanted: () => {
+                    connection.isClosing = true;
+                    connection.refusedRequest = Math.min(connection.refusedRequest, index);
+                    connection.reading.startDiscarding();
+                },
             });
-            const body = await connection.bodyReader.result;
+            connection.bodyReader = bodyReader;
+            const body = await bodyReader.result;
             if (body.kind !== "whole") {
-                await fail(body.kind === "too-large" ? 413 : 400, body.kind);
+                const refusal = bodyRefusals.toRefusedBody(body);
+                options.recordRefusedBody(refusal);
+                await fail(refusal.statusCode, refusal.reason);
                 return;
             }
             await clientReading.waitForPendingReads(connection.reading);
@@ -230,6 +233,7 @@
         } catch (error) {
             await failRequest(request, serverResponse, error);
         } finally {
+            bodyReader?.release();
             connection.activeRequests.delete(clientAbort);
             if (connection.isUnreadable && connection.activeRequests.size === 0) {
                 request.socket.destroySoon();
@@ -290,17 +294,15 @@
         handleClientError(error, socket);
     });
     server.on("connection", socket => {
-        const activeRequests = new Set<AbortController>();
-        openConnections.set(socket, {
-            reading: clientReading.startClientReading(socket, readTurns, clock),
-            activeRequests,
-            requests: 0,
-            newestRequest: undefined,
-            refusedRequest: Infinity,
-            isClosing: false,
-            isUnreadable: false,
-            bodyReader: undefined,
-        });
+        const connection = clientConnection.createClientConnection(
+            clientReading.startClientReading(socket, readTurns, clock),
+        );
+        const { activeRequests } = connection;
+        if (openConnections.size >= options.maxConnections) {
+            (clientConnection.pickExcessConnection(openConnections) ?? socket).destroy();
+            options.recordExcessConnection();
+        }
+        openConnections.set(socket, connection);
         const limits = options.getLimits();
         if (limits !== undefined) {
             server.keepAliveTimeout = limits.idleTimeoutMs + timeoutMarginMs;
@@ -337,6 +339,7 @@
         },
         countConnections: () => openConnections.size,
         dispose: () => {
+            bodyStore.dispose();
             server.close();
             server.closeAllConnections();
         },
--- a/src/node/routes/metrics.test.ts
+++ b/src/node/routes/metrics.test.ts
@@ -20,6 +20,8 @@
         countPeers: () => 3,
         countActiveVms: () => 1,
         countClientConnections: () => 4,
+        countBodyBytes: () => 0,
+        countWaitingBodies: () => 0,
         countTargetConnectionsOpened: () => 9,
         countDroppedLogLines: () => 0,
         countIgnoredChanges: () => 5,
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -3,6 +3,7 @@
  */
 import * as promClient from "prom-client";
 import * as bodyForwarding from "./bodyForwarding.js";
+import * as bodyRefusals from "./bodyRefusals.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as notRun from "./notRun.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
@@ -41,6 +42,10 @@
     countPeers(): number;
     countActiveVms(): number;
     countClientConnections(): number;
+    /** Bytes of the budget for bodies that are in use. */
+    countBodyBytes(): number;
+    /** Bodies that wait for room. */
+    countWaitingBodies(): number;
     countTargetConnectionsOpened(): number;
     countDroppedLogLines(): number;
     countIgnoredChanges(): number;
@@ -70,6 +75,10 @@
      * @param isBehindRequest - whether a request before them on their connection had no response yet
      */
     recordUnreadable(isBehindRequest: boolean): void;
+    /** Counts a body of a client that was not read to its end. */
+    recordRefusedBody(reason: bodyRefusals.RefusedBodyReason): void;
+    /** Counts a connection of a client that was closed because there were too many. */
+    recordExcessConnection(): void;
     /** Counts a response on a connection to a target that belongs to no request, or to another one. */
     recordUnexpectedResponse(kind: unexpectedResponses.UnexpectedKind): void;
     /** Counts a header of a target whose value is malformed. */
@@ -111,6 +120,8 @@
     add("peers", "Entry VMs that live, this one included.", sources.countPeers);
     add("fronts", "Entry VMs that clients are sent to.", sources.countActiveVms);
     add("client_connections", "Open connections of clients.", sources.countClientConnections);
+    add("body_budget_used_bytes", "Bytes that bodies of requests have reserved.", sources.countBodyBytes);
+    add("waiting_bodies", "Bodies of requests that wait for room.", sources.countWaitingBodies);
 };
 
 const addCounter = (registry: promClient.Registry, name: string, help: string, read: () => number): void => {
@@ -217,6 +228,17 @@
         labelNames: ["behind_request"],
         registers,
     });
+    const refusedBodies = new promClient.Counter({
+        name: `${namePrefix}refused_bodies_total`,
+        help: "Bodies of clients that were not read to their end, by reason.",
+        labelNames: ["reason"],
+        registers,
+    });
+    const excessConnections = new promClient.Counter({
+        name: `${namePrefix}excess_connections_total`,
+        help: "Connections of clients that were closed because there were too many.",
+        registers,
+    });
     const strayResponses = new promClient.Counter({
         name: `${namePrefix}unexpected_responses_total`,
         help: "Responses of targets that belong to no request, or to another one than that under way, by kind.",
@@ -265,6 +287,8 @@
         recordError: source => errors.inc({ source }),
         recordNotRun: source => notRunResponses.inc({ source }),
         recordUnreadable: isBehindRequest => unreadableRequests.inc({ behind_request: String(isBehindRequest) }),
+        recordRefusedBody: reason => refusedBodies.inc({ reason }),
+        recordExcessConnection: () => excessConnections.inc(),
         recordUnexpectedResponse: kind => strayResponses.inc({ kind }),
         recordMalformedHeader: header => malformedHeaders.inc({ header }),
         format: () => registry.metrics(),
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -16,12 +16,11 @@
 import * as routes from "../../common/routes/Types.js";
 import * as admissionQueue from "../../common/routes/admissionQueue.js";
 import * as shared from "../../common/Types.js";
+import * as clientFrontend from "./clientFrontend.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
-import * as unreadableRequests from "./unreadableRequests.js";
 import * as vmRole from "./vmRole.js";
-import * as frontendServer from "./frontendServer.js";
 import * as lookupServer from "./lookupServer.js";
 import * as membership from "./membership.js";
 import * as metrics from "./metrics.js";
@@ -78,6 +77,8 @@
     let table: routeTable.RouteTable | undefined;
     let isLeaving = false;
 
+    const { getConfiguration } = state;
+    const bodies = clientFrontend.createVmBudget({ settings, clock: scheduler, getConfiguration });
     const requestRate = rate.createRateMeter(scheduler);
 
     const isReady = (): boolean => table !== undefined && !isLeaving;
@@ -191,6 +192,8 @@
         countPeers: () => members.listPeers().length,
         countActiveVms: () => role.listActiveVms().length,
         countClientConnections: () => frontend?.countConnections() ?? 0,
+        countBodyBytes: bodies.countReservedBytes,
+        countWaitingBodies: bodies.countWaiting,
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
         countBlockedRequests: () => crashes.countBlocked(),
@@ -245,18 +248,16 @@
         recordNotRun: source => routeMetrics.recordNotRun(source),
     });
 
-    const frontend =
-        settings.frontAddress === undefined
-            ? undefined
-            : frontendServer.createFrontendServer({
-                  address: settings.frontAddress,
-                  clock: scheduler,
-                  getLimits: () => state.getConfiguration()?.limits,
-                  handle: handler.handle,
-                  formatRefusal: handler.formatRefusal,
-                  recordError: error => recordError("frontend", error),
-                  recordUnreadable: unreadableRequests.createUnreadableRecorder({ logger, metrics: routeMetrics }),
-              });
+    const frontend = clientFrontend.createVmFrontend({
+        settings,
+        clock: scheduler,
+        logger,
+        metrics: routeMetrics,
+        budget: bodies,
+        handler,
+        getConfiguration,
+        recordError: error => recordError("frontend", error),
+    });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
         logger.info("config: applied", { version: configuration.version, routes: configuration.routes.length });
--- a/src/testing/routes/frontendFixture.ts
+++ b/src/testing/routes/frontendFixture.ts
@@ -3,6 +3,7 @@
  */
 import * as net from "node:net";
 import * as ids from "../../common/ids.js";
+import * as bodyBudget from "../../common/routes/bodyBudget.js";
 import * as frontendServer from "../../node/routes/frontendServer.js";
 import * as unreadableRequests from "../../node/routes/unreadableRequests.js";
 import * as systemScheduler from "../../node/systemScheduler.js";
@@ -19,6 +20,19 @@
     isDelimited,
 });
 
+/** Options of a server that no test brings to its limits of memory and connections. */
+export const createUnlimitedBodies = () => ({
+    budget: bodyBudget.createBodyBudget({
+        clock: scheduler,
+        memoryBytes: 1024 ** 3,
+        getMaxBodyBytes: () => Infinity,
+        getLongestTimeoutMs: () => Infinity,
+    }),
+    maxConnections: 1_000,
+    recordRefusedBody: () => undefined,
+    recordExcessConnection: () => undefined,
+});
+
 /**
  * Starts a server.
  *
@@ -36,6 +50,7 @@
     const server = frontendServer.createFrontendServer({
         address,
         clock: scheduler,
+        ...createUnlimitedBodies(),
         getLimits: () => ({ ...fixture.createConfiguration(1).limits, ...limits }),
         handle,
         formatRefusal: (_headers, statusCode, reason) => ({ ...createResponse(reason), statusCode }),
--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -133,6 +133,8 @@
             zone: fixture.zone,
             region: ids.toRegionName("west"),
             cores: options.cores ?? 1,
+            memoryBytes: 512 * 1024 * 1024,
+            maxDescriptors: 4_096,
             frontAddress: toAddress(1),
             readinessAddress: undefined,
             metricsAddress: undefined,
