--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -150,6 +150,10 @@
     readonly cores: number;
     /** Capacity of the link; undefined if the settings do not tell it. */
     readonly linkMbps?: number | undefined;
+    /** Memory that the process may take, bytes in its sockets included. */
+    readonly memoryBytes: number;
+    /** Descriptors that the process may have open. */
+    readonly maxDescriptors: number;
     readonly frontAddress: types.Address | undefined;
     readonly readinessAddress: types.Address | undefined;
     readonly lookupAddress: types.Address | undefined;
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -22,12 +22,11 @@
 import * as byteMeter from "./byteMeter.js";
 import * as clientDrain from "./clientDrain.js";
 import * as configurationLog from "./configurationLog.js";
+import * as clientFrontend from "./clientFrontend.js";
 import * as connectivity from "./connectivity.js";
 import * as crashMonitor from "./crashMonitor.js";
 import * as connectionPool from "./connectionPool.js";
-import * as unreadableRequests from "./unreadableRequests.js";
 import * as vmRole from "./vmRole.js";
-import * as frontendServer from "./frontendServer.js";
 import * as lookupServer from "./lookupServer.js";
 import * as membership from "./membership.js";
 import * as metrics from "./metrics.js";
@@ -82,6 +81,8 @@
     let isLeaving = false;
     const createdAtMs = scheduler.now();
 
+    const { getConfiguration } = state;
+    const bodies = clientFrontend.createVmBudget({ settings, clock: scheduler, getConfiguration });
     const requestRate = rate.createRateMeter(scheduler);
     const demand = demandMeter.createDemandMeter(scheduler);
     const lookups = clientZones.createLookupCounter();
@@ -203,6 +204,8 @@
         countPeers: () => members.listPeers().length,
         countActiveVms: () => role.listActiveVms().length,
         countClientConnections: () => frontend?.countConnections() ?? 0,
+        countBodyBytes: bodies.countReservedBytes,
+        countWaitingBodies: bodies.countWaiting,
         countTargetConnectionsOpened: connections.countOpened,
         countLimitedTargets: limits.count,
         countBlockedRequests: () => crashes.countBlocked(),
@@ -264,19 +267,17 @@
         recordKeyFault: fault => routeMetrics.recordKeyFault(fault),
     });
 
-    const frontend =
-        settings.frontAddress === undefined
-            ? undefined
-            : frontendServer.createFrontendServer({
-                  address: settings.frontAddress,
-                  clock: scheduler,
-                  getLimits: () => state.getConfiguration()?.limits,
-                  handle: handler.handle,
-                  formatRefusal: handler.formatRefusal,
-                  recordError: error => recordError("frontend", error),
-                  recordUnreadable: unreadableRequests.createUnreadableRecorder({ logger, metrics: routeMetrics }),
-                  watchSocket: socket => traffic.watch(socket, "client", () => undefined),
-              });
+    const frontend = clientFrontend.createVmFrontend({
+        settings,
+        clock: scheduler,
+        logger,
+        metrics: routeMetrics,
+        budget: bodies,
+        handler,
+        getConfiguration,
+        recordError: error => recordError("frontend", error),
+        watchSocket: socket => traffic.watch(socket, "client", () => undefined),
+    });
 
     const handleConfiguration = (configuration: routes.RouteConfiguration): void => {
         configurationLog.logConfiguration({ logger, metrics: routeMetrics }, configuration);
