--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -4,11 +4,10 @@
 import * as promClient from "prom-client";
 import * as callers from "../../common/routes/callers.js";
 import * as bodyForwarding from "./bodyForwarding.js";
-import * as byteMeter from "./byteMeter.js";
 import * as bodyRefusals from "./bodyRefusals.js";
 import * as exchangeLog from "./exchangeLog.js";
+import * as metricSources from "./metricSources.js";
 import * as notRun from "./notRun.js";
-import * as quotas from "./quotas.js";
 import * as unexpectedErrors from "./unexpectedErrors.js";
 import * as unexpectedResponses from "./unexpectedResponses.js";
 
@@ -16,7 +15,6 @@
 const latencyBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8];
 /** Waits are shares of an objective. */
 const waitBucketsSeconds = [0.001, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8];
-const namePrefix = "tarragonpath_";
 /** Priorities that have a label of their own; a configuration may contain any number. */
 const labelledPriorities = 4;
 
@@ -30,39 +28,6 @@
 /** What became of a request that was passed on to another VM; "not taken" if it has not run there. */
 export type RelayOutcome = "relayed" | "refused" | "failed" | "abandoned" | "not taken";
 
-/** Values that are read on each scrape. */
-export interface MetricSources {
-    /** Version of the current configuration; undefined before the first. */
-    getConfigurationVersion(): number | undefined;
-    /** Age of this VM's own view of the store; infinite if this VM does not follow the store. */
-    computeStoreAgeMs(): number;
-    countTargets(): number;
-    /** Requests, by their fingerprints, that are refused as they crash targets. */
-    countBlockedRequests(): number;
-    /** Targets that have named a limit on their requests. */
-    countLimitedTargets(): number;
-    /** Registered targets that have said that they are leaving. */
-    countLeavingTargets(): number;
-    /** Whether this VM reaches no target. */
-    isCutOff(): boolean;
-    /** Returns the longest delay of the event loop since the last call. */
-    takeMaxLoopDelayMs(): number;
-    countPeers(): number;
-    countActiveVms(): number;
-    countClientConnections(): number;
-    /** Bytes of the budget for bodies that are in use. */
-    countBodyBytes(): number;
-    /** Bodies that wait for room. */
-    countWaitingBodies(): number;
-    countTargetConnectionsOpened(): number;
-    countDroppedLogLines(): number;
-    countIgnoredChanges(): number;
-    countMalformedRows(): number;
-    /** Bytes since the start, by kind, direction and zones. */
-    listTraffic(): readonly byteMeter.TrafficCount[];
-    getQuotaCounts(): quotas.QuotaCounts;
-}
-
 export interface RouteMetrics {
     readonly contentType: string;
     recordRequest(end: RequestEnd, latencyMs: number): void;
@@ -100,234 +65,129 @@
     format(): Promise<string>;
 }
 
-const addGauges = (registry: promClient.Registry, sources: MetricSources): void => {
-    const add = (name: string, help: string, read: () => number): void => {
-        new promClient.Gauge({
-            name: `${namePrefix}${name}`,
-            help,
-            registers: [registry],
-            collect() {
-                this.set(read());
-            },
-        });
-    };
-    add(
-        "configuration_version",
-        "Version of the configuration in force, 0 before the first.",
-        () => sources.getConfigurationVersion() ?? 0,
-    );
-    add(
-        "store_age_seconds",
-        "Age of this VM's own view of the store, +Inf on a VM that follows a hub.",
-        () => sources.computeStoreAgeMs() / 1_000,
-    );
-    add("targets", "Targets in use.", sources.countTargets);
-    add("blocked_requests", "Requests that are refused as they crash targets.", sources.countBlockedRequests);
-    add("limited_targets", "Targets that have named a limit on their requests.", sources.countLimitedTargets);
-    add("leaving_targets", "Registered targets that have said that they are leaving.", sources.countLeavingTargets);
-    add("cut_off", "Whether this VM reaches no target.", () => Number(sources.isCutOff()));
-    add(
-        "event_loop_delay_seconds",
-        "Longest time by which a timer ran late since the last scrape.",
-        () => sources.takeMaxLoopDelayMs() / 1_000,
-    );
-    add("peers", "Entry VMs that live, this one included.", sources.countPeers);
-    add("fronts", "Entry VMs that clients are sent to.", sources.countActiveVms);
-    add("client_connections", "Open connections of clients.", sources.countClientConnections);
-    add("body_budget_used_bytes", "Bytes that bodies of requests have reserved.", sources.countBodyBytes);
-    add("waiting_bodies", "Bodies of requests that wait for room.", sources.countWaitingBodies);
-};
-
-const addCounter = (registry: promClient.Registry, name: string, help: string, read: () => number): void => {
-    new promClient.Counter({
-        name: `${namePrefix}${name}`,
-        help,
-        registers: [registry],
-        collect() {
-            this.reset();
-            this.inc(read());
-        },
-    });
-};
-
-const addTraffic = (registry: promClient.Registry, listTraffic: MetricSources["listTraffic"]): void => {
-    new promClient.Counter({
-        name: `${namePrefix}traffic_bytes_total`,
-        help: "Bytes of connections, by kind, direction and whether the other side is in the same zone.",
-        labelNames: ["kind", "direction", "zones"],
-        registers: [registry],
-        collect() {
-            this.reset();
-            listTraffic().forEach(({ bytes, ...labels }) => this.inc(labels, bytes));
-        },
-    });
-};
-
-const addQuotaCounter = (registry: promClient.Registry, getCounts: MetricSources["getQuotaCounts"]): void => {
-    new promClient.Counter({
-        name: `${namePrefix}quota_requests_total`,
-        help: "Requests of organisations with a quota: charged, refused because of the quota, and taken back as nothing ran.",
-        labelNames: ["end"],
-        registers: [registry],
-        collect() {
-            const { charged, refused, takenBack } = getCounts();
-            this.reset();
-            this.inc({ end: "charged" }, charged);
-            this.inc({ end: "refused" }, refused);
-            this.inc({ end: "taken back" }, takenBack);
-        },
-    });
-};
-
 /**
  * Creates the metrics.
  *
  * @param sources - values that are read on each scrape
  * @returns the metrics, initially zero
  */
-export const createRouteMetrics = (sources: MetricSources): RouteMetrics => {
+export const createRouteMetrics = (sources: metricSources.MetricSources): RouteMetrics => {
     const registry = new promClient.Registry();
     const registers = [registry];
     const requests = new promClient.Histogram({
-        name: `${namePrefix}request_duration_seconds`,
+        name: `${metricSources.namePrefix}request_duration_seconds`,
         help: "Time from a request's arrival to its final answer, by end.",
         labelNames: ["end"],
         buckets: latencyBucketsSeconds,
         registers,
     });
     const attempts = new promClient.Counter({
-        name: `${namePrefix}attempts_total`,
+        name: `${metricSources.namePrefix}attempts_total`,
         help: "Attempts at targets, by end.",
         labelNames: ["end"],
         registers,
     });
     const hedges = new promClient.Counter({
-        name: `${namePrefix}hedges_total`,
+        name: `${metricSources.namePrefix}hedges_total`,
         help: "Second attempts that began before the first had ended.",
         registers,
     });
     const streamedBodies = new promClient.Histogram({
-        name: `${namePrefix}streamed_body_duration_seconds`,
+        name: `${metricSources.namePrefix}streamed_body_duration_seconds`,
         help: "Time in which a response body was passed on while it was received, by end.",
         labelNames: ["end"],
         buckets: latencyBucketsSeconds,
         registers,
     });
     const streamedBytes = new promClient.Counter({
-        name: `${namePrefix}streamed_bytes_total`,
+        name: `${metricSources.namePrefix}streamed_bytes_total`,
         help: "Bytes of response bodies that were passed on while they were received.",
         registers,
     });
     const probes = new promClient.Counter({
-        name: `${namePrefix}probes_total`,
+        name: `${metricSources.namePrefix}probes_total`,
         help: "Questions to targets for their load, by whether they were answered.",
         labelNames: ["answered"],
         registers,
     });
     const relays = new promClient.Counter({
-        name: `${namePrefix}relays_total`,
+        name: `${metricSources.namePrefix}relays_total`,
         help: "Requests that were passed on to another VM, by what became of them there.",
         labelNames: ["end"],
         registers,
     });
     const keyFaults = new promClient.Counter({
-        name: `${namePrefix}key_refusals_total`,
+        name: `${metricSources.namePrefix}key_refusals_total`,
         help: "Requests that were refused because of their key, by what is wrong with it.",
         labelNames: ["reason"],
         registers,
     });
     const unknownValues = new promClient.Counter({
-        name: `${namePrefix}unknown_values_total`,
+        name: `${metricSources.namePrefix}unknown_values_total`,
         help: "Values in applied configurations that this version does not know, by field.",
         labelNames: ["field"],
         registers,
     });
     const crashes = new promClient.Counter({
-        name: `${namePrefix}crashes_total`,
+        name: `${metricSources.namePrefix}crashes_total`,
         help: "Targets that were lost under a request, by whether this was counted against the request.",
         labelNames: ["end"],
         registers,
     });
     const limitedAttempts = new promClient.Counter({
-        name: `${namePrefix}limited_attempts_total`,
+        name: `${metricSources.namePrefix}limited_attempts_total`,
         help: "Attempts that were not made because of the targets' limits.",
         registers,
     });
     const slotWaits = new promClient.Histogram({
-        name: `${namePrefix}slot_wait_seconds`,
+        name: `${metricSources.namePrefix}slot_wait_seconds`,
         help: "Time for which requests waited for a slot, by priority and how the wait ended.",
         labelNames: ["priority", "end"],
         buckets: waitBucketsSeconds,
         registers,
     });
     const malformedHeaders = new promClient.Counter({
-        name: `${namePrefix}malformed_headers_total`,
+        name: `${metricSources.namePrefix}malformed_headers_total`,
         help: "Headers of targets whose value was ignored as malformed, by header.",
         labelNames: ["header"],
         registers,
     });
     const errors = new promClient.Counter({
-        name: `${namePrefix}unexpected_errors_total`,
+        name: `${metricSources.namePrefix}unexpected_errors_total`,
         help: "Errors that no other handler expects, by where they were caught.",
         labelNames: ["source"],
         registers,
     });
     const notRunResponses = new promClient.Counter({
-        name: `${namePrefix}not_run_responses_total`,
+        name: `${metricSources.namePrefix}not_run_responses_total`,
         help: "Responses to clients that promise that the request has not run, by who says so.",
         labelNames: ["source"],
         registers,
     });
     const unreadableRequests = new promClient.Counter({
-        name: `${namePrefix}unreadable_requests_total`,
+        name: `${metricSources.namePrefix}unreadable_requests_total`,
         help: "Bytes of clients that are no request, by whether a request before them had no response yet.",
         labelNames: ["behind_request"],
         registers,
     });
     const refusedBodies = new promClient.Counter({
-        name: `${namePrefix}refused_bodies_total`,
+        name: `${metricSources.namePrefix}refused_bodies_total`,
         help: "Bodies of clients that were not read to their end, by reason.",
         labelNames: ["reason"],
         registers,
     });
     const excessConnections = new promClient.Counter({
-        name: `${namePrefix}excess_connections_total`,
+        name: `${metricSources.namePrefix}excess_connections_total`,
         help: "Connections of clients that were closed because there were too many.",
         registers,
     });
     const strayResponses = new promClient.Counter({
-        name: `${namePrefix}unexpected_responses_total`,
+        name: `${metricSources.namePrefix}unexpected_responses_total`,
         help: "Responses of targets that belong to no request, or to another one than that under way, by kind.",
         labelNames: ["kind"],
         registers,
     });
-    addGauges(registry, sources);
-    addTraffic(registry, sources.listTraffic);
-    addQuotaCounter(registry, sources.getQuotaCounts);
-    addCounter(
-        registry,
-        "target_connections_opened_total",
-        "Connections opened to targets.",
-        sources.countTargetConnectionsOpened,
-    );
-    addCounter(
-        registry,
-        "log_lines_dropped_total",
-        "Log lines beyond the bound of a second.",
-        sources.countDroppedLogLines,
-    );
-    addCounter(
-        registry,
-        "ignored_changes_total",
-        "Changes of the shared state that were ignored as old.",
-        sources.countIgnoredChanges,
-    );
-    addCounter(
-        registry,
-        "malformed_rows_total",
-        "Rows of the store that were skipped as malformed, each time they were read.",
-        sources.countMalformedRows,
-    );
+    metricSources.addSources(registry, sources);
     return {
         contentType: registry.contentType,
         recordRequest: (end, latencyMs) => requests.observe({ end }, latencyMs / 1_000),
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -32,6 +32,7 @@
 import * as metrics from "./metrics.js";
 import * as metricsServer from "./metricsServer.js";
 import * as requestHandler from "./requestHandler.js";
+import * as retryPolicy from "./retryPolicy.js";
 import * as startupWait from "./startupWait.js";
 import * as targetProber from "./targetProber.js";
 import * as targetSender from "./targetSender.js";
@@ -39,9 +40,6 @@
 import * as unexpectedErrors from "./unexpectedErrors.js";
 import * as unexpectedResponses from "./unexpectedResponses.js";
 
-/** Share of the platform's retry bound that is used: the VMs' counts of active VMs differ for short times. */
-const retryBoundShare = 0.7;
-
 export interface RouteDaemon {
     start(): Promise<void>;
     /** Applies the bounds of changed settings; addresses and names take effect only after a restart. */
@@ -157,15 +155,7 @@
     const queue = admissionQueue.createAdmissionQueue<targetPool.PickResult>(scheduler, queueRandom);
     const budget = retryBudget.createRetryBudget({
         scheduler,
-        getPolicy: () => {
-            const extra = bounds.retryExtra * role.computeExtraRetryShare();
-            const perSecond = (extra * 1_000) / bounds.retryWindowMs;
-            // A full bucket and the refill over one window together stay within the window's extra retries.
-            return {
-                share: bounds.retryShare * retryBoundShare,
-                floor: { perSecond: perSecond / 2, burst: extra / 2 },
-            };
-        },
+        getPolicy: () => retryPolicy.computeRetryPolicy(bounds, role.computeExtraRetryShare()),
     });
     const connections = connectionPool.createConnectionPool({
         scheduler,
