--- a/src/common/routes/bodyBudget.ts
+++ b/src/common/routes/bodyBudget.ts
@@ -13,7 +13,7 @@
 /** Memory of the process at rest (60 MB) and what its heap grows by under load. */
 const restBytes = 110 * mebibyte;
 /** Share of the remaining memory; the rest is for read buffers until they are collected, and for bytes in sockets. */
-const budgetShare = 0.4;
+const budgetShare = 0.25;
 const smallShare = 1 / 8;
 const minSmallBytes = 4 * mebibyte;
 /** A body that waits unread keeps about this much in the process and in its socket. */
