Read the bounds of quotas from the platform's settings

The daemon used the documented window, overshoot and slack whatever the settings file said, so that a platform with other bounds would have had its quotas enforced wrongly without a word.

--- a/src/common/routes/quota.ts
+++ b/src/common/routes/quota.ts
@@ -13,11 +13,18 @@
     readonly burst: number;
 }
 
+/** Bound that the platform sets for all quotas. */
+export interface QuotaBounds {
+    readonly quotaWindowMs: number;
+    /** Share of the rate and the burst by which a window may exceed them. */
+    readonly quotaOvershoot: number;
+    /** Requests by which a window may exceed them in any case. */
+    readonly quotaSlack: number;
+}
+
 export interface QuotaSettings {
     readonly windowMs: number;
-    /** Share of the rate and the burst by which a window may exceed them. */
     readonly overshoot: number;
-    /** Requests by which a window may exceed them in any case. */
     readonly slack: number;
     readonly creditPart: number;
     readonly returnPart: number;
@@ -41,6 +48,26 @@
     leaseMs: 10_000,
 };
 
+/** Bounds of the platform, where its settings do not name them. */
+export const defaultBounds: QuotaBounds = {
+    quotaWindowMs: defaultSettings.windowMs,
+    quotaOvershoot: defaultSettings.overshoot,
+    quotaSlack: defaultSettings.slack,
+};
+
+/**
+ * Converts the platform's bounds to settings, with the division of the tolerance.
+ *
+ * @param bounds - the bounds
+ * @returns the settings
+ */
+export const toSettings = (bounds: QuotaBounds): QuotaSettings => ({
+    ...defaultSettings,
+    windowMs: bounds.quotaWindowMs,
+    overshoot: bounds.quotaOvershoot,
+    slack: bounds.quotaSlack,
+});
+
 const computeTolerance = ({ perSecond, burst }: Quota, settings: QuotaSettings): number =>
     ((perSecond * settings.windowMs) / 1_000 + burst) * settings.overshoot + settings.slack;
 
--- a/src/node/routes/Types.ts
+++ b/src/node/routes/Types.ts
@@ -3,6 +3,7 @@
  */
 import type * as stream from "node:stream";
 import * as callers from "../../common/routes/callers.js";
+import * as quota from "../../common/routes/quota.js";
 import * as routes from "../../common/routes/Types.js";
 import * as types from "../../common/Types.js";
 
@@ -162,7 +163,7 @@
 }
 
 /** Limits that the platform sets for all entry VMs together. */
-export interface RouteBounds {
+export interface RouteBounds extends quota.QuotaBounds {
     /** Time from SIGTERM to SIGKILL. */
     readonly graceMs: number;
     /** Interval at which targets renew their rows in the store. */
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -7,6 +7,7 @@
 import * as errorText from "../../common/errors/errorText.js";
 import * as clientZones from "../../common/routes/clientZones.js";
 import * as peerOrder from "../../common/routes/peerOrder.js";
+import * as quota from "../../common/routes/quota.js";
 import * as quotaShare from "../../common/routes/quotaShare.js";
 import * as rate from "../../common/routes/rate.js";
 import * as sharedState from "../../common/routes/sharedState.js";
@@ -218,6 +219,7 @@
     const ownQuotas = quotas.createQuotas({
         scheduler,
         logger,
+        settings: quota.toSettings(settings.bounds),
         hasHub: link.isConnected,
         sendReport: link.sendQuotaReport,
         getShareView: () => ({
--- a/src/testing/routes/membershipFixture.ts
+++ b/src/testing/routes/membershipFixture.ts
@@ -6,6 +6,7 @@
 import * as requestCrashes from "../../common/crashes/requestCrashes.js";
 import * as activeVmPlan from "../../common/routes/activeVmPlan.js";
 import * as clientZones from "../../common/routes/clientZones.js";
+import * as quota from "../../common/routes/quota.js";
 import * as sharedState from "../../common/routes/sharedState.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
@@ -24,6 +25,7 @@
     retryShare: 0,
     retryWindowMs: 1_000,
     retryExtra: 0,
+    ...quota.defaultBounds,
 };
 
 export const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
