Check quotas of organisations in the soak test

The soak test ran no organisation with a quota that its callers could exceed, so that no fault was ever tried against the charges.

The rule `quota` reports more requests of an organisation that were both sent and run in 5 s than the quota and its tolerance allow, over all VMs, and a 429 to an organisation that sends less than a tenth of its quota. Refusals that a quota justifies no longer count as failures for `recovery` and `partition`; all others do.

--- a/src/testing/soak/Types.ts
+++ b/src/testing/soak/Types.ts
@@ -194,6 +194,13 @@
     | { readonly kind: "route-moved"; readonly atMs: number; readonly path: string; readonly service: string }
     | { readonly kind: "zone-out"; readonly atMs: number; readonly zone: string; endsAtMs: number };
 
+/** Quota of an organisation, which stays the same. */
+export interface OrganisationQuota {
+    readonly organisation: string;
+    readonly perSecond: number;
+    readonly burst: number;
+}
+
 export interface SoakHistory {
     readonly calls: readonly CallerRecord[];
     readonly runs: readonly RunRecord[];
@@ -202,6 +209,7 @@
     readonly committedChanges: readonly CommittedChange[];
     readonly disturbances: readonly Disturbance[];
     readonly partitions: readonly Partition[];
+    readonly quotas: readonly OrganisationQuota[];
     /** Hosts from which the VMs send, in the order of the VMs. */
     readonly vmHosts: readonly string[];
     /** No fault is active from this time on. */
@@ -240,6 +248,13 @@
     readonly crashLimit: number;
     /** ... apart from this number of requests. */
     readonly crashExtra: number;
+    readonly quotaWindowMs: number;
+    /** Share of the rate and the burst by which the requests in one window may exceed them, ... */
+    readonly quotaOvershoot: number;
+    /** ... apart from this number of requests. */
+    readonly quotaSlack: number;
+    /** An organisation that sends at most this share of its quota's window must not be refused because of it. */
+    readonly quotaLowShare: number;
 }
 
 export type SoakRule =
@@ -252,6 +267,7 @@
     | "zone-out"
     | "denied"
     | "identity"
+    | "quota"
     | "lost"
     | "unanswered"
     | "budget"
--- a/src/testing/soak/callerChecks.test.ts
+++ b/src/testing/soak/callerChecks.test.ts
@@ -43,6 +43,7 @@
     committedChanges: [],
     disturbances: [],
     partitions: [],
+    quotas: [],
     vmHosts: [],
     faultsEndedAtMs: 40_000,
     endedAtMs: 50_000,
--- a/src/testing/soak/callerChecks.ts
+++ b/src/testing/soak/callerChecks.ts
@@ -23,8 +23,14 @@
 /**
  * Lists whom the VMs may take for the caller of a request: those that its key identified from the bound of changes before the
  * request to an end, or at any time before if a VM was disturbed and may not have known.
+ *
+ * @param history - the history that the request belongs to
+ * @param bounds - the guaranteed bounds
+ * @param call - the request
+ * @param toMs - the end
+ * @returns names of organisations; undefined for no organisation
  */
-const listCallers = (
+export const listCallers = (
     history: types.SoakHistory,
     bounds: types.SoakBounds,
     call: types.CallerRecord,
--- a/src/testing/soak/checker.test.ts
+++ b/src/testing/soak/checker.test.ts
@@ -22,6 +22,10 @@
     partitionedFailureShare: 0.02,
     crashLimit: 3,
     crashExtra: 3,
+    quotaWindowMs: 5_000,
+    quotaOvershoot: 0.1,
+    quotaSlack: 20,
+    quotaLowShare: 0.1,
 };
 
 const createCall = (id: string, fields: Partial<types.CallerRecord> = {}): types.CallerRecord => ({
@@ -72,6 +76,7 @@
         committedChanges: [],
         disturbances: [],
         partitions: [],
+        quotas: [],
         vmHosts: ["vm-0", "vm-1"],
         faultsEndedAtMs: 40_000,
         endedAtMs: 50_000,
--- a/src/testing/soak/checker.ts
+++ b/src/testing/soak/checker.ts
@@ -5,6 +5,7 @@
 import * as attempts from "./attempts.js";
 import * as callerChecks from "./callerChecks.js";
 import * as historyChecks from "./historyChecks.js";
+import * as quotaChecks from "./quotaChecks.js";
 import * as targetChecks from "./targetChecks.js";
 import * as types from "./Types.js";
 
@@ -188,7 +189,8 @@
     const lateCalls = history.calls.filter(
         call =>
             call.sentAtMs > history.faultsEndedAtMs + bounds.recoveryMs &&
-            !callerChecks.mayBeDenied(history, bounds, call),
+            !callerChecks.mayBeDenied(history, bounds, call) &&
+            !quotaChecks.isRightlyOverQuota(history, bounds, call),
     );
     const served = lateCalls.filter(historyChecks.isServed);
     return lateCalls.length > 0 && served.length >= lateCalls.length * minRecoveredShare
@@ -210,6 +212,8 @@
     findDeniedRequests,
     callerChecks.findForeignRuns,
     callerChecks.findDeniedRuns,
+    quotaChecks.findQuotaExcess,
+    quotaChecks.findFalseQuotaRefusals,
     findLostResponses,
     findUnansweredRequests,
     findRetryExcess,
--- a/src/testing/soak/targetChecks.ts
+++ b/src/testing/soak/targetChecks.ts
@@ -3,6 +3,7 @@
  */
 import * as callerChecks from "./callerChecks.js";
 import * as historyChecks from "./historyChecks.js";
+import * as quotaChecks from "./quotaChecks.js";
 import * as types from "./Types.js";
 
 export const findColdExcess: historyChecks.Check = (history, bounds) => {
@@ -121,7 +122,8 @@
                 call.sentAtMs > partition.fromMs + bounds.contactMs &&
                 call.sentAtMs < partition.toMs &&
                 !historyChecks.isDisturbed(history, partition.fromMs, call.endedAtMs, call.vm) &&
-                !callerChecks.mayBeDenied(history, bounds, call),
+                !callerChecks.mayBeDenied(history, bounds, call) &&
+                !quotaChecks.isRightlyOverQuota(history, bounds, call),
         );
         const there = calls.filter(({ vm }) => partition.vms.includes(vm));
         const elsewhere = calls.filter(({ vm }) => !partition.vms.includes(vm));
