Refuse a status that is not of three digits

Cause: the library's pattern for status lines reads the first three digits and takes the rest for the reason. A target's 2000 was passed on as 200, and 1000 was skipped as an interim response with status 100, which between VMs also asks for the body.

Change: the parser throws on a status line whose status is not exactly three digits that end the line or are followed by a blank. A line without a reason is accepted as before.

Measured: "a status that is not of three digits is an error" failed at 1000 before and passes now; with it all tests of responseParser.test.ts pass.

--- a/src/node/routes/responseParser.test.ts
+++ b/src/node/routes/responseParser.test.ts
@@ -215,3 +215,12 @@
         }
     }
 });
+
+// Guards against a status of which the library reads the first three digits only: 2000 was a success, and 1000 an interim response.
+test("a status that is not of three digits is an error", t => {
+    for (const status of ["0200", "1000", "2000", "200OK", "20", "-1", "2 0", ""]) {
+        t.not(parse(`HTTP/1.1 ${status} OK\r\ncontent-length: 0\r\n\r\n`, []).fault, undefined, status);
+        t.not(parse(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\n\r\n`, []).fault, undefined, status);
+    }
+    t.true(parse("HTTP/1.1 200\r\ncontent-length: 0\r\n\r\n", []).responses[0]?.isWhole);
+});
--- a/src/node/routes/responseParser.ts
+++ b/src/node/routes/responseParser.ts
@@ -16,6 +16,8 @@
 const lineFeed = 0x0a;
 
 const statusLinePattern = /HTTP\/\d\.\d \d{3}/;
+/** The library reads the first three digits of a longer status, so that 2000 would be a success and 1000 an interim response. */
+const responseLinePattern = /^HTTP\/\d\.\d \d{3}(?: |$)/;
 const contentLengthPattern = /^\d{1,15}$/;
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(;.*)?$/i;
 const minStatusCode = 100;
@@ -220,7 +222,14 @@
         const text = internals.line + chunk.toString("latin1", offset, end);
         internals.offset = end;
         internals.line = lineEnd < 0 ? text : "";
-        return lineEnd < 0 ? undefined : text.slice(0, text.endsWith("\r\n") ? -2 : -1);
+        if (lineEnd < 0) {
+            return undefined;
+        }
+        const line = text.slice(0, text.endsWith("\r\n") ? -2 : -1);
+        if (internals.state === "RESPONSE_LINE" && !responseLinePattern.test(line)) {
+            throw new Error("malformed status line");
+        }
+        return line;
     };
     internals.parseHeader = (line, headers) => {
         const header = parseHeaderLine(line);
