--- a/src/node/routes/relayedRequests.test.ts
+++ b/src/node/routes/relayedRequests.test.ts
@@ -1,16 +1,13 @@
 import * as net from "node:net";
 import test from "ava";
 import * as ids from "../../common/ids.js";
-import * as random from "../../common/random.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as httpServer from "../../testing/http/httpServer.js";
 import * as fixture from "../../testing/routes/fixture.js";
-import * as silentLogger from "../../testing/silentLogger.js";
+import * as relayFixture from "../../testing/routes/relayFixture.js";
 import * as systemScheduler from "../systemScheduler.js";
-import * as connectionPool from "./connectionPool.js";
 import * as peerRelay from "./peerRelay.js";
-import * as targetSender from "./targetSender.js";
 
 const scheduler = systemScheduler.createSystemScheduler({ keepAlive: false });
 const body = Buffer.from("honing job");
@@ -44,23 +41,9 @@
 };
 
 const createRelay = (peers: readonly routes.Peer[]): peerRelay.PeerRelay => {
-    const pool = connectionPool.createConnectionPool({ scheduler, dialect: fixture.testDialect });
-    closers.push(pool.dispose);
-    return peerRelay.createPeerRelay({
-        scheduler,
-        logger: silentLogger.createSilentLogger(),
-        random: random.createRandom(1),
-        zone: fixture.zone,
-        metrics: { recordRelay: () => undefined },
-        sender: targetSender.createTargetSender({
-            pool,
-            dialect: fixture.testDialect,
-            scheduler,
-            handleHead: () => undefined,
-        }),
-        listPeers: () => peers,
-        listActiveVms: () => peers,
-    });
+    const { relay, dispose } = relayFixture.createRelay(peers);
+    closers.push(dispose);
+    return relay;
 };
 
 const relayJob = (relay: peerRelay.PeerRelay, kind: routes.RouteKind, sentBody: Buffer) =>
--- a/src/testing/routes/frontendFixture.ts
+++ b/src/testing/routes/frontendFixture.ts
@@ -24,7 +24,7 @@
  *
  * @param handle - handles the requests
  * @param limits - limits that differ from those of the fixture
- * @returns the server, what it recorded, and a function that connects a client
+ * @returns the server, its address, what it recorded, and a function that connects a client
  */
 export const startServer = async (
     handle: frontendServer.FrontendOptions["handle"],
@@ -55,7 +55,7 @@
         socket.on("error", () => undefined);
         return { socket, read: () => text, ended: new Promise(resolve => socket.once("close", resolve)) };
     };
-    return { server, connect, errors, unreadable };
+    return { server, address, connect, errors, unreadable };
 };
 
 /** Waits for a duration in milliseconds. */
