Ask the ledger of a quota again soon, and keep a hub that holds ledgers for longer

A VM now asks again after 200 ms, a ledger expects room within one window at most, and followers of a hub that keeps ledgers read the store themselves for up to 2 s before they leave it.

--- a/src/common/routes/quotaLedger.ts
+++ b/src/common/routes/quotaLedger.ts
@@ -143,7 +143,8 @@
     }
     const missing = countDebt(ledger) + 1 - ledger.tokens;
     const perSecond = terms.quota.perSecond * terms.share;
-    return missing <= 0 ? 0 : perSecond > 0 ? Math.ceil((missing * 1_000) / perSecond) : terms.settings.windowMs;
+    const roomInMs = perSecond > 0 ? Math.ceil((missing * 1_000) / perSecond) : Infinity;
+    return missing <= 0 ? 0 : Math.min(roomInMs, terms.settings.windowMs);
 };
 
 const toAcknowledgement = (ledger: Ledger, session: Session, terms: LedgerTerms): quotas.QuotaAcknowledgement => ({
--- a/src/node/routes/hubLink.ts
+++ b/src/node/routes/hubLink.ts
@@ -25,6 +25,11 @@
  * within the 2 s that the platform allows.
  */
 export const maxOverdueMs = 500;
+/**
+ * A hub that keeps ledgers of quotas is left later: its followers read the store themselves meanwhile, and a change of the
+ * hub leaves organisations without most of their quota for up to two seconds.
+ */
+const maxLedgerOverdueMs = 2_000;
 /** A VM that lost its hub follows the store itself if it finds no other hub within this time. */
 const storeFallbackDelayMs = 200;
 /** A silent hub is detected within this time after its heartbeat has timed out. */
@@ -71,6 +76,8 @@
     isStoreFresh(): boolean;
     /** Whether this VM has a configuration, so that it can serve while it looks for a hub. */
     hasConfiguration(): boolean;
+    /** Whether organisations have quotas, whose ledgers the hub keeps. */
+    hasQuotas(): boolean;
     /** Returns the lookups that this VM has answered since the last call. */
     takeLookups(): clientZones.LookupCounts;
     addMessageHandlers(channel: peerChannel.PeerChannel): void;
@@ -126,7 +133,9 @@
     const hasFreshView = (connection: HubConnection): boolean => connection.overdueMs < maxOverdueMs;
 
     const isUseful = (connection: HubConnection): boolean =>
-        connection.isHub && isAlive(connection) && (hasFreshView(connection) || !options.isStoreFresh());
+        connection.isHub &&
+        isAlive(connection) &&
+        (connection.overdueMs < (options.hasQuotas() ? maxLedgerOverdueMs : maxOverdueMs) || !options.isStoreFresh());
 
     const handleHeartbeat = (connection: HubConnection, heartbeat: peerChannel.HubHeartbeat): void => {
         connection.isHub = heartbeat.isHub;
--- a/src/node/routes/membership.ts
+++ b/src/node/routes/membership.ts
@@ -30,6 +30,7 @@
 const storeLookupIntervalMs = 10_000;
 /** Changes of targets within this time are sent together. */
 const reportDelayMs = 20;
+const hasQuota = ({ perSecond }: routes.Organisation): boolean => perSecond !== undefined;
 const noAddress = "" as shared.Address;
 
 export interface Membership extends shared.Disposable {
@@ -207,6 +208,7 @@
         },
         isStoreFresh,
         hasConfiguration: () => state.getConfiguration() !== undefined,
+        hasQuotas: () => state.getConfiguration()?.organisations?.some(hasQuota) === true,
         handleConnected: () => {
             link.sendTargetReports(options.listTargetReports());
             hub?.closeFollowers();
--- a/src/node/routes/metricSources.ts
+++ b/src/node/routes/metricSources.ts
@@ -3,7 +3,7 @@
  */
 import * as promClient from "prom-client";
 import * as byteMeter from "./byteMeter.js";
-import * as quotas from "./quotas.js";
+import * as quotaRefusals from "./quotaRefusals.js";
 
 export const namePrefix = "tarragonpath_";
 
@@ -37,7 +37,7 @@
     countMalformedRows(): number;
     /** Bytes since the start, by kind, direction and zones. */
     listTraffic(): readonly byteMeter.TrafficCount[];
-    getQuotaCounts(): quotas.QuotaCounts;
+    getQuotaCounts(): quotaRefusals.QuotaCounts;
 }
 
 const addGauges = (registry: promClient.Registry, sources: MetricSources): void => {
--- a/src/node/routes/quotaRefusals.ts
+++ b/src/node/routes/quotaRefusals.ts
@@ -7,6 +7,12 @@
 const summaryIntervalMs = 5_000;
 const maxListed = 10;
 
+export interface QuotaCounts {
+    readonly charged: number;
+    readonly refused: number;
+    readonly takenBack: number;
+}
+
 export interface QuotaRefusals extends shared.Disposable {
     record(refusal: shared.LogFields & { readonly organisation: shared.OrganisationName }): void;
 }
--- a/src/node/routes/quotas.ts
+++ b/src/node/routes/quotas.ts
@@ -16,6 +16,8 @@
 const urgentReportDelayMs = 20;
 /** Longest wait for an acknowledgement: a hub in another zone answers within about 30 ms, coalescing included. */
 const maxWaitMs = 150;
+/** The room that a ledger expects changes with its share, which is small while VMs look for their hub. */
+const maxExhaustedMs = 200;
 /** Without a ledger in reach a VM finds its next hub within about this time. */
 const unavailableRetryAfterMs = 500;
 /** How long the view of the other VMs is cached; it is used for each report and each refusal. */
@@ -35,12 +37,6 @@
     /** The VM can't charge it: no ledger in reach and no credit. */
     | { readonly kind: "unavailable"; readonly retryAfterMs: number };
 
-export interface QuotaCounts {
-    readonly charged: number;
-    readonly refused: number;
-    readonly takenBack: number;
-}
-
 export interface Quotas extends shared.Disposable {
     /** Charges a request; resolves at once if there is credit. */
     charge(
@@ -55,7 +51,7 @@
     receiveAcknowledgement(message: quotaMessages.AcknowledgementMessage): void;
     /** Ledgers of this VM, for its followers. */
     readonly ledgers: quotaLedgers.QuotaLedgers;
-    getCounts(): QuotaCounts;
+    getCounts(): quotaRefusals.QuotaCounts;
 }
 
 export interface QuotasOptions {
@@ -75,8 +71,10 @@
 interface AccountEntry {
     account: quotaAccount.Account;
     waiters: readonly Waiter[];
-    /** Until then the ledger has no room. */
-    exhaustedUntilMs: number;
+    /** The ledger expects to have room at this time. */
+    roomAtMs: number;
+    /** It is asked again at this time. */
+    askAtMs: number;
 }
 
 /**
@@ -103,7 +101,7 @@
     const refusals = quotaRefusals.createQuotaRefusals({ scheduler, logger });
     let quotas: quotaLedgers.Quotas = new Map();
     let session = 0;
-    let counts: QuotaCounts = { charged: 0, refused: 0, takenBack: 0 };
+    let counts: quotaRefusals.QuotaCounts = { charged: 0, refused: 0, takenBack: 0 };
     let timer: shared.Disposable | undefined;
     let reportAtMs = Infinity;
 
@@ -113,7 +111,8 @@
         const entry = entries.get(organisation) ?? {
             account: { ...quotaAccount.createAccount(), session },
             waiters: [],
-            exhaustedUntilMs: -Infinity,
+            roomAtMs: -Infinity,
+            askAtMs: -Infinity,
         };
         entries.set(organisation, entry);
         return entry;
@@ -246,10 +245,11 @@
             if (roomInMs === null) {
                 refuseWaiters(organisation, own, { kind: "unavailable", retryAfterMs: unavailableRetryAfterMs });
             } else if (roomInMs > 0) {
-                entry.exhaustedUntilMs = scheduler.now() + roomInMs;
+                entry.roomAtMs = scheduler.now() + roomInMs;
+                entry.askAtMs = scheduler.now() + Math.min(roomInMs, maxExhaustedMs);
                 refuseWaiters(organisation, own, { kind: "exhausted", retryAfterMs: roomInMs });
             } else {
-                entry.exhaustedUntilMs = -Infinity;
+                entry.askAtMs = -Infinity;
             }
         }
     };
@@ -297,9 +297,9 @@
             if (charged !== undefined) {
                 return charged;
             }
-            const roomInMs = entry.exhaustedUntilMs - scheduler.now();
-            return roomInMs > 0
-                ? refuse(organisation, request.id, own, { kind: "exhausted", retryAfterMs: roomInMs })
+            const retryAfterMs = entry.roomAtMs - scheduler.now();
+            return entry.askAtMs > scheduler.now()
+                ? refuse(organisation, request.id, own, { kind: "exhausted", retryAfterMs })
                 : waitForGrant(organisation, own, request);
         },
         takeBack: ({ organisation, charge: taken }) => {
@@ -332,7 +332,7 @@
                     continue;
                 }
                 entry.account = { ...quotaAccount.beginSession(entry.account, toTerms(own)), session };
-                entry.exhaustedUntilMs = -Infinity;
+                entry.askAtMs = -Infinity;
                 if (entry.waiters.length > 0 || entry.account.charged > 0) {
                     markChanged(organisation, entry, own);
                 }
