--- a/src/node/routes/quotas.test.ts
+++ b/src/node/routes/quotas.test.ts
@@ -287,3 +287,19 @@
     await scheduler.advance(150);
     t.is((await charged).kind, "unavailable");
 });
+
+// Guards against an organisation that is refused for as long as a ledger with a small share of the quotas expected to have no room.
+test("soon after a ledger has its share again, requests below the quota are charged", async t => {
+    const { scheduler, createVm, sendRequests } = createCluster();
+    const others = Array.from({ length: 91 }, (_, index) => ids.toVmId(`vm-${String(index)}`));
+    const hub = createVm("hub");
+    const whole = { ...hub.view, connected: [hub.name, ...others] };
+    hub.view = whole;
+    await scheduler.advance(12_000);
+    hub.view = { ...whole, connected: [hub.name], reported: others };
+    await scheduler.advance(200);
+    await sendRequests([hub], large, 100, 1_000);
+    hub.view = whole;
+    await scheduler.advance(2_000);
+    t.is(await sendRequests([hub], large, 40, 2_000), 80);
+});
--- a/src/node/routes/quotas.ts
+++ b/src/node/routes/quotas.ts
@@ -10,12 +10,11 @@
 import * as quotaLedgers from "./quotaLedgers.js";
 import * as quotaMessages from "./quotaMessages.js";
 import * as quotaRefusals from "./quotaRefusals.js";
+import * as quotaWaiters from "./quotaWaiters.js";
 
 const reportDelayMs = 100;
 /** While requests wait, or the credit may soon be used up. */
 const urgentReportDelayMs = 20;
-/** Longest wait for an acknowledgement: a hub in another zone answers within about 30 ms, coalescing included. */
-const maxWaitMs = 150;
 /** The room that a ledger expects changes with its share, which is small while VMs look for their hub. */
 const maxExhaustedMs = 200;
 /** Without a ledger in reach a VM finds its next hub within about this time. */
@@ -63,19 +62,7 @@
     getShareView(): quotaShare.ShareView;
 }
 
-interface Waiter {
-    readonly id: string;
-    resolve(result: ChargeResult): void;
-}
-
-interface AccountEntry {
-    account: quotaAccount.Account;
-    waiters: readonly Waiter[];
-    /** The ledger expects to have room at this time. */
-    roomAtMs: number;
-    /** It is asked again at this time. */
-    askAtMs: number;
-}
+type Entry = quotaWaiters.AccountEntry<ChargeResult>;
 
 /**
  * Creates quotas without organisations.
@@ -85,7 +72,7 @@
  */
 export const createQuotas = (options: QuotasOptions): Quotas => {
     const { scheduler, logger, settings = quota.defaultSettings } = options;
-    const entries = new Map<shared.OrganisationName, AccountEntry>();
+    const entries = new Map<shared.OrganisationName, Entry>();
     const changed = new Set<shared.OrganisationName>();
     const knownVms = quotaShare.createKnownVms(scheduler);
     let view: quotaShare.ShareView | undefined;
@@ -107,13 +94,8 @@
 
     const toTerms = (own: quota.Quota): quotaAccount.AccountTerms => ({ quota: own, settings, nowMs: scheduler.now() });
 
-    const findEntry = (organisation: shared.OrganisationName): AccountEntry => {
-        const entry = entries.get(organisation) ?? {
-            account: { ...quotaAccount.createAccount(), session },
-            waiters: [],
-            roomAtMs: -Infinity,
-            askAtMs: -Infinity,
-        };
+    const findEntry = (organisation: shared.OrganisationName): Entry => {
+        const entry = entries.get(organisation) ?? quotaWaiters.createEntry<ChargeResult>(session);
         entries.set(organisation, entry);
         return entry;
     };
@@ -128,7 +110,7 @@
         }
     };
 
-    const markChanged = (organisation: shared.OrganisationName, entry: AccountEntry, own: quota.Quota): void => {
+    const markChanged = (organisation: shared.OrganisationName, entry: Entry, own: quota.Quota): void => {
         changed.add(organisation);
         const { account } = entry;
         const terms = toTerms(own);
@@ -204,11 +186,12 @@
         organisation: shared.OrganisationName,
         own: quota.Quota,
         result: Exclude<ChargeResult, { readonly kind: "charged" }>,
+        keptCount = 0,
     ): void => {
         const entry = findEntry(organisation);
-        const { waiters } = entry;
-        entry.waiters = [];
-        waiters.forEach(waiter => waiter.resolve(refuse(organisation, waiter.id, own, result)));
+        const refused = entry.waiters.slice(keptCount);
+        entry.waiters = entry.waiters.slice(0, keptCount);
+        refused.forEach(waiter => waiter.resolve(refuse(organisation, waiter.id, own, result)));
     };
 
     /** Charges requests that wait, in the order of their arrival, as far as grants and credit allow. */
@@ -247,10 +230,15 @@
             } else if (roomInMs > 0) {
                 entry.roomAtMs = scheduler.now() + roomInMs;
                 entry.askAtMs = scheduler.now() + Math.min(roomInMs, maxExhaustedMs);
-                refuseWaiters(organisation, own, { kind: "exhausted", retryAfterMs: roomInMs });
+                const keptCount = quotaWaiters.countServable(roomInMs, own);
+                refuseWaiters(organisation, own, { kind: "exhausted", retryAfterMs: roomInMs }, keptCount);
             } else {
                 entry.askAtMs = -Infinity;
             }
+            if (entry.waiters.length > 0) {
+                changed.add(organisation);
+                scheduleReport(Math.max(urgentReportDelayMs, roomInMs ?? 0));
+            }
         }
     };
 
@@ -265,12 +253,12 @@
                 entry.waiters = entry.waiters.filter(other => other !== waiter);
                 waiter.resolve({ kind: "unavailable", retryAfterMs: unavailableRetryAfterMs });
             };
-            const timeout = scheduler.schedule(maxWaitMs, () => {
+            const timeout = scheduler.schedule(quotaWaiters.maxWaitMs, () => {
                 const result = { kind: "unavailable", retryAfterMs: unavailableRetryAfterMs } as const;
                 refuse(organisation, id, own, result);
                 leave();
             });
-            const waiter: Waiter = {
+            const waiter: quotaWaiters.Waiter<ChargeResult> = {
                 id,
                 resolve: result => {
                     timeout.dispose();
