--- a/review/lib-2/standins.mjs
+++ b/review/lib-2/standins.mjs
@@ -233,7 +233,7 @@
 };
 
 /** Starts daemons as the deploy file says; each gets its settings from a file in a temporary folder. */
-export const createDaemons = async ({ store, count = 1, zones = ["zone-a"], record }) => {
+export const createDaemons = async ({ store, count = 1, zones = ["zone-a"], record, bounds = {} }) => {
     const directory = fs.mkdtempSync(path.join(os.tmpdir(), "tarragonpath-review-"));
     const ports = await findFreePorts(count * 6);
     const running = new Set();
@@ -296,7 +296,10 @@
             "Platform.form=table",
             "Platform.WritesPerS=400",
             "Platform.ReadsPerS=2000",
-        ].join("\n");
+        ]
+            .filter(line => !Object.keys(bounds).some(name => line.startsWith(`Bounds.${name}=`)))
+            .concat(Object.entries(bounds).map(([name, value]) => `Bounds.${name}=${value}`))
+            .join("\n");
     const start = daemon => {
         const settingsPath = path.join(directory, `${daemon.name}.conf`);
         fs.writeFileSync(settingsPath, `${formatSettings(daemon)}\n`);
