--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -138,8 +138,10 @@
             wake();
         });
         socket.once("end", () => {
-            connection.closedBy ??= "end";
-            if (current !== undefined && current.length === undefined && !current.isChunked) {
+            // Node.js may report a reset that arrives together with data as an ordinary end; such a socket has no peer.
+            connection.closedBy ??= socket.remoteAddress === undefined ? "reset" : "end";
+            const isOpenEnded = current !== undefined && current.length === undefined && !current.isChunked;
+            if (isOpenEnded && connection.closedBy === "end") {
                 finish();
             }
             wake();
