--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,6 +1,5 @@
 /**
- * Uploads arrive at an entry daemon that drains, more than 3 s after its SIGTERM, and are at work at their targets when the
- * daemon ends before the grace period is over.
+ * Clients that send further safe requests before the first one is answered, on connections of an entry daemon that drains.
  */
 import * as path from "node:path";
 import * as url from "node:url";
@@ -9,132 +8,109 @@
 import { setTimeout } from "node:timers";
 import * as client from "../lib-2/client.mjs";
 import * as standins from "../lib-2/standins.mjs";
+import * as link from "./link.mjs";
 
 const directory = path.dirname(url.fileURLToPath(import.meta.url));
-/** Largest work of `edge-upload` at the site. */
-const workMs = 5_300;
-const uploadBytes = 60_000;
-const deadlineMs = 20_000;
-const graceMs = 10_000;
-const lossSlackMs = 200;
-const sentAtMs = [3_400, 3_800, 4_200, 4_600, 4_800];
-const contactMs = 4_000;
+const clients = 24;
+const fileBytes = 540_000;
+const fileWorkMs = 100;
+const lookupWorkMs = 40;
+const deadlineMs = 6_000;
+/** Times after the file's request at which the second request is sent; the daemon's doings play no part in them. */
+const firstGapMs = 60;
+const gapStepMs = 4;
+const delayMs = 8;
+/** 14 Mbit/s. */
+const bytesPerMs = 1_750;
 
 await standins.runCase(directory, async ({ record, isTroubled, onEnd }) => {
     const store = await standins.startStore();
     onEnd(store.close);
+    const route = { RouteType: "safe", MaxAttempts: 2, Timeout: "5s", LatencySlo: "900ms", Priority: 1 };
     standins.writeConfiguration(store, {
         version: 1,
-        services: [{ Name: "inspection", HealthPath: "/health" }],
+        services: [
+            { Name: "files", HealthPath: "/health" },
+            { Name: "menus", HealthPath: "/health" },
+        ],
         routes: [
-            {
-                Name: "edge-upload",
-                Prefix: "/edge/",
-                Service: "inspection",
-                RouteType: "upload",
-                MaxAttempts: 1,
-                Timeout: "20s",
-                LatencySlo: "3s",
-                Priority: 1,
-            },
+            { ...route, Name: "settlement-pull", Prefix: "/files/", Service: "files", RouteType: "download" },
+            { ...route, Name: "menu-lookup", Prefix: "/menus/", Service: "menus" },
         ],
     });
-    const runs = new Map();
-    for (const id of ["i-inspection-1", "i-inspection-2", "i-inspection-3"]) {
-        const target = await standins.startTarget({
+    const answered = new Set();
+    const startTarget = (id, service, workMs, bytes) =>
+        standins.startTarget({
             store,
             id,
-            service: "inspection",
-            respond: ({ id: requestId, response, body, socket }) => {
-                record(`${id} runs ${requestId} (${body.length} bytes)`);
-                runs.set(requestId, "at work");
-                const timer = setTimeout(() => {
-                    const headers = { "Request-Id": requestId, "Response-Seal": "s1", "Content-Length": 2 };
-                    response.writeHead(200, headers).end("ok");
-                    runs.set(requestId, "answered");
-                    record(`${id} answers ${requestId}`);
+            service,
+            slots: 32,
+            respond: ({ id: requestId, response }) => {
+                setTimeout(() => {
+                    const headers = { "Request-Id": requestId, "Response-Seal": "s1", "Content-Length": bytes };
+                    response.writeHead(200, headers).end(Buffer.alloc(bytes, 100));
+                    answered.add(requestId);
+                    record(`${id} has answered ${requestId} with ${bytes} bytes`);
                 }, workMs);
-                socket.once("close", () => {
-                    clearTimeout(timer);
-                    if (runs.get(requestId) === "at work") {
-                        record(`${id}: the connection of ${requestId} has closed while it was at work`);
-                    }
-                });
             },
         });
-        onEnd(target.close);
+    for (const id of ["i-files-1", "i-files-2"]) {
+        onEnd((await startTarget(id, "files", fileWorkMs, fileBytes)).close);
     }
-    const fleet = await standins.createDaemons({
-        store,
-        record,
-        count: 2,
-        bounds: { Contact: `${contactMs}ms`, Grace: `${graceMs}ms`, Drain: "3000ms", ConfigApply: "3000ms" },
-    });
+    for (const id of ["i-menus-1", "i-menus-2"]) {
+        onEnd((await startTarget(id, "menus", lookupWorkMs, 1_500)).close);
+    }
+    const fleet = await standins.createDaemons({ store, record, count: 2 });
     onEnd(fleet.close);
     fleet.daemons.forEach(fleet.start);
-    for (const each of fleet.daemons) {
-        await fleet.waitUntilServing(each);
-    }
-    await standins.waitMs(contactMs + 1_000);
-    // Clients connect where the directory tells them to.
+    await fleet.waitUntilServing(fleet.daemons[0]);
+    await standins.waitMs(4_000);
     const daemon = await fleet.waitUntilServing(fleet.daemons[0]);
+    const clientLink = await link.startLink({ port: daemon.front, delayMs, bytesPerMs });
+    onEnd(clientLink.close);
+
+    const format = (id, target) =>
+        client.formatRequest({ id, path: target, clientHost: standins.clientHost, deadlineMs });
     const connections = [];
-    for (const index of sentAtMs.keys()) {
-        const connection = await client.connect(daemon.front);
-        connection.send(
-            client.formatRequest({
-                id: `warm-${index}`,
-                path: "/none",
-                clientHost: standins.clientHost,
-                deadlineMs,
-            }),
-        );
-        await connection.waitFor(() => connection.responses.length > 0, 2_000);
+    for (let index = 0; index < clients; index++) {
+        const connection = await client.connect(clientLink.port);
+        connection.send(format(`first-${index}`, "/menus/today"));
+        await connection.waitFor(() => connection.responses[0]?.isWhole === true, 2_000);
         connections.push(connection);
     }
-    const startedAtMs = performance.now();
     if (isTroubled) {
         record(`SIGTERM to ${daemon.name}`);
         daemon.process.kill("SIGTERM");
-        // The platform kills a process that has not ended after its grace period.
-        const timer = setTimeout(() => {
-            record(`SIGKILL to ${daemon.name}`);
-            daemon.process.kill("SIGKILL");
-        }, graceMs);
-        onEnd(() => clearTimeout(timer));
     }
-    const results = sentAtMs.map(async (delayMs, index) => {
-        const connection = connections[index];
-        await standins.waitMs(startedAtMs + delayMs - performance.now());
-        const id = `upload-${index + 1}`;
-        if (connection.closedBy !== undefined) {
-            record(`${id} is not sent, as the connection has closed`);
-            return false;
+    const play = async (connection, index) => {
+        await standins.waitMs(100 + index * 100);
+        const gapMs = firstGapMs + index * gapStepMs;
+        connection.send(format(`file-${index}`, "/files/day.csv"));
+        const sentAtMs = performance.now();
+        // A client sends nothing behind a response that it knows to close the connection.
+        await connection.waitFor(() => connection.responses[1]?.headers.get("connection") === "close", gapMs);
+        const mayGoOn = connection.responses[1]?.headers.get("connection") !== "close";
+        if (mayGoOn && connection.closedBy === undefined) {
+            connection.send(format(`behind-${index}`, "/menus/today"));
         }
-        connection.send(
-            client.formatRequest({
-                id,
-                method: "POST",
-                path: "/edge/photo",
-                clientHost: standins.clientHost,
-                deadlineMs,
-                body: Buffer.alloc(uploadBytes, 99),
-            }),
+        await connection.waitFor(() => connection.responses[mayGoOn ? 2 : 1]?.isWhole === true, 3_000);
+        const [, file, behind] = connection.responses;
+        const afterMs = Math.round(performance.now() - sentAtMs);
+        record(
+            `client ${index}: second request ${mayGoOn ? `after ${gapMs} ms` : "not sent"}; file: status ` +
+                `${file?.statusCode}, ${file?.bodyBytes} bytes, whole: ${file?.isWhole === true}; second: status ` +
+                `${behind?.statusCode}; closed by ${connection.closedBy}, after ${afterMs} ms`,
         );
-        record(`client sends ${id}, ${delayMs} ms after the SIGTERM`);
-        const sentMs = performance.now();
-        await connection.waitFor(() => connection.responses[1]?.isWhole === true, 12_000);
-        const afterMs = Math.round(performance.now() - sentMs);
-        const response = connection.responses[1];
-        record(`client: ${id} after ${afterMs} ms: status ${response?.statusCode}, closed by ${connection.closedBy}`);
-        const isCut = response?.isWhole !== true && connection.closedBy !== undefined && afterMs > lossSlackMs;
-        const isLost = isCut && runs.has(id);
+        const isLost = answered.has(`file-${index}`) && file?.isWhole !== true && connection.closedBy !== undefined;
         if (isLost) {
-            record(`LOST: ${id} was read whole and passed on, and its connection ended without an answer`);
+            record(
+                `LOST: file-${index} was passed on and answered, and its connection ended without a complete answer`,
+            );
         }
+        connection.socket.destroy();
         return isLost;
-    });
-    const lost = (await Promise.all(results)).filter(Boolean).length;
-    record(`${lost} of ${sentAtMs.length} uploads lost`);
+    };
+    const lost = (await Promise.all(connections.map(play))).filter(Boolean).length;
+    record(`${lost} of ${clients} files lost`);
     return lost > 0;
 });
