--- a/review/lib-2/standins.mjs
+++ b/review/lib-2/standins.mjs
@@ -369,7 +369,7 @@
 /** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export const runCase = async (directory, play) => {
     const record = createRecord(directory);
-    const isTroubled = process.env.TROUBLE !== "0";
+    const isTroubled = !process.argv.includes("--without-disruption");
     record(isTroubled ? "with the disruption" : "without the disruption");
     const closers = [];
     let code = 2;
