Begin no work that a leaving VM cannot complete

Callers saw: an upload that was sent a few seconds after SIGTERM was read whole and passed on, and its connection closed without a response when the process ended.

Cause: whether a request is accepted was asked once, when its head had been read, of a fixed time after the signal. The body, the wait for a slot, second attempts, hedges and the work itself came later and were never compared with the time that the process had left.

Not the length of the window: the same work begun in its first second is complete.

What may not begin gets 503 before anything is sent, with `Connection: close`. Each refusal and each request that is cut off is logged and counted.

--- a/src/node/routes/bodyRefusals.ts
+++ b/src/node/routes/bodyRefusals.ts
@@ -5,7 +5,8 @@
 import * as metrics from "./metrics.js";
 import * as requestBody from "./requestBody.js";
 
-export type RefusedBodyReason = "aborted" | "malformed" | "too-large" | "no-room" | "no-progress" | "too-slow";
+export type RefusedBodyReason =
+    "aborted" | "malformed" | "too-large" | "no-room" | "no-progress" | "too-slow" | "draining";
 
 export interface RefusedBody {
     readonly statusCode: number;
@@ -25,6 +26,8 @@
             return { statusCode: 400, reason: body.kind };
         case "too-large":
             return { statusCode: 413, reason: body.kind };
+        case "draining":
+            return { statusCode: 503, reason: body.kind };
         case "refused":
             return { statusCode: body.refusal === "no-room" ? 503 : 408, reason: body.refusal };
     }
--- a/src/node/routes/clientDrain.test.ts
+++ b/src/node/routes/clientDrain.test.ts
@@ -1,20 +1,27 @@
 import test from "ava";
+import * as fixture from "../../testing/routes/fixture.js";
 import * as virtualScheduler from "../../testing/virtualScheduler.js";
 import * as clientDrain from "./clientDrain.js";
 
 const startDrain = (times: { readonly graceMs: number; readonly longestLookupMs: number }, connections: number) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
-    const state: { open: number; closedAtMs: number | undefined; endedAtMs: number | undefined } = {
+    const state: { open: number; cutOff: number; closedAtMs: number | undefined; endedAtMs: number | undefined } = {
         open: connections,
+        cutOff: 0,
         closedAtMs: undefined,
         endedAtMs: undefined,
     };
     const frontend = {
         startDraining: () => undefined,
+        refuseLate: () => undefined,
+        recordCutOff: () => (state.cutOff = state.open),
         closeIdle: () => (state.closedAtMs ??= scheduler.now()),
         countConnections: () => state.open,
     };
-    void clientDrain.drainClients({ frontend, scheduler, ...times }).then(() => (state.endedAtMs = scheduler.now()));
+    const drain = fixture.createDrainControl(scheduler);
+    void clientDrain
+        .drainClients({ frontend, drain, scheduler, ...times })
+        .then(() => (state.endedAtMs = scheduler.now()));
     return { scheduler, state };
 };
 
@@ -36,4 +43,5 @@
     await scheduler.advance(6_000);
     t.is(state.closedAtMs, 3_000);
     t.is(state.endedAtMs, 5_500);
+    t.is(state.cutOff, 1);
 });
--- a/src/node/routes/clientFrontend.ts
+++ b/src/node/routes/clientFrontend.ts
@@ -7,6 +7,7 @@
 import * as shared from "../../common/Types.js";
 import * as bodyRefusals from "./bodyRefusals.js";
 import * as clientConnection from "./clientConnection.js";
+import * as drainingHeads from "./drainingHeads.js";
 import * as frontendServer from "./frontendServer.js";
 import * as metrics from "./metrics.js";
 import * as requestHandler from "./requestHandler.js";
@@ -58,6 +59,7 @@
     readonly metrics: metrics.RouteMetrics;
     readonly budget: bodyBudget.BodyBudget;
     readonly handler: requestHandler.RequestHandler;
+    readonly heads: drainingHeads.DrainingHeads;
     getConfiguration(): routes.RouteConfiguration | undefined;
     recordError(error: unknown): void;
     /** Counts the bytes of a connection. */
@@ -74,6 +76,7 @@
         maxConnections: clientConnection.computeMaxConnections(settings.maxDescriptors),
         getLimits: () => options.getConfiguration()?.limits,
         handle: handler.handle,
+        ...options.heads,
         formatRefusal: handler.formatRefusal,
         recordError: options.recordError,
         recordUnreadable: unreadableRequests.createUnreadableRecorder({ logger, metrics: options.metrics }),
--- a/src/node/routes/exchange.ts
+++ b/src/node/routes/exchange.ts
@@ -7,6 +7,7 @@
 import * as shared from "../../common/Types.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as bodyOutcome from "./bodyOutcome.js";
+import * as drainControl from "./drainControl.js";
 import * as exchangeAdmission from "./exchangeAdmission.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as exchangeOptions from "./exchangeOptions.js";
@@ -42,7 +43,7 @@
     request: exchangeRequest.ExchangeRequest,
     resolve: (response: exchangeRequest.ExchangeEnd) => void,
 ): { start(): void } => {
-    const { scheduler, targets, budget } = options;
+    const { scheduler, targets, budget, drain } = options;
     const { route, service, outgoing } = request;
     const isIdempotent = routeKind.isIdempotent(route.kind);
     const log = exchangeLog.createExchangeLog(options.logger, options.metrics, {
@@ -81,6 +82,9 @@
     /** Other requests may have crashed targets since this one arrived. */
     const isBlocked = (): boolean => options.crashes.isBlocked(request.fingerprint);
 
+    const mayBegin = (phase: drainControl.DrainPhase): boolean =>
+        drain.mayBegin(exchangeRequest.toDrainingRequest(request), phase);
+
     const computeAgeMs = (attempt: runningAttempts.RunningAttempt): number =>
         Math.round(scheduler.now() - attempt.startedAtMs);
 
@@ -147,6 +151,13 @@
         }
     });
 
+    /** Ends a wait for a slot that would come too late. */
+    const handleDrainCheck = guard(() => {
+        if (!isDone && running.count() === 0 && !mayBegin("waiting")) {
+            giveUp(drainControl.refusalReason);
+        }
+    });
+
     const repeat = (reason: string): void => {
         if (isDone || running.count() > 0) {
             return;
@@ -171,10 +182,7 @@
     const handleRefusal = (attempt: runningAttempts.RunningAttempt, isMisdirected: boolean): void => {
         runs--;
         refusals.record(isMisdirected);
-        log.logAttempt(attempt, "refused", {
-            refusals: refusals.count(),
-            latencyMs: computeAgeMs(attempt),
-        });
+        log.logAttempt(attempt, "refused", { refusals: refusals.count(), latencyMs: computeAgeMs(attempt) });
         if (refusals.mayGoOn()) {
             repeat("refused by targets");
         } else {
@@ -186,10 +194,7 @@
     const handleUnreachable = (attempt: runningAttempts.RunningAttempt): void => {
         runs--;
         unreachableTargets++;
-        log.logAttempt(attempt, "unreachable", {
-            unreached: unreachableTargets,
-            latencyMs: computeAgeMs(attempt),
-        });
+        log.logAttempt(attempt, "unreachable", { unreached: unreachableTargets, latencyMs: computeAgeMs(attempt) });
         const mayTryNext = !isDone && running.count() === 0 && timing.hasTimeForAttempt();
         if (mayTryNext && unreachableTargets < maxUnreachableTargets) {
             sendNext("target not reached");
@@ -216,11 +221,8 @@
         const latencyMs = scheduler.now() - attempt.startedAtMs;
         const responseBytes = bodyForwarding.getBodyBytes(response.body);
         attempt.reservation.finish({ kind: "answered", latencyMs, isFailure, responseBytes }, head.load);
-        const final: exchangeRequest.FinalResponse = {
-            kind: "target",
-            response,
-            target: attempt.reservation.registration.id,
-        };
+        const target = attempt.reservation.registration.id;
+        const final: exchangeRequest.FinalResponse = { kind: "target", response, target };
         const isSuccess = !isFailure && statusCode < 400;
         if (isSuccess && response.body.kind === "whole") {
             options.crashes.recordSuccess(request.fingerprint, attempt.reservation.registration.service);
@@ -231,11 +233,7 @@
             handleFailedRun(attempt, isWhole ? `status ${statusCode}` : "answer without signature");
             return;
         }
-        log.logAttempt(attempt, "answered", {
-            runs,
-            latencyMs: Math.round(latencyMs),
-            bytes: responseBytes,
-        });
+        log.logAttempt(attempt, "answered", { runs, latencyMs: Math.round(latencyMs), bytes: responseBytes });
         finish(final);
         const { reservation } = attempt;
         bodyOutcome.watchResponseBody({ options, request, reservation, body: response.body, isSuccess, log, guard });
@@ -296,6 +294,9 @@
                 pick.reservation.finish({ kind: "cancelled" }, undefined);
             }
             giveUp("request crashes targets");
+        } else if (pick?.kind === "target" && !mayBegin("attempt")) {
+            pick.reservation.finish({ kind: "cancelled" }, undefined);
+            giveUp(drainControl.refusalReason);
         } else if (pick?.kind === "target") {
             startAttempt(pick.reservation);
         } else if (pick?.kind === "limited") {
@@ -307,7 +308,8 @@
         }
     };
 
-    const sendNext = (reason: string): void => void pickAndSend(reason).catch(fail);
+    const sendNext = (reason: string): void =>
+        mayBegin("attempt") ? void pickAndSend(reason).catch(fail) : giveUp(drainControl.refusalReason);
 
     const hedge = guard(() => {
         // A slot that is free now belongs to the requests that wait for their first attempt.
@@ -319,7 +321,7 @@
         if (pick.kind !== "target") {
             return;
         }
-        if (!timing.hasTimeForAttempt() || !budget.takeRetry(service)) {
+        if (!timing.hasTimeForAttempt() || !mayBegin("hedge") || !budget.takeRetry(service)) {
             pick.reservation.finish({ kind: "cancelled" }, undefined);
             return;
         }
@@ -336,6 +338,7 @@
             }
             request.signal.addEventListener("abort", handleClientAbort, { once: true });
             timers.push(options.onDidLoseTargets(handleLostTargets));
+            timers.push(drain.onDidCheck(handleDrainCheck), drain.onDidEnd(running.logCutOff));
             timers.push(scheduler.schedule(timing.computeRemainingMs(), handleDeadline));
             if (isIdempotent && route.maxTargets > 1) {
                 timers.push(scheduler.schedule(timing.hedgeDelayMs, hedge));
--- a/src/node/routes/exchangeLog.ts
+++ b/src/node/routes/exchangeLog.ts
@@ -44,6 +44,8 @@
     /** Logs the end of an attempt, successful or not. */
     logAttempt(attempt: EndedAttempt, end: AttemptEnd, fields: shared.LogFields): void;
     logHedge(reservation: targetPool.Reservation, afterMs: number): void;
+    /** Logs an attempt in progress that ends with the process. */
+    logCutOff(attempt: Pick<EndedAttempt, "reservation">, ageMs: number): void;
     /** Logs the end of a body that was passed on while it was received. */
     logBody(reservation: targetPool.Reservation, end: bodyForwarding.BodyEnd): void;
     /** Logs that no target takes the request because of their limits. */
@@ -115,6 +117,12 @@
             ...formatPickInputs(reservation.inputs),
         });
     },
+    logCutOff: ({ reservation }, ageMs) =>
+        logger.warn("drain: attempt cut off", {
+            ...identity,
+            target: reservation.registration.id,
+            ageMs: Math.round(ageMs),
+        }),
     logBody: (reservation, end) => {
         metrics.recordStreamedBody(end);
         const { kind, bytes, durationMs } = end;
--- a/src/node/routes/exchangeOptions.ts
+++ b/src/node/routes/exchangeOptions.ts
@@ -7,6 +7,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as routing from "../../common/routing/Types.js";
 import * as shared from "../../common/Types.js";
+import * as drainControl from "./drainControl.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as targetSender from "./targetSender.js";
 
@@ -17,6 +18,7 @@
     readonly sender: Pick<targetSender.TargetSender, "start">;
     readonly budget: routing.RetryBudget;
     readonly crashes: Pick<crashes.RequestCrashes, "recordSuccess" | "isBlocked">;
+    readonly drain: drainControl.DrainControl;
     readonly logger: shared.Logger;
     readonly metrics: exchangeLog.ExchangeMetrics;
     /** Fires when this VM has noticed that it reaches no target, and another VM can take its requests. */
--- a/src/node/routes/exchangeRequest.ts
+++ b/src/node/routes/exchangeRequest.ts
@@ -3,6 +3,7 @@
  */
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as drainControl from "./drainControl.js";
 import * as targetConnection from "./targetConnection.js";
 import * as targetSender from "./targetSender.js";
 
@@ -39,3 +40,15 @@
 
 /** How a request ends at this VM alone. */
 export type ExchangeEnd = FinalResponse | Unreached;
+
+/**
+ * Returns what decides whether a request may begin while the VM drains.
+ *
+ * @param request - the request
+ * @returns its id, route and deadline
+ */
+export const toDrainingRequest = (request: ExchangeRequest): drainControl.DrainingRequest => ({
+    id: request.outgoing.id,
+    route: request.route,
+    deadlineAtMs: request.deadlineAtMs,
+});
--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -264,3 +264,32 @@
     t.deepEqual(handled, []);
     server.dispose();
 });
+
+// Guards against a body that is received although its request can no longer be completed, and that may never end.
+test("a request whose body is still being received is refused once it may no longer begin", async t => {
+    let mayBegin = true;
+    const handled: string[] = [];
+    const { server, connect } = await startServer(
+        request => {
+            handled.push(request.url);
+            return Promise.resolve(createResponse(request.url));
+        },
+        {},
+        { mayBegin: () => mayBegin },
+    );
+    const client = connect();
+    client.socket.write(formatRequest("/first"));
+    await waitFor(() => client.read().endsWith("/first"));
+    client.socket.write("POST /upload HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nabc");
+    await wait(30);
+    server.startDraining();
+    server.refuseLate();
+    await wait(30);
+    t.notRegex(client.read(), /503/);
+    mayBegin = false;
+    server.refuseLate();
+    await client.ended;
+    t.regex(client.read(), /\/firstHTTP\/1\.1 503 [^]*connection: close/i);
+    t.deepEqual(handled, ["/first"]);
+    server.dispose();
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -11,10 +11,11 @@
 import * as bodyRefusals from "./bodyRefusals.js";
 import * as clientConnection from "./clientConnection.js";
 import * as clientReading from "./clientReading.js";
+import * as clientResponses from "./clientResponses.js";
+import * as drainControl from "./drainControl.js";
 import * as headSyntax from "./headSyntax.js";
 import * as readControl from "./readControl.js";
 import * as requestBody from "./requestBody.js";
-import * as responseBodies from "./responseBodies.js";
 import * as types from "./Types.js";
 import * as unreadableRequests from "./unreadableRequests.js";
 
@@ -28,13 +29,9 @@
 /** `: ` after a name, and the line break after a value. */
 const separatorBytes = 2;
 
-export interface ClientRequest {
+export interface ClientRequest extends clientConnection.ReceivedHead {
     readonly method: string;
-    /** Path and query. */
-    readonly url: string;
-    readonly headers: types.RawHeaders;
     readonly body: Buffer;
-    readonly receivedAtMs: number;
     /** Aborted when the client disconnects. */
     readonly signal: AbortSignal;
 }
@@ -51,9 +48,13 @@
     listen(): Promise<void>;
     /** From now on, each connection closes after the response to the last request that has begun on it. */
     startDraining(): void;
+    /** Refuses the requests that are still being received and may no longer begin. */
+    refuseLate(): void;
     /** Stops accepting connections and requests, and closes the connections without a request in progress. */
     closeIdle(): void;
     countConnections(): number;
+    /** Records the requests in progress, which end with the process. */
+    recordCutOff(): void;
 }
 
 export interface FrontendOptions {
@@ -65,6 +66,8 @@
     readonly maxConnections: number;
     getLimits(): routes.RequestLimits | undefined;
     handle(request: ClientRequest): Promise<ClientResponse | undefined>;
+    /** Whether a request may begin while the VM drains. */
+    mayBegin(head: clientConnection.ReceivedHead, phase: drainControl.DrainPhase): boolean;
     /** Formats the response to a request that is not handled, or whose handling has failed. */
     formatRefusal(headers: types.RawHeaders, statusCode: number, reason: string): ClientResponse;
     /** Called with an error that no other handler expects; it ends the request. */
@@ -75,6 +78,12 @@
     recordRefusedBody(refusal: bodyRefusals.RefusedBody): void;
     /** Called when a connection is closed because there are too many. */
     recordExcessConnection(): void;
+    /** Called for each request that ends with the process. */
+    recordCutOff(cutOff: {
+        readonly headers: types.RawHeaders;
+        readonly phase: drainControl.CutOffPhase;
+        readonly ageMs: number;
+    }): void;
 }
 
 const countHeaderBytes = (headers: types.RawHeaders): number =>
@@ -106,46 +115,14 @@
         return closes;
     };
 
-    const writeHead = (serverResponse: http.ServerResponse, response: ClientResponse, mustClose: boolean): void => {
-        const { body } = response;
-        const headers = [...response.headers];
-        const bodyBytes = body.kind === "whole" ? body.bytes.length : body.bodyBytes;
-        if (!response.isDelimited) {
-            serverResponse.useChunkedEncodingByDefault = false;
-        } else if (bodyBytes !== undefined) {
-            headers.push("Content-Length", String(bodyBytes));
-        }
-        if (decideClose(serverResponse.req, response, mustClose)) {
-            headers.push("Connection", "close");
-        }
-        serverResponse.writeHead(response.statusCode, headers);
-    };
-
-    /** Sends a response; resolves when it was handed over to the connection or has been cut off. */
-    const sendResponse = async (
+    const sendResponse = (
         serverResponse: http.ServerResponse,
         response: ClientResponse,
         mustClose: boolean,
-    ): Promise<void> => {
-        const { body } = response;
-        if (serverResponse.destroyed || serverResponse.headersSent) {
-            responseBodies.destroyBody(body);
-            return;
-        }
-        try {
-            writeHead(serverResponse, response, mustClose);
-        } catch (error) {
-            responseBodies.destroyBody(body);
-            throw error;
-        }
-        switch (body.kind) {
-            case "whole":
-                await responseBodies.sendBytes(serverResponse, body.bytes);
-                return;
-            case "stream":
-                await responseBodies.sendStream(serverResponse, body.stream, response.isDelimited);
-        }
-    };
+    ): Promise<void> =>
+        clientResponses.sendResponse(serverResponse, response, () =>
+            decideClose(serverResponse.req, response, mustClose),
+        );
 
     /** Ends a request after an unexpected error. The status does not promise that it has not run. */
     const failRequest = async (
@@ -168,18 +145,25 @@
 
     const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
         const receivedAtMs = clock.now();
-        const clientAbort = new AbortController();
         const connection = openConnections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
             return;
         }
-        connection.activeRequests.add(clientAbort);
+        const active: clientConnection.ActiveRequest = {
+            request,
+            receivedAtMs,
+            abort: new AbortController(),
+            phase: "body",
+            bodyReader: undefined,
+        };
+        connection.activeRequests.add(active);
         connection.newestRequest = request;
         const index = ++connection.requests;
-        let bodyReader: requestBody.BodyReader | undefined;
         const limits = options.getLimits();
-        const fail = (statusCode: number, reason: string): Promise<void> =>
-            sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
+        const fail = (statusCode: number, reason: string): Promise<void> => {
+            active.phase = "response";
+            return sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
+        };
         try {
             if (limits !== undefined && countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) {
                 await fail(431, "header too large");
@@ -193,12 +177,12 @@
                 await fail(400, "malformed request head");
                 return;
             }
-            if (!isAccepting) {
-                // The rest of the grace period belongs to the requests that began before.
-                await fail(503, "shutting down");
+            // The rest of the grace period belongs to the requests that began before.
+            if (!isAccepting || (isDraining && !options.mayBegin(clientConnection.toHead(active), "head"))) {
+                await fail(503, drainControl.refusalReason);
                 return;
             }
-            bodyReader = requestBody.startReading(request, {
+            const bodyReader = requestBody.startReading(request, {
                 maxBytes: limits?.maxBodyBytes ?? Infinity,
                 store: bodyStore,
                 reading: connection.reading,
@@ -208,8 +192,10 @@
                     connection.reading.startDiscarding();
                 },
             });
+            active.bodyReader = bodyReader;
             connection.bodyReader = bodyReader;
             const body = await bodyReader.result;
+            active.phase = "handling";
             if (body.kind !== "whole") {
                 const refusal = bodyRefusals.toRefusedBody(body);
                 options.recordRefusedBody(refusal);
@@ -221,21 +207,20 @@
                 return;
             }
             const response = await options.handle({
+                ...clientConnection.toHead(active),
                 method: request.method ?? "GET",
-                url: request.url ?? "/",
-                headers: request.rawHeaders,
                 body: body.body,
-                receivedAtMs,
-                signal: clientAbort.signal,
+                signal: active.abort.signal,
             });
+            active.phase = "response";
             if (response !== undefined) {
                 await sendResponse(serverResponse, response, false);
             }
         } catch (error) {
             await failRequest(request, serverResponse, error);
         } finally {
-            bodyReader?.release();
-            connection.activeRequests.delete(clientAbort);
+            active.bodyReader?.release();
+            connection.activeRequests.delete(active);
             if (connection.isUnreadable && connection.activeRequests.size === 0) {
                 request.socket.destroySoon();
             }
@@ -312,10 +297,10 @@
             server.headersTimeout = limits.headerTimeoutMs + timeoutMarginMs;
         }
         // A client that half-closes its connection counts as disconnected, too.
-        socket.once("end", () => activeRequests.forEach(clientAbort => clientAbort.abort()));
+        socket.once("end", () => activeRequests.forEach(({ abort }) => abort.abort()));
         socket.once("close", () => {
             openConnections.delete(socket);
-            activeRequests.forEach(clientAbort => clientAbort.abort());
+            activeRequests.forEach(({ abort }) => abort.abort());
         });
     });
 
@@ -329,6 +314,7 @@
         startDraining: () => {
             isDraining = true;
         },
+        refuseLate: () => clientConnection.refuseLate(openConnections, options),
         closeIdle: () => {
             isAccepting = false;
             // `http.Server.close` would also destroy connections whose last response has not been flushed yet.
@@ -340,6 +326,7 @@
             }
         },
         countConnections: () => openConnections.size,
+        recordCutOff: () => clientConnection.recordCutOff(openConnections, clock, options),
         dispose: () => {
             bodyStore.dispose();
             server.close();
--- a/src/node/routes/identification.test.ts
+++ b/src/node/routes/identification.test.ts
@@ -39,9 +39,10 @@
     let isInTouch = true;
     let isBlocked = false;
     const logLine = (message: string, fields: shared.LogFields = {}): void => void lines.push({ message, ...fields });
-    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes"> = {
+    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes" | "drain"> = {
         scheduler,
         logger: { ...silentLogger.createSilentLogger(), warn: logLine, info: logLine },
+        drain: fixture.createDrainControl(scheduler),
         crashes: { recordSuccess: () => undefined, isBlocked: () => isBlocked },
     };
     const handler = requestHandler.createRequestHandler({
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -5,6 +5,7 @@
 import * as callers from "../../common/routes/callers.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as bodyRefusals from "./bodyRefusals.js";
+import * as drainControl from "./drainControl.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as metricSources from "./metricSources.js";
 import * as notRun from "./notRun.js";
@@ -28,7 +29,7 @@
 /** What became of a request that was passed on to another VM; "not taken" if it has not run there. */
 export type RelayOutcome = "relayed" | "refused" | "failed" | "abandoned" | "not taken";
 
-export interface RouteMetrics {
+export interface RouteMetrics extends drainControl.DrainMetrics {
     readonly contentType: string;
     recordRequest(end: RequestEnd, latencyMs: number): void;
     recordAttempt(end: exchangeLog.AttemptEnd): void;
@@ -187,6 +188,18 @@
         labelNames: ["kind"],
         registers,
     });
+    const drainRefusals = new promClient.Counter({
+        name: `${metricSources.namePrefix}drain_refusals_total`,
+        help: "Work that did not begin as the VM drains and would not complete it, by what would have begun.",
+        labelNames: ["phase"],
+        registers,
+    });
+    const cutOffs = new promClient.Counter({
+        name: `${metricSources.namePrefix}drain_cut_off_total`,
+        help: "Requests that ended with the process, by what they were doing.",
+        labelNames: ["phase"],
+        registers,
+    });
     metricSources.addSources(registry, sources);
     return {
         contentType: registry.contentType,
@@ -214,6 +227,8 @@
         recordExcessConnection: () => excessConnections.inc(),
         recordUnexpectedResponse: kind => strayResponses.inc({ kind }),
         recordMalformedHeader: header => malformedHeaders.inc({ header }),
+        recordDrainRefusal: phase => drainRefusals.inc({ phase }),
+        recordCutOff: phase => cutOffs.inc({ phase }),
         format: () => registry.metrics(),
     };
 };
--- a/src/node/routes/quotaRequests.test.ts
+++ b/src/node/routes/quotaRequests.test.ts
@@ -28,9 +28,10 @@
 const handleRequest = async (charged: quotas.ChargeResult, end: peerRelay.RelayEnd, headers = ["x-key", key]) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const [requested, takenBack]: [string[], quotas.Charge[]] = [[], []];
-    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes"> = {
+    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes" | "drain"> = {
         scheduler,
         logger: silentLogger.createSilentLogger(),
+        drain: fixture.createDrainControl(scheduler),
         crashes: { recordSuccess: () => undefined, isBlocked: () => false },
     };
     const table = routeTable.createRouteTable({
--- a/src/node/routes/requestBody.ts
+++ b/src/node/routes/requestBody.ts
@@ -22,6 +22,8 @@
     | { readonly kind: "too-large" }
     /** The budget of all bodies has no room for it, or no more time. */
     | { readonly kind: "refused"; readonly refusal: bodyBudget.BodyRefusal }
+    /** The VM drains, and would not complete the request. */
+    | { readonly kind: "draining" }
     /** The client disconnected in the middle of its request, so that no response can be sent. */
     | { readonly kind: "aborted" };
 
@@ -29,6 +31,8 @@
     readonly result: Promise<RequestBody>;
     /** Ends the reading, as the bytes that follow cannot be read. */
     abortMalformed(): void;
+    /** Ends the reading, as the VM drains and would not complete the request. */
+    abortDraining(): void;
     /** Gives the bytes of the body back to the budget; called once the request has ended. */
     release(): void;
 }
@@ -139,5 +143,15 @@
         request.on("data", handleData);
         reserve(announced ?? bodyBudget.smallBodyBytes);
     }
-    return { result, abortMalformed: () => finish({ kind: "malformed" }), release: hold.release };
+    return {
+        result,
+        abortMalformed: () => finish({ kind: "malformed" }),
+        abortDraining: () => {
+            if (!hasEnded) {
+                options.handleUnwanted();
+                finish({ kind: "draining" });
+            }
+        },
+        release: hold.release,
+    };
 };
--- a/src/node/routes/requestHandler.test.ts
+++ b/src/node/routes/requestHandler.test.ts
@@ -15,9 +15,10 @@
     const services = ["a", "b"].map(name => ({ service: ids.toServiceName(name), weight: 1 }));
     const configuration = { ...fixture.createConfiguration(1), routes: [fixture.createRoute({ services })] };
     const fingerprints = new Set<string>();
-    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes"> = {
+    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes" | "drain"> = {
         scheduler,
         logger: silentLogger.createSilentLogger(),
+        drain: fixture.createDrainControl(scheduler),
         crashes: {
             recordSuccess: () => undefined,
             isBlocked: fingerprint => {
@@ -59,9 +60,10 @@
 const handleAfterWait = async (wait: { readonly forMs: number; readonly end: startupWait.WaitEnd }) => {
     const scheduler = virtualScheduler.createVirtualScheduler();
     const notRunSources: notRun.NotRunSource[] = [];
-    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes"> = {
+    const exchange: Pick<exchangeOptions.ExchangeOptions, "scheduler" | "logger" | "crashes" | "drain"> = {
         scheduler,
         logger: silentLogger.createSilentLogger(),
+        drain: fixture.createDrainControl(scheduler),
         crashes: { recordSuccess: () => undefined, isBlocked: () => false },
     };
     const handler = requestHandler.createRequestHandler({
--- a/src/node/routes/requestHandler.ts
+++ b/src/node/routes/requestHandler.ts
@@ -6,6 +6,7 @@
 import * as routeTable from "../../common/routes/routeTable.js";
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
+import * as drainControl from "./drainControl.js";
 import * as exchange from "./exchange.js";
 import * as exchangeOptions from "./exchangeOptions.js";
 import * as exchangeRequest from "./exchangeRequest.js";
@@ -13,6 +14,8 @@
 import * as metrics from "./metrics.js";
 import * as notRun from "./notRun.js";
 import * as peerRelay from "./peerRelay.js";
+import * as requestUrl from "./requestUrl.js";
+import * as responseBodies from "./responseBodies.js";
 import * as startupWait from "./startupWait.js";
 import * as quotas from "./quotas.js";
 import * as types from "./Types.js";
@@ -71,13 +74,6 @@
     readonly retryAfterMs: number;
 }
 
-const splitUrl = (url: string): { readonly path: string; readonly query: string } => {
-    const at = url.indexOf("?");
-    return at < 0 ? { path: url, query: "" } : { path: url.slice(0, at), query: url.slice(at) };
-};
-
-const stripPort = (host: string): string => host.replace(/:\d+$/, "").toLowerCase();
-
 /**
  * Creates the handler.
  *
@@ -86,7 +82,7 @@
  */
 export const createRequestHandler = (options: RequestHandlerOptions): RequestHandler => {
     const { dialect } = options;
-    const { scheduler, logger } = options.exchange;
+    const { scheduler, logger, drain } = options.exchange;
 
     const formatOwnResponse = (
         requestId: string | undefined,
@@ -137,7 +133,8 @@
         fields: shared.LogFields = {},
     ): frontendServer.ClientResponse => {
         logger.warn("exchange: request rejected", { request: id, status: statusCode, reason, ...fields });
-        return formatOwnResponse(id, statusCode, reason, statusCode === 503 ? unavailableRetryAfterMs : undefined);
+        const retryAfterMs = drain.isDraining() ? drainControl.refusalRetryAfterMs : unavailableRetryAfterMs;
+        return formatOwnResponse(id, statusCode, reason, statusCode === 503 ? retryAfterMs : undefined);
     };
 
     /** Runs a request here, or at another VM if this one reaches no target. */
@@ -151,7 +148,9 @@
             };
         }
         const relay = async (history: peerRelay.RequestHistory): Promise<RequestResult | undefined> =>
-            mayRelay ? options.relay.run(request, history) : undefined;
+            mayRelay && drain.mayBegin(exchangeRequest.toDrainingRequest(request), "relay")
+                ? options.relay.run(request, history)
+                : undefined;
         const { maxTargets } = request.route;
         const relayed = options.isCutOff() ? await relay({ maxTargets, mayHaveRun: false }) : undefined;
         if (relayed !== undefined) {
@@ -177,7 +176,7 @@
             maxTargets: Math.min(routed.route.maxTargets, relayedMaxTargets),
         };
         const { method, url, body, signal } = request;
-        const { path, query } = splitUrl(url);
+        const { path, query } = requestUrl.splitUrl(url);
         const fingerprint = fingerprints.computeFingerprint({
             addressee: routed.host,
             organisation,
@@ -228,6 +227,19 @@
         }
     };
 
+    /** Measures how long the request takes, until its response was received whole or broke off. */
+    const runMeasured = async (routed: RoutedRequest): Promise<RequestResult | OverQuota> => {
+        const measured = drain.durations.begin(routed.route.name);
+        let body: types.ResponseBody | undefined;
+        try {
+            const response = await runCharged(routed);
+            body = response.kind === "target" || response.kind === "relayed" ? response.response.body : undefined;
+            return response;
+        } finally {
+            responseBodies.watchEnd(body, measured.finish);
+        }
+    };
+
     const logEnd = (routed: RoutedRequest, response: RequestResult | OverQuota, latencyMs: number): void => {
         if (response.kind === "target" || response.kind === "relayed") {
             return;
@@ -279,7 +291,7 @@
     ): Promise<frontendServer.ClientResponse | undefined> => {
         const head = dialect.parseRequestHead(request.headers);
         const { id, clientTimeoutMs, relayedMaxTargets } = head;
-        const host = stripPort(head.host);
+        const host = requestUrl.stripPort(head.host);
         if ((await options.waitForStart({ id, clientTimeoutMs, request })) === "left") {
             return undefined;
         }
@@ -290,7 +302,7 @@
         if (id === undefined) {
             return refuseRequest(undefined, 400, "no request id", { host, url: request.url });
         }
-        const route = table.find(host, splitUrl(request.url).path);
+        const route = table.find(host, requestUrl.splitUrl(request.url).path);
         const refuseUnrouted = (): frontendServer.ClientResponse => {
             options.recordRequest("no-route", scheduler.now() - request.receivedAtMs);
             return refuseRequest(id, 404, "no route", { host, url: request.url, configuration: table.version });
@@ -321,7 +333,7 @@
             service,
             configurationVersion: table.version,
         };
-        const response = await runCharged(routed);
+        const response = await runMeasured(routed);
         const latencyMs = scheduler.now() - request.receivedAtMs;
         logEnd(routed, response, latencyMs);
         options.recordRequest(response.kind === "target" ? "served" : response.kind, latencyMs);
--- a/src/node/routes/responseBodies.ts
+++ b/src/node/routes/responseBodies.ts
@@ -28,6 +28,25 @@
     }
 };
 
+/**
+ * Watches a body until it has been received.
+ *
+ * @param body - the body; undefined if there is none
+ * @param handleEnd - called once with whether the body is whole; at once for one that is held whole
+ */
+export const watchEnd = (body: types.ResponseBody | undefined, handleEnd: (isWhole: boolean) => void): void => {
+    if (body?.kind !== "stream") {
+        handleEnd(body !== undefined);
+        return;
+    }
+    const { stream } = body;
+    if (stream.destroyed) {
+        handleEnd(stream.readableEnded);
+    } else {
+        stream.once("close", () => handleEnd(stream.readableEnded));
+    }
+};
+
 /**
  * Sends a body that is held whole.
  *
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -21,6 +21,8 @@
 import * as shared from "../../common/Types.js";
 import * as byteMeter from "./byteMeter.js";
 import * as clientDrain from "./clientDrain.js";
+import * as drainControl from "./drainControl.js";
+import * as drainingHeads from "./drainingHeads.js";
 import * as configurationLog from "./configurationLog.js";
 import * as clientFrontend from "./clientFrontend.js";
 import * as connectivity from "./connectivity.js";
@@ -224,6 +226,7 @@
         mayProbe: role.mayProbe,
     });
 
+    const drain = drainControl.createDrainControl({ clock: scheduler, logger, metrics: routeMetrics });
     const startup = startupWait.createStartupWait({ scheduler, logger });
     const handler = requestHandler.createRequestHandler({
         dialect: options.http,
@@ -234,6 +237,7 @@
             sender,
             budget,
             crashes,
+            drain,
             logger,
             metrics: routeMetrics,
             onDidLoseTargets,
@@ -264,6 +268,7 @@
         metrics: routeMetrics,
         budget: bodies,
         handler,
+        heads: drainingHeads.createDrainingHeads({ dialect: options.http, drain, getTable: () => table }),
         getConfiguration,
         recordError: error => recordError("frontend", error),
         watchSocket: socket => traffic.watch(socket, "client", () => undefined),
@@ -334,7 +339,7 @@
             isLeaving = true;
             logger.info("life: leaving", { connections: frontend?.countConnections() });
             members.sendHello();
-            await clientDrain.drainClients({ frontend, scheduler, ...bounds });
+            await clientDrain.drainClients({ frontend, drain, scheduler, ...bounds });
             logger.info("life: stopped", { connections: frontend?.countConnections() });
         },
     };
--- a/src/node/routes/runningAttempts.ts
+++ b/src/node/routes/runningAttempts.ts
@@ -42,6 +42,8 @@
     stopAll(reason: StopReason): void;
     /** Aborts the attempts that have not been sent yet; the others continue. */
     abortUnsent(): void;
+    /** Logs the attempts, which end with the process. */
+    logCutOff(): void;
 }
 
 interface Entry extends RunningAttempt {
@@ -116,5 +118,6 @@
         },
         stopAll: reason => [...entries].forEach(entry => stop(entry, reason)),
         abortUnsent: () => entries.forEach(entry => entry.attempt.abortIfUnsent()),
+        logCutOff: () => entries.forEach(entry => log.logCutOff(entry, clock.now() - entry.startedAtMs)),
     };
 };
--- a/src/testing/routes/exchangeFixture.ts
+++ b/src/testing/routes/exchangeFixture.ts
@@ -119,6 +119,7 @@
     if (options.isClientDisconnected === true) {
         client.abort();
     }
+    const drain = fixture.createDrainControl(scheduler);
     const lostTargetsEmitter = events.createEmitter<void>();
     let response: exchangeRequest.ExchangeEnd | undefined;
     let respondedAtMs = 0;
@@ -155,6 +156,7 @@
                 sender,
                 budget: { recordCall: () => undefined, takeRetry: () => budget-- > 0 },
                 crashes,
+                drain,
                 logger: { ...silentLogger.createSilentLogger(), info: logLine, warn: logLine },
                 metrics: {
                     recordAttempt: end => void ends.push(end),
@@ -201,6 +203,7 @@
         reportCrashes: (...ids: readonly string[]) =>
             ids.forEach(id => crashes.recordCrash("f", fixture.createRegistration(id))),
         countCrashes: () => crashes.listReports()[0]?.targetRuns.length ?? 0,
+        drain,
         loseTargets: () => lostTargetsEmitter.fire(),
         abortClient: () => client.abort(),
         getResponse: () => response,
--- a/src/testing/routes/fixture.ts
+++ b/src/testing/routes/fixture.ts
@@ -8,6 +8,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as connectionInfo from "../../node/routes/connectionInfo.js";
+import * as drainControl from "../../node/routes/drainControl.js";
 import * as nodeRoutes from "../../node/routes/Types.js";
 import * as virtualScheduler from "../virtualScheduler.js";
 import * as silentLogger from "../silentLogger.js";
@@ -102,6 +103,19 @@
 /** The view of a VM that has no peers. */
 export const createLoneRateView = (): ownedRates.RateView => ({ owners: [vm], share: 1 });
 
+/**
+ * Creates the control of a VM that does not drain, and records nothing.
+ *
+ * @param clock - the clock
+ * @returns the control
+ */
+export const createDrainControl = (clock: shared.Clock): drainControl.DrainControl =>
+    drainControl.createDrainControl({
+        clock,
+        logger: silentLogger.createSilentLogger(),
+        metrics: { recordDrainRefusal: () => undefined, recordCutOff: () => undefined },
+    });
+
 /**
  * Creates limits of targets, initially none, of a VM that has no peers.
  *
--- a/src/testing/routes/frontendFixture.ts
+++ b/src/testing/routes/frontendFixture.ts
@@ -31,6 +31,8 @@
     maxConnections: 1_000,
     recordRefusedBody: () => undefined,
     recordExcessConnection: () => undefined,
+    recordCutOff: () => undefined,
+    mayBegin: () => true,
 });
 
 /**
@@ -38,11 +40,13 @@
  *
  * @param handle - handles the requests
  * @param limits - limits that differ from those of the fixture
+ * @param options - other options that differ
  * @returns the server, its address, what it recorded, and a function that connects a client
  */
 export const startServer = async (
     handle: frontendServer.FrontendOptions["handle"],
     limits: Partial<ReturnType<typeof fixture.createConfiguration>["limits"]> = {},
+    options: Partial<frontendServer.FrontendOptions> = {},
 ) => {
     const address = ids.toAddress(await ports.acquireAddress());
     const errors: unknown[] = [];
@@ -56,6 +60,7 @@
         formatRefusal: (_headers, statusCode, reason) => ({ ...createResponse(reason), statusCode }),
         recordError: error => void errors.push(error),
         recordUnreadable: request => void unreadable.push(request),
+        ...options,
     });
     await server.listen();
     const connect = (): {
