Keep a closing connection readable until its client has closed it

Cause: Node.js closes a connection after its last response for reading and writing as soon as the system has taken the bytes. The system answers what arrives then with a reset, and drops what the client has not received.

Why this works: the connection is closed for writing only, and read on until the client closes it (RFC 9112, 9.6), for 10 s and a bounded number of bytes, which are discarded. It replaces `destroySoon` on each connection of a client, so that all responses that close theirs are covered; `closeIdle`, the idle time-out, refusals of unreadable bytes and broken bodies use the same function. A connection without a recent response is still closed at once, and one with a response on its way is the last one to be closed when there are too many.

Tests changed: `a draining server finishes its requests` read the server's count of connections in the same turn as the client's event; it now waits for the same count. `stop` of the reading of a connection is gone, as unreadable bytes are discarded; its test checks the same of `startDiscarding`.

--- a/src/node/routes/bodyForwarding.test.ts
+++ b/src/node/routes/bodyForwarding.test.ts
@@ -77,7 +77,7 @@
     const address = ids.toAddress(await ports.acquireAddress());
     const server = frontendServer.createFrontendServer({
         address,
-        clock: scheduler,
+        scheduler,
         ...frontendFixture.createUnlimitedBodies(),
         getLimits: () => fixture.createConfiguration(1).limits,
         handle,
--- a/src/node/routes/clientFrontend.ts
+++ b/src/node/routes/clientFrontend.ts
@@ -54,7 +54,7 @@
  */
 export const createVmFrontend = (options: {
     readonly settings: Pick<types.RouteSettings, "frontAddress" | "maxDescriptors">;
-    readonly clock: shared.Clock;
+    readonly scheduler: shared.Scheduler;
     readonly logger: shared.Logger;
     readonly metrics: metrics.RouteMetrics;
     readonly budget: bodyBudget.BodyBudget;
@@ -71,7 +71,7 @@
     }
     return frontendServer.createFrontendServer({
         address: settings.frontAddress,
-        clock: options.clock,
+        scheduler: options.scheduler,
         budget,
         maxConnections: clientConnection.computeMaxConnections(settings.maxDescriptors),
         getLimits: () => options.getConfiguration()?.limits,
@@ -83,5 +83,9 @@
         recordRefusedBody: bodyRefusals.createRefusalRecorder({ logger, metrics: options.metrics, ...budget }),
         watchSocket: options.watchSocket,
         recordExcessConnection: options.metrics.recordExcessConnection,
+        recordUnclosed: reason => {
+            options.metrics.recordUnclosedConnection(reason);
+            logger.info("frontend: connection not closed by its client", { reason });
+        },
     });
 };
--- a/src/node/routes/clientReading.test.ts
+++ b/src/node/routes/clientReading.test.ts
@@ -44,7 +44,7 @@
     t.is(parsed.at(-1)?.connection, 0);
 });
 
-test("the server resumes no connection that waits for its turn, and stopped ones are not parsed", async t => {
+test("the server resumes no connection that waits for its turn, and what is discarded is not parsed", async t => {
     const { connections, parsed } = createConnections(2, 2);
     await timers.setImmediate();
     connections.forEach(({ socket }) => socket.push(Buffer.alloc(2 * sliceBytes)));
@@ -52,7 +52,7 @@
     connections.forEach(({ socket }) => socket.resume());
     await Promise.resolve();
     t.is(parsed.length, 2);
-    connections[1]?.reading.stop();
+    connections[1]?.reading.startDiscarding();
     await waitFor(() => parsed.length === 3);
     for (let iteration = 0; iteration < 5; iteration++) {
         await timers.setImmediate();
--- a/src/node/routes/clientReading.ts
+++ b/src/node/routes/clientReading.ts
@@ -28,8 +28,6 @@
     setBlocked(isBlocked: boolean): void;
     /** Does not parse what follows. It is still read, in turn, as its end tells that the client has left. */
     startDiscarding(): void;
-    /** Reads nothing more, not even the end. */
-    stop(): void;
 }
 
 /**
@@ -48,7 +46,7 @@
     clock: shared.Clock,
 ): ClientReading => {
     const parsers = socket.listeners("data") as ((bytes: Buffer) => void)[];
-    let mode: "parse" | "discard" | "stop" = "parse";
+    let mode: "parse" | "discard" | "closed" = "parse";
     let isHeld = false;
     let isBlocked = false;
     /** Whether the HTTP server had paused the connection when it was blocked, and has not resumed it since. */
@@ -65,7 +63,7 @@
     };
     const resume = (): void => {
         release();
-        if (mode !== "stop" && !isBlocked && !socket.destroyed) {
+        if (mode !== "closed" && !isBlocked && !socket.destroyed) {
             socket.resume();
         }
     };
@@ -105,7 +103,7 @@
             return;
         }
         const parsedBytes = mode === "parse" ? parse(bytes) : bytes.length;
-        if (socket.destroyed || mode === "stop") {
+        if (socket.destroyed || mode === "closed") {
             return;
         }
         const rest = mode === "parse" ? bytes.subarray(parsedBytes) : undefined;
@@ -141,12 +139,12 @@
     // The HTTP server resumes the connection each time a body is read.
     socket.on("resume", () => {
         isPausedBelow = false;
-        if (isHeld || isBlocked || mode === "stop") {
+        if (isHeld || isBlocked || mode === "closed") {
             socket.pause();
         }
     });
     socket.once("close", () => {
-        mode = "stop";
+        mode = "closed";
         release();
     });
 
@@ -160,10 +158,6 @@
             }
             setBlocked(false);
         },
-        stop: () => {
-            mode = "stop";
-            socket.pause();
-        },
     };
 };
 
--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -149,7 +149,7 @@
     await busy.ended;
     t.regex(busy.read(), /connection: close/i);
     t.true(busy.read().endsWith("done"));
-    t.is(server.countConnections(), 0);
+    await waitFor(() => server.countConnections() === 0);
 });
 
 test("a response that its client still reads is not cut off when idle connections are closed", async t => {
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -9,6 +9,7 @@
 import * as routes from "../../common/routes/Types.js";
 import * as shared from "../../common/Types.js";
 import * as bodyRefusals from "./bodyRefusals.js";
+import * as clientClosing from "./clientClosing.js";
 import * as clientConnection from "./clientConnection.js";
 import * as clientReading from "./clientReading.js";
 import * as clientResponses from "./clientResponses.js";
@@ -59,7 +60,7 @@
 
 export interface FrontendOptions {
     readonly address: shared.Address;
-    readonly clock: shared.Clock;
+    readonly scheduler: shared.Scheduler;
     /** Of the bodies of all connections. */
     readonly budget: bodyBudget.BodyBudget;
     /** Connections that may be open at the same time. */
@@ -78,6 +79,8 @@
     recordRefusedBody(refusal: bodyRefusals.RefusedBody): void;
     /** Called when a connection is closed because there are too many. */
     recordExcessConnection(): void;
+    /** Called when a connection that has been closed here ends without its client closing it. */
+    recordUnclosed(reason: clientClosing.UnclosedReason): void;
     /** Called for each request that ends with the process. */
     recordCutOff(cutOff: {
         readonly headers: types.RawHeaders;
@@ -96,7 +99,7 @@
  * @returns the server, not listening yet
  */
 export const createFrontendServer = (options: FrontendOptions): FrontendServer => {
-    const { clock } = options;
+    const { scheduler } = options;
     const openConnections = new Map<stream.Duplex, clientConnection.ClientConnection>();
     const readTurns = readControl.createReadTurns();
     const bodyStore = requestBody.createBodyStore(options.budget);
@@ -115,14 +118,15 @@
         return closes;
     };
 
-    const sendResponse = (
+    const sendResponse = async (
         serverResponse: http.ServerResponse,
         response: ClientResponse,
         mustClose: boolean,
-    ): Promise<void> =>
-        clientResponses.sendResponse(serverResponse, response, () =>
-            decideClose(serverResponse.req, response, mustClose),
-        );
+    ): Promise<void> => {
+        const { req: request } = serverResponse;
+        await clientResponses.sendResponse(serverResponse, response, () => decideClose(request, response, mustClose));
+        openConnections.get(request.socket)?.closing.recordResponse();
+    };
 
     /** Ends a request after an unexpected error. The status does not promise that it has not run. */
     const failRequest = async (
@@ -144,7 +148,7 @@
     };
 
     const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
-        const receivedAtMs = clock.now();
+        const receivedAtMs = scheduler.now();
         const connection = openConnections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
             return;
@@ -222,7 +226,7 @@
             active.bodyReader?.release();
             connection.activeRequests.delete(active);
             if (connection.isUnreadable && connection.activeRequests.size === 0) {
-                request.socket.destroySoon();
+                connection.closing.finish();
             }
         }
     };
@@ -250,10 +254,10 @@
             }
             return;
         }
-        connection.reading.stop();
         const { statusCode, reason } = unreadable;
         const refusal = unreadableRequests.formatRefusal(options.formatRefusal([], statusCode, reason));
-        socket.end(refusal, () => socket.destroy());
+        socket.write(refusal);
+        connection.closing.finish();
     };
 
     const beginRequest = (request: http.IncomingMessage, serverResponse: http.ServerResponse): void =>
@@ -270,6 +274,8 @@
     );
     server.requestTimeout = 0;
     server.on("clientError", handleClientError);
+    // An idle connection; without a listener the server would destroy it.
+    server.on("timeout", (socket: net.Socket) => openConnections.get(socket)?.closing.closeIdle());
     // Expectations other than 100-continue are ignored; without a listener the server would respond with 417.
     server.on("checkExpectation", beginRequest);
     // Without a listener the server would close the connection.
@@ -281,9 +287,7 @@
     });
     server.on("connection", socket => {
         options.watchSocket?.(socket);
-        const connection = clientConnection.createClientConnection(
-            clientReading.startClientReading(socket, readTurns, clock),
-        );
+        const connection = clientConnection.createClientConnection(socket, { ...options, readTurns });
         const { activeRequests } = connection;
         if (openConnections.size >= options.maxConnections) {
             (clientConnection.pickExcessConnection(openConnections) ?? socket).destroy();
@@ -319,14 +323,14 @@
             isAccepting = false;
             // `http.Server.close` would also destroy connections whose last response has not been flushed yet.
             net.Server.prototype.close.call(server);
-            for (const [socket, { activeRequests }] of openConnections) {
+            for (const { activeRequests, closing } of openConnections.values()) {
                 if (activeRequests.size === 0) {
-                    socket.destroy();
+                    closing.closeIdle();
                 }
             }
         },
         countConnections: () => openConnections.size,
-        recordCutOff: () => clientConnection.recordCutOff(openConnections, clock, options),
+        recordCutOff: () => clientConnection.recordCutOff(openConnections, scheduler, options),
         dispose: () => {
             bodyStore.dispose();
             server.close();
--- a/src/node/routes/metrics.ts
+++ b/src/node/routes/metrics.ts
@@ -5,6 +5,7 @@
 import * as callers from "../../common/routes/callers.js";
 import * as bodyForwarding from "./bodyForwarding.js";
 import * as bodyRefusals from "./bodyRefusals.js";
+import * as clientClosing from "./clientClosing.js";
 import * as drainControl from "./drainControl.js";
 import * as exchangeLog from "./exchangeLog.js";
 import * as metricSources from "./metricSources.js";
@@ -59,6 +60,8 @@
     recordRefusedBody(reason: bodyRefusals.RefusedBodyReason): void;
     /** Counts a connection of a client that was closed because there were too many. */
     recordExcessConnection(): void;
+    /** Counts a connection that ended without its client closing it. */
+    recordUnclosedConnection(reason: clientClosing.UnclosedReason): void;
     /** Counts a response on a connection to a target that belongs to no request, or to another one. */
     recordUnexpectedResponse(kind: unexpectedResponses.UnexpectedKind): void;
     /** Counts a header of a target whose value is malformed. */
@@ -182,6 +185,12 @@
         help: "Connections of clients that were closed because there were too many.",
         registers,
     });
+    const unclosedConnections = new promClient.Counter({
+        name: `${metricSources.namePrefix}unclosed_connections_total`,
+        help: "Connections that ended without their clients closing them, by the bound that was reached.",
+        labelNames: ["reason"],
+        registers,
+    });
     const strayResponses = new promClient.Counter({
         name: `${metricSources.namePrefix}unexpected_responses_total`,
         help: "Responses of targets that belong to no request, or to another one than that under way, by kind.",
@@ -224,6 +233,7 @@
         recordNotRun: source => notRunResponses.inc({ source }),
         recordUnreadable: isBehindRequest => unreadableRequests.inc({ behind_request: String(isBehindRequest) }),
         recordRefusedBody: reason => refusedBodies.inc({ reason }),
+        recordUnclosedConnection: reason => unclosedConnections.inc({ reason }),
         recordExcessConnection: () => excessConnections.inc(),
         recordUnexpectedResponse: kind => strayResponses.inc({ kind }),
         recordMalformedHeader: header => malformedHeaders.inc({ header }),
--- a/src/node/routes/responseBodies.ts
+++ b/src/node/routes/responseBodies.ts
@@ -11,7 +11,8 @@
  */
 const cutOff = (response: http.ServerResponse, isDelimited: boolean): void => {
     if (isDelimited) {
-        response.destroy();
+        // Responses before it may still be on their way.
+        response.socket?.destroySoon();
     } else {
         response.socket?.resetAndDestroy();
     }
--- a/src/node/routes/routeDaemon.ts
+++ b/src/node/routes/routeDaemon.ts
@@ -263,7 +263,7 @@
 
     const frontend = clientFrontend.createVmFrontend({
         settings,
-        clock: scheduler,
+        scheduler,
         logger,
         metrics: routeMetrics,
         budget: bodies,
--- a/src/testing/routes/frontendFixture.ts
+++ b/src/testing/routes/frontendFixture.ts
@@ -32,6 +32,7 @@
     recordRefusedBody: () => undefined,
     recordExcessConnection: () => undefined,
     recordCutOff: () => undefined,
+    recordUnclosed: () => undefined,
     mayBegin: () => true,
 });
 
@@ -53,7 +54,7 @@
     const unreadable: unreadableRequests.UnreadableRequest[] = [];
     const server = frontendServer.createFrontendServer({
         address,
-        clock: scheduler,
+        scheduler,
         ...createUnlimitedBodies(),
         getLimits: () => ({ ...fixture.createConfiguration(1).limits, ...limits }),
         handle,
