Refuse a request that may not begin before its body is asked for

Callers saw: a VM that reaches no target passed a request on to one that was leaving, and the client got that VM's 503 although a third VM would have run the request. Clients that hold their body back were asked for it, and got 503 then.

Cause: Node.js answers `Expect: 100-continue` by itself, before the head is looked at. The VM that passes a request on takes the question for the body as the sign that the other one has taken it, and a refusal after that as final.

Evidence: on the test of the frontend reads `100 Continue` ahead of the 503, and the relay returns the 503 of a VM that has not asked for the body (both kinds of routes), though nothing can have run there.

Why this works: the body is asked for once the head has been accepted. A refusal before that, like a broken connection, says that the request has not been taken, so that it is offered to the next VM.

--- a/src/node/routes/frontendServer.test.ts
+++ b/src/node/routes/frontendServer.test.ts
@@ -293,3 +293,28 @@
     t.deepEqual(handled, ["/first"]);
     server.dispose();
 });
+
+// Guards against a client, or another VM, that sends a large body to a VM which refuses the request by its head.
+test("a body that its client holds back is asked for only if the request may begin", async t => {
+    for (const mayBegin of [true, false]) {
+        const { server, connect } = await startServer(
+            ({ body }) => Promise.resolve(createResponse(body.toString())),
+            {},
+            { mayBegin: () => mayBegin },
+        );
+        const client = connect();
+        client.socket.write("POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n");
+        server.startDraining();
+        await waitFor(() => client.read().includes("\r\n\r\n"));
+        if (mayBegin) {
+            t.regex(client.read(), /^HTTP\/1\.1 100 /);
+            client.socket.write("abc");
+            await client.ended;
+            t.regex(client.read(), /HTTP\/1\.1 200 [^]*abc$/);
+        } else {
+            await client.ended;
+            t.regex(client.read(), /^HTTP\/1\.1 503 [^]*connection: close/i);
+        }
+        server.dispose();
+    }
+});
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -147,7 +147,11 @@
         }
     };
 
-    const handleRequest = async (request: http.IncomingMessage, serverResponse: http.ServerResponse): Promise<void> => {
+    const handleRequest = async (
+        request: http.IncomingMessage,
+        serverResponse: http.ServerResponse,
+        isBodyHeldBack: boolean,
+    ): Promise<void> => {
         const receivedAtMs = scheduler.now();
         const connection = openConnections.get(request.socket);
         if (connection === undefined || connection.isClosing) {
@@ -198,6 +202,9 @@
             });
             active.bodyReader = bodyReader;
             connection.bodyReader = bodyReader;
+            if (isBodyHeldBack && index < connection.refusedRequest) {
+                serverResponse.writeContinue();
+            }
             const body = await bodyReader.result;
             active.phase = "handling";
             if (body.kind !== "whole") {
@@ -261,7 +268,7 @@
     };
 
     const beginRequest = (request: http.IncomingMessage, serverResponse: http.ServerResponse): void =>
-        void handleRequest(request, serverResponse);
+        void handleRequest(request, serverResponse, false);
 
     const server = http.createServer(
         {
@@ -276,6 +283,8 @@
     server.on("clientError", handleClientError);
     // An idle connection; without a listener the server would destroy it.
     server.on("timeout", (socket: net.Socket) => openConnections.get(socket)?.closing.closeIdle());
+    // Without a listener the server would ask for the body at once.
+    server.on("checkContinue", (request, serverResponse) => void handleRequest(request, serverResponse, true));
     // Expectations other than 100-continue are ignored; without a listener the server would respond with 417.
     server.on("checkExpectation", beginRequest);
     // Without a listener the server would close the connection.
--- a/src/node/routes/relayedRequests.test.ts
+++ b/src/node/routes/relayedRequests.test.ts
@@ -123,3 +123,28 @@
     t.like(await relayJob(relay, "non-idempotent", body), { kind: "relayed", response: { statusCode: 503 } });
     t.like(await relayJob(relay, "non-idempotent", body), { kind: "relayed", response: { statusCode: 200 } });
 });
+
+/** A VM that leaves: it refuses what would take too long before it asks for the body. */
+const startLeavingVm = async (): Promise<shared.Address> => {
+    const refusal = "HTTP/1.1 503 Service Unavailable\r\nx-id: r1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    const server = net.createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.once("data", () => socket.end(refusal));
+    });
+    const address = await httpServer.waitForListening(server, "127.0.0.1:0");
+    closers.push(() => server.close());
+    return address;
+};
+
+for (const kind of ["idempotent", "non-idempotent"] as const) {
+    // Guards against the refusal of a VM that leaves, and that has read no body, while another one would run the request.
+    test(`a request that a leaving VM does not take is passed on to another one (${kind})`, async t => {
+        const live = await startVm();
+        const relay = createRelay([
+            fixture.createPeer("leaving", { frontAddress: await startLeavingVm() }),
+            fixture.createPeer("live", { frontAddress: live.address, zone: ids.toZoneName("far") }),
+        ]);
+        t.like(await relayJob(relay, kind, body), { kind: "relayed", response: { statusCode: 200 } });
+        t.deepEqual(live.bodies, [body.toString()]);
+    });
+}
--- a/src/node/routes/targetSender.ts
+++ b/src/node/routes/targetSender.ts
@@ -6,6 +6,7 @@
 import * as shared from "../../common/Types.js";
 import * as connectionInfo from "./connectionInfo.js";
 import * as connectionPool from "./connectionPool.js";
+import * as notRun from "./notRun.js";
 import * as targetConnection from "./targetConnection.js";
 import * as types from "./Types.js";
 
@@ -29,7 +30,10 @@
 
 export type AttemptResult =
     | { readonly kind: "response"; readonly response: targetConnection.TargetResponse }
-    /** No connection could be opened, or the other VM has not asked for the body, so that the request cannot have run. */
+    /**
+     * No connection could be opened, or the other VM has not asked for the body, as it is frozen or leaves, so that the request
+     * cannot have run.
+     */
     | { readonly kind: "unreachable" }
     /** Nothing was sent, as the attempt was aborted before its connection was open. */
     | { readonly kind: "withdrawn" }
@@ -268,7 +272,8 @@
         };
         const result = await connection.send({ ...sent, bytes, heldBody: { bytes: heldBytes, handleSent } });
         timer.dispose();
-        return result.kind === "broken" && !isTaken ? { kind: "unreachable" } : result;
+        const isRefused = result.kind === "response" && notRun.isNotRunStatus(result.response.statusCode);
+        return !isTaken && (isRefused || result.kind === "broken") ? { kind: "unreachable" } : result;
     };
 
     const startRelayed = (relayed: RelayOptions): Attempt =>
