Give back what a client has pipelined when it leaves

Cause: a response waits for `finish` or `close`, and Node.js fires neither for one that is queued behind another when the connection closes. The request never ended, and the budget of bodies kept it and all that was queued on its connection.

`what a client has pipelined is given back when it leaves` without the change: 3 reserved bytes are left, and a stream stays open.

Why this works: the signal that is aborted when the client leaves ends the wait of a response, whether it has its turn or not, and destroys a body that is being passed on.

Result: the test passes.

--- a/src/node/routes/clientResponses.ts
+++ b/src/node/routes/clientResponses.ts
@@ -29,30 +29,32 @@
  *
  * @param serverResponse - where it is written
  * @param response - the response
- * @param decideClose - decides when the head is written whether the connection closes after the response
+ * @param client - decides when the head is written whether the connection closes after the response; its signal is aborted
+ *     when the client leaves
  * @returns resolves when it was handed over to the connection or has been cut off; rejects if the head cannot be written
  */
 export const sendResponse = async (
     serverResponse: http.ServerResponse,
     response: frontendServer.ClientResponse,
-    decideClose: () => boolean,
+    client: { readonly signal: AbortSignal; decideClose(): boolean },
 ): Promise<void> => {
     const { body } = response;
+    const { signal } = client;
     if (serverResponse.destroyed || serverResponse.headersSent) {
         responseBodies.destroyBody(body);
         return;
     }
     try {
-        writeHead(serverResponse, response, decideClose);
+        writeHead(serverResponse, response, client.decideClose);
     } catch (error) {
         responseBodies.destroyBody(body);
         throw error;
     }
     switch (body.kind) {
         case "whole":
-            await responseBodies.sendBytes(serverResponse, body.bytes);
+            await responseBodies.sendBytes(serverResponse, body.bytes, signal);
             return;
         case "stream":
-            await responseBodies.sendStream(serverResponse, body.stream, response.isDelimited);
+            await responseBodies.sendStream(serverResponse, body.stream, response.isDelimited, signal);
     }
 };
--- a/src/node/routes/frontendServer.ts
+++ b/src/node/routes/frontendServer.ts
@@ -27,8 +27,6 @@
 /** Added to the configured timeouts, so that an idle connection is not closed while a request is on its way. */
 const timeoutMarginMs = 1_000;
 const defaultIdleTimeoutMs = 60_000;
-/** `: ` after a name, and the line break after a value. */
-const separatorBytes = 2;
 
 export interface ClientRequest extends clientConnection.ReceivedHead {
     readonly method: string;
@@ -89,9 +87,6 @@
     }): void;
 }
 
-const countHeaderBytes = (headers: types.RawHeaders): number =>
-    headers.reduce((sum, text) => sum + text.length + separatorBytes, 0);
-
 /**
  * Creates the server.
  *
@@ -119,21 +114,25 @@
     };
 
     const sendResponse = async (
+        { request, abort }: clientConnection.ActiveRequest,
         serverResponse: http.ServerResponse,
         response: ClientResponse,
         mustClose: boolean,
     ): Promise<void> => {
-        const { req: request } = serverResponse;
-        await clientResponses.sendResponse(serverResponse, response, () => decideClose(request, response, mustClose));
+        await clientResponses.sendResponse(serverResponse, response, {
+            signal: abort.signal,
+            decideClose: () => decideClose(request, response, mustClose),
+        });
         openConnections.get(request.socket)?.closing.recordResponse();
     };
 
     /** Ends a request after an unexpected error. The status does not promise that it has not run. */
     const failRequest = async (
-        request: http.IncomingMessage,
+        active: clientConnection.ActiveRequest,
         serverResponse: http.ServerResponse,
         error: unknown,
     ): Promise<void> => {
+        const { request } = active;
         options.recordError(error);
         if (serverResponse.headersSent) {
             request.socket.resetAndDestroy();
@@ -141,7 +140,7 @@
         }
         try {
             const response = options.formatRefusal(request.rawHeaders, 500, "internal error");
-            await sendResponse(serverResponse, response, true);
+            await sendResponse(active, serverResponse, response, true);
         } catch {
             request.socket.resetAndDestroy();
         }
@@ -170,19 +169,13 @@
         const limits = options.getLimits();
         const fail = (statusCode: number, reason: string): Promise<void> => {
             active.phase = "response";
-            return sendResponse(serverResponse, options.formatRefusal(request.rawHeaders, statusCode, reason), true);
+            const response = options.formatRefusal(request.rawHeaders, statusCode, reason);
+            return sendResponse(active, serverResponse, response, true);
         };
         try {
-            if (limits !== undefined && countHeaderBytes(request.rawHeaders) > limits.maxHeaderBytes) {
-                await fail(431, "header too large");
-                return;
-            }
-            if (
-                (request.httpVersion === "1.1" && request.headers.host === undefined) ||
-                !headSyntax.isRequestUrl(request.url ?? "") ||
-                headSyntax.checkHeaders(request.rawHeaders) !== undefined
-            ) {
-                await fail(400, "malformed request head");
+            const fault = headSyntax.checkHead(request, limits?.maxHeaderBytes ?? Infinity);
+            if (fault !== undefined) {
+                await fail(fault.statusCode, fault.reason);
                 return;
             }
             // The rest of the grace period belongs to the requests that began before.
@@ -225,10 +218,10 @@
             });
             active.phase = "response";
             if (response !== undefined) {
-                await sendResponse(serverResponse, response, false);
+                await sendResponse(active, serverResponse, response, false);
             }
         } catch (error) {
-            await failRequest(request, serverResponse, error);
+            await failRequest(active, serverResponse, error);
         } finally {
             active.bodyReader?.release();
             connection.activeRequests.delete(active);
--- a/src/node/routes/responseBodies.ts
+++ b/src/node/routes/responseBodies.ts
@@ -53,12 +53,17 @@
  *
  * @param response - the response, whose head was written
  * @param bytes - the body
+ * @param signal - aborted when the client leaves; a response that waits behind another one fires no event then
  * @returns resolves when the body was handed over to the operating system, or the client left
  */
-export const sendBytes = (response: http.ServerResponse, bytes: Buffer): Promise<void> =>
+export const sendBytes = (response: http.ServerResponse, bytes: Buffer, signal: AbortSignal): Promise<void> =>
     new Promise(resolve => {
         response.once("finish", resolve);
         response.once("close", resolve);
+        signal.addEventListener("abort", () => resolve(), { once: true });
+        if (signal.aborted) {
+            resolve();
+        }
         response.end(bytes);
     });
 
@@ -69,14 +74,28 @@
  * @param response - the response, whose head was written
  * @param body - the body
  * @param isDelimited - false if the end of the connection delimits the body
+ * @param signal - aborted when the client leaves
  * @returns resolves when the body was handed over or was cut off
  */
-export const sendStream = (response: http.ServerResponse, body: stream.Readable, isDelimited: boolean): Promise<void> =>
+export const sendStream = (
+    response: http.ServerResponse,
+    body: stream.Readable,
+    isDelimited: boolean,
+    signal: AbortSignal,
+): Promise<void> =>
     new Promise(resolve => {
         const handleBreak = (): void => {
             cutOff(response, isDelimited);
             resolve();
         };
+        const handleClose = (): void => {
+            body.destroy();
+            resolve();
+        };
+        if (signal.aborted) {
+            handleClose();
+            return;
+        }
         if (body.destroyed) {
             handleBreak();
             return;
@@ -89,9 +108,7 @@
             }
         });
         response.once("finish", resolve);
-        response.once("close", () => {
-            body.destroy();
-            resolve();
-        });
+        response.once("close", handleClose);
+        signal.addEventListener("abort", handleClose, { once: true });
         body.pipe(response);
     });
