Cut off a broken response in its turn if it was pipelined

Cause: a response is cut off through its connection, which a pipelined one has only in its turn. Before that nothing was cut off, and nobody came back.

Evidence: both tests of `a pipelined response ... that breaks off before its turn ends the connection then` wait without end without the change.

Why this works: such a response is cut off when it gets its connection, after what was queued has been written.

--- a/src/node/routes/pipelinedClients.test.ts
+++ b/src/node/routes/pipelinedClients.test.ts
@@ -40,3 +40,30 @@
     t.true(body.destroyed);
     server.dispose();
 });
+
+for (const isDelimited of [true, false]) {
+    const name = isDelimited ? "with a length" : "without a length";
+    // Guards against a connection that neither ends nor goes on, with the requests behind the response that broke off.
+    test(`a pipelined response ${name} that breaks off before its turn ends the connection then`, async t => {
+        const { server, connect } = await startServer(async ({ url }) => {
+            if (url === "/slow") {
+                await wait(100);
+                return createResponse(url);
+            }
+            const body = new stream.PassThrough();
+            body.write("part");
+            setTimeout(() => body.destroy(), 30);
+            return {
+                ...createResponse(""),
+                body: { kind: "stream", stream: body, bodyBytes: isDelimited ? 8 : undefined, isReceived: () => false },
+                isDelimited,
+            };
+        });
+        const client = connect();
+        client.socket.write(formatRequest("/slow") + formatRequest("/broken") + formatRequest("/behind"));
+        await client.ended;
+        t.regex(client.read(), /^HTTP\/1\.1 200 [^]*\/slow/);
+        t.notRegex(client.read(), /\/behind/);
+        server.dispose();
+    });
+}
--- a/src/node/routes/responseBodies.ts
+++ b/src/node/routes/responseBodies.ts
@@ -2,19 +2,29 @@
  * Sends the bodies of responses to clients.
  */
 import type * as http from "node:http";
+import type * as net from "node:net";
 import type * as stream from "node:stream";
 import type * as types from "./Types.js";
 
 /**
  * Cuts off a response in a way that the client cannot take for its end. A body without a length ends with an ordinary
- * close, so that only a reset shows that it is incomplete.
+ * close, so that only a reset shows that it is incomplete. A pipelined response is cut off once those before it have ended, as
+ * it has no connection until then.
  */
 const cutOff = (response: http.ServerResponse, isDelimited: boolean): void => {
-    if (isDelimited) {
-        // Responses before it may still be on their way.
-        response.socket?.destroySoon();
+    const close = (socket: net.Socket): void => {
+        if (isDelimited) {
+            // Responses before it may still be on their way.
+            socket.destroySoon();
+        } else {
+            socket.resetAndDestroy();
+        }
+    };
+    if (response.socket === null) {
+        // What was queued is written in the same turn as the event.
+        response.once("socket", (socket: net.Socket) => setImmediate(() => close(socket)));
     } else {
-        response.socket?.resetAndDestroy();
+        close(response.socket);
     }
 };
 
